--- /dev/null
+++ b/src/common/config.rs
@@ -0,0 +1,168 @@
+//! The operator's configuration and the directory's records.
+use super::ids::{InstanceId, Revision, ServiceName};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use validator::{Validate, ValidationError};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
+#[validate(schema(function = "whole"))]
+pub struct Configuration {
+    #[validate(custom(function = "above_zero"))]
+    pub revision: Revision,
+    #[validate(nested)]
+    pub route_rules: Vec<Route>,
+    #[validate(nested)]
+    pub services: Vec<Service>,
+    #[serde(default)]
+    #[validate(nested)]
+    pub limits: SessionLimits,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RouteType {
+    Primary,
+    Bounded,
+    ReadYourWrites,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
+pub struct Route {
+    #[validate(length(min = 1))]
+    pub name: String,
+    #[validate(length(min = 1, max = 255))]
+    pub hostname: String,
+    #[serde(default = "slash")]
+    pub path_prefix: String,
+    pub route_type: RouteType,
+    #[validate(range(min = 1))]
+    pub timeout_ms: u64,
+    #[serde(default)]
+    pub target_latency_ms: u64,
+    #[serde(default)]
+    pub priority: u8,
+    pub target_service: ServiceName,
+    #[serde(default = "one")]
+    pub max_attempts: u32,
+    #[serde(default)]
+    pub stale_ms: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
+pub struct Service {
+    #[validate(custom(function = "named"))]
+    pub name: ServiceName,
+    #[validate(range(min = 1))]
+    pub max_connections: u32,
+    #[serde(default)]
+    pub sync_replicas: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(default)]
+pub struct SessionLimits {
+    #[validate(range(min = 1))]
+    pub txn_idle_ms: u64,
+}
+impl Default for SessionLimits {
+    fn default() -> Self {
+        Self { txn_idle_ms: 3000 }
+    }
+}
+
+fn slash() -> String {
+    "/".to_owned()
+}
+fn one() -> u32 {
+    1
+}
+fn above_zero(revision: &Revision) -> Result<(), ValidationError> {
+    if revision.0 == 0 { Err(ValidationError::new("above_zero")) } else { Ok(()) }
+}
+fn named(name: &ServiceName) -> Result<(), ValidationError> {
+    if name.0.is_empty() || name.0.contains(char::is_whitespace) {
+        return Err(ValidationError::new("one_word"));
+    }
+    Ok(())
+}
+fn whole(config: &Configuration) -> Result<(), ValidationError> {
+    let mut services = BTreeSet::new();
+    if !config.services.iter().all(|s| services.insert(&s.name)) {
+        return Err(ValidationError::new("service_named_twice"));
+    }
+    let mut places = BTreeSet::new();
+    for route in &config.route_rules {
+        if !services.contains(&route.target_service) {
+            return Err(ValidationError::new("unknown_service"));
+        }
+        if !places.insert((&route.hostname, &route.path_prefix)) {
+            return Err(ValidationError::new("same_host_and_prefix"));
+        }
+    }
+    Ok(())
+}
+
+impl Configuration {
+    /// Reads and checks the bytes an operator sent; the text says what is wrong.
+    pub fn read(body: &[u8]) -> Result<Self, String> {
+        let config: Configuration =
+            serde_json::from_slice(body).map_err(|e| format!("cannot be read: {e}"))?;
+        config.validate().map_err(|e| e.to_string().replace('\n', "; "))?;
+        Ok(config)
+    }
+    /// The route of a database name as clients know it.
+    pub fn route(&self, hostname: &str) -> Option<&Route> {
+        self.route_rules.iter().find(|r| r.hostname == hostname)
+    }
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.services.iter().find(|s| s.name == *name)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Lifecycle {
+    Available,
+    Draining,
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    Primary,
+    Replica,
+}
+
+/// A database as its beats tell of it. What changes with every beat is kept apart, in `Beat`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Instance {
+    pub target_service: ServiceName,
+    pub address: SocketAddr,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub revision: String,
+    #[serde(default)]
+    pub capacity: u32,
+    pub lifecycle_state: Lifecycle,
+    #[serde(default = "replica")]
+    pub database_role: Role,
+}
+fn replica() -> Role {
+    Role::Replica
+}
+
+/// The body of `PUT /instances/ID`.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Beat {
+    #[serde(flatten)]
+    pub instance: Instance,
+    pub sequence: u64,
+}
+
+/// One entry of the directory as stiles are told of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Listed {
+    pub id: InstanceId,
+    pub instance: Instance,
+}
--- /dev/null
+++ b/src/common/errors.rs
@@ -0,0 +1,88 @@
+//! The closed list of what can go wrong towards a client, and the answer each kind gets.
+use std::fmt;
+
+/// Every error a client can be given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ErrorKind {
+    Malformed,
+    TooLarge,
+    NotFound,
+    NoDatabase,
+    Throttled,
+    RolledBack,
+    Lagging,
+    ReadOnly,
+    WrongNode,
+    ConnLimit,
+    Failed,
+    TimedOut,
+    Unknown,
+}
+
+/// How an error kind is answered: its word on the wire, whether it promises that nothing of the
+/// try is kept, and whether the connection ends with it.
+pub struct Answer {
+    pub kind: ErrorKind,
+    pub word: &'static str,
+    pub promise: bool,
+    pub closes: bool,
+}
+
+const fn row(kind: ErrorKind, word: &'static str, promise: bool, closes: bool) -> Answer {
+    Answer { kind, word, promise, closes }
+}
+
+/// The table from kind to answer, in the order of the enum.
+pub const ANSWERS: [Answer; 13] = [
+    row(ErrorKind::Malformed, "MALFORMED", false, false),
+    row(ErrorKind::TooLarge, "TOOLARGE", false, true),
+    row(ErrorKind::NotFound, "NOTFOUND", false, false),
+    row(ErrorKind::NoDatabase, "NODATABASE", false, true),
+    row(ErrorKind::Throttled, "THROTTLED", true, false),
+    row(ErrorKind::RolledBack, "ROLLEDBACK", true, false),
+    row(ErrorKind::Lagging, "LAGGING", true, false),
+    row(ErrorKind::ReadOnly, "READONLY", true, false),
+    row(ErrorKind::WrongNode, "WRONGNODE", true, false),
+    row(ErrorKind::ConnLimit, "CONNLIMIT", true, false),
+    row(ErrorKind::Failed, "FAILED", false, false),
+    row(ErrorKind::TimedOut, "TIMEDOUT", false, false),
+    row(ErrorKind::Unknown, "UNKNOWN", false, false),
+];
+
+impl ErrorKind {
+    pub fn answer(self) -> &'static Answer {
+        &ANSWERS[self as usize]
+    }
+    pub fn from_word(word: &str) -> Option<Self> {
+        ANSWERS.iter().find(|row| row.word == word).map(|row| row.kind)
+    }
+}
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.answer().word)
+    }
+}
+
+/// Why a program can't start or go on. Each kind has its exit code.
+#[derive(Debug, thiserror::Error)]
+pub enum Fatal {
+    #[error("settings: {0}")]
+    Settings(String),
+    #[error("configuration: {0}")]
+    Configuration(String),
+    #[error("state on disk: {0}")]
+    State(String),
+    #[error("cannot listen on {0}: {1}")]
+    Listen(String, std::io::Error),
+    #[error("{0}")]
+    Call(String),
+}
+impl Fatal {
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Fatal::Settings(_) => 2,
+            Fatal::State(_) => 3,
+            Fatal::Configuration(_) | Fatal::Listen(..) | Fatal::Call(_) => 1,
+        }
+    }
+}
--- /dev/null
+++ b/src/common/peer.rs
@@ -0,0 +1,244 @@
+//! What the system's own processes say to each other: `rmp-serde` frames behind a length.
+use super::config::{Configuration, Listed};
+use super::ids::{DbTerm, Epoch, Index, InstanceId, MemberId, NodeName, Position, Revision, ServiceName};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_bytes::ByteBuf;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// The largest frame; a snapshot with a whole configuration fits well within it.
+pub const MAX_FRAME: usize = 8 << 20;
+
+/// Anything said on the peer port. The first frame of a connection tells who calls.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Frame {
+    /// A steward's consensus message, and the member it is meant for.
+    Raft { to: MemberId, message: Box<Raft> },
+    /// A steward that is not yet a member asks to become one.
+    Join(Member),
+    /// What a stile tells the leader.
+    Stile(ToSteward),
+    /// What a steward tells a stile.
+    Steward(ToStile),
+}
+
+/// One steward, as the replicated list of members holds it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    pub id: MemberId,
+    pub node: NodeName,
+    pub peer: SocketAddr,
+    pub admin: SocketAddr,
+    pub voter: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    pub epoch: Epoch,
+    pub index: Index,
+    pub body: Body,
+}
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// A new leader's first entry.
+    Opened,
+    Members(Vec<Member>),
+    /// A change of the Almanac, as its own module encodes it.
+    Change(ByteBuf),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Raft {
+    pub from: MemberId,
+    pub epoch: Epoch,
+    pub kind: RaftKind,
+}
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RaftKind {
+    AskVote {
+        /// A try only: nobody's vote is spent and no epoch moves.
+        trial: bool,
+        /// The old leader itself asked for this election.
+        handover: bool,
+        last: (Epoch, Index),
+    },
+    Vote {
+        trial: bool,
+        granted: bool,
+    },
+    Append {
+        previous: (Epoch, Index),
+        entries: Vec<Entry>,
+        commit: Index,
+        /// The leader's clock when it sent this, handed back by the answer.
+        sent: u64,
+    },
+    Appended {
+        /// The last entry known to agree, or where to look next when `ok` is false.
+        upto: Index,
+        ok: bool,
+        sent: u64,
+    },
+    Snapshot {
+        snapshot: Snapshot,
+        sent: u64,
+    },
+    TakeOver,
+}
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    pub last: (Epoch, Index),
+    pub members: Vec<Member>,
+    pub state: ByteBuf,
+}
+
+/// Why a stile believes a database lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Doubt {
+    /// Its connections broke or were refused.
+    Broken,
+    /// It owes answers and says nothing.
+    Silent,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ToSteward {
+    Hello {
+        node: NodeName,
+        /// Drawn anew at every start of the process.
+        life: u64,
+        revision: Revision,
+    },
+    Renew {
+        seq: u64,
+        /// The share of connections this stile holds itself to, for each service.
+        shares: Vec<(ServiceName, u32)>,
+    },
+    Suspect {
+        service: ServiceName,
+        instance: InstanceId,
+        why: Doubt,
+    },
+    Revoked {
+        service: ServiceName,
+        term: DbTerm,
+        /// The furthest position this stile saw acknowledged.
+        highest: Option<Position>,
+    },
+    /// Leaving in order: no lease is used any more.
+    Bye,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ToStile {
+    /// Not the leader; perhaps this one is.
+    Elsewhere(Option<SocketAddr>),
+    Welcome {
+        stewards: Vec<SocketAddr>,
+    },
+    Configured(Box<Configuration>),
+    /// The whole directory, when a connection begins.
+    Directory(Vec<Listed>),
+    Upsert(Listed),
+    Remove(InstanceId),
+    Granted {
+        seq: u64,
+        lease_ms: u64,
+        grants: Vec<Grant>,
+    },
+    Revoke {
+        service: ServiceName,
+        term: DbTerm,
+    },
+    /// Something changed that a renewal would tell: ask now.
+    Renew,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    pub service: ServiceName,
+    pub standing: Standing,
+    /// Connections this stile may have to each database of the service.
+    pub share: u32,
+}
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Standing {
+    Led { term: DbTerm, primary: InstanceId },
+    /// Nobody can commit; every acknowledged commit lies at or before this position.
+    Sealed(Position),
+    Unled,
+}
+
+pub fn encode(frame: &Frame) -> Vec<u8> {
+    let mut bytes = vec![0; 4];
+    // Only a type that has no encoding could fail here, and frames are plain data.
+    if let Err(e) = rmp_serde::encode::write(&mut bytes, frame) {
+        log::error!(target: "peers", "a frame could not be encoded: {e}");
+    }
+    let length = (bytes.len() - 4) as u32;
+    bytes[..4].copy_from_slice(&length.to_be_bytes());
+    bytes
+}
+
+pub fn send(to: &mut impl Write, frame: &Frame) -> io::Result<()> {
+    to.write_all(&encode(frame))
+}
+
+/// Reads one frame; one too large or unreadable is an error that ends the connection.
+pub fn receive(from: &mut impl Read) -> io::Result<Frame> {
+    let mut length = [0; 4];
+    from.read_exact(&mut length)?;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > MAX_FRAME {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, format!("frame of {length} bytes")));
+    }
+    // Grown as bytes come: a lying length reserves nothing.
+    let mut bytes = Vec::with_capacity(length.min(64 << 10));
+    from.take(length as u64).read_to_end(&mut bytes)?;
+    if bytes.len() < length {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    unpack(&bytes)
+}
+
+pub fn pack<T: Serialize>(value: &T) -> Vec<u8> {
+    rmp_serde::to_vec(value).unwrap_or_default()
+}
+pub fn unpack<T: DeserializeOwned>(bytes: &[u8]) -> io::Result<T> {
+    rmp_serde::from_slice(bytes).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.to_string()))
+}
+
+/// Opens a connection that gives up on a dark far end after `dark` and sends without delay.
+pub fn dial(to: SocketAddr, within: Duration, dark: Duration) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect_timeout(&to, within)?;
+    tune(&stream, dark)?;
+    Ok(stream)
+}
+pub fn tune(stream: &TcpStream, dark: Duration) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(dark))
+}
+/// Has the kernel notice a far end that went dark while nothing is under way.
+pub fn keep_alive(stream: &TcpStream, idle: Duration) -> io::Result<()> {
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(idle.max(Duration::from_secs(1)))
+        .with_interval(Duration::from_secs(1))
+        .with_retries(3);
+    socket2::SockRef::from(stream).set_tcp_keepalive(&probes)
+}
+/// Listens with the address reusable at once, as restarts need it.
+pub fn listen(at: SocketAddr) -> Result<std::net::TcpListener, super::errors::Fatal> {
+    let open = || -> io::Result<std::net::TcpListener> {
+        let socket = socket2::Socket::new(
+            socket2::Domain::for_address(at),
+            socket2::Type::STREAM,
+            Some(socket2::Protocol::TCP),
+        )?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(512)?;
+        Ok(socket.into())
+    };
+    open().map_err(|e| super::errors::Fatal::Listen(at.to_string(), e))
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,182 @@
+//! The command line of silvertack.
+use clap::{Parser, Subcommand};
+use log::LevelFilter;
+use silvertack::common::config::Configuration;
+use silvertack::common::errors::Fatal;
+use silvertack::common::settings::Settings;
+use silvertack::common::{http, logging};
+use silvertack::{steward, stile};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// A pool of client sessions on databases, and the control plane that keeps it.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    /// What is logged on standard error: off, error, warn, info, debug or trace.
+    #[arg(long, global = true, default_value = "info")]
+    log: LevelFilter,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Carry clients' sessions on this machine.
+    Stile {
+        /// The settings file; SILVERTACK_BOOT names it otherwise.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
+    /// Keep the configuration, the directory and the leases on this machine.
+    Steward {
+        /// The settings file; SILVERTACK_BOOT names it otherwise.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
+    /// Check a file without using it.
+    Check {
+        #[command(subcommand)]
+        what: Check,
+    },
+    /// Ask a node for its state, as JSON: a steward's admin or a stile's readiness address.
+    Status {
+        address: SocketAddr,
+        /// Follow to the leading steward, which knows of the whole system.
+        #[arg(long)]
+        leader: bool,
+    },
+    /// Read or send the configuration at a steward's admin address.
+    Configuration {
+        #[command(subcommand)]
+        what: ConfigurationCall,
+    },
+}
+
+#[derive(Subcommand)]
+enum Check {
+    /// A node's settings file (TOML).
+    Settings { file: PathBuf },
+    /// A configuration as the operator sends it (JSON).
+    Configuration { file: PathBuf },
+}
+
+#[derive(Subcommand)]
+enum ConfigurationCall {
+    /// Print the newest configuration, as it was sent.
+    Get { address: SocketAddr },
+    /// Send a configuration.
+    Put {
+        address: SocketAddr,
+        file: PathBuf,
+        /// The revision it builds on; 0 for the first.
+        #[arg(long)]
+        base: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    logging::start(cli.log);
+    match run(cli.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("silvertack: {e}");
+            ExitCode::from(e.exit_code())
+        }
+    }
+}
+
+fn run(command: Command) -> Result<(), Fatal> {
+    match command {
+        Command::Stile { settings } => {
+            let path = Settings::path(settings)?;
+            let settings = Settings::read(&path)?;
+            stile::run(path, settings)
+        }
+        Command::Steward { settings } => {
+            let path = Settings::path(settings)?;
+            let settings = Settings::read(&path)?;
+            steward::run(path, settings)
+        }
+        Command::Check { what: Check::Settings { file } } => {
+            let settings = Settings::read(&file)?;
+            println!("{}: ok", settings.node_name);
+            Ok(())
+        }
+        Command::Check { what: Check::Configuration { file } } => {
+            let config = Configuration::read(&read(&file)?).map_err(Fatal::Configuration)?;
+            println!("revision {}: ok, {} routes", config.revision, config.route_rules.len());
+            Ok(())
+        }
+        Command::Status { address, leader } => {
+            let mut body = call(address, "GET", "/status", &[], &[])?;
+            if leader {
+                let status: serde_json::Value = serde_json::from_slice(&body)
+                    .map_err(|e| Fatal::Call(format!("{address} answers nonsense: {e}")))?;
+                let at = status["leader_admin"].as_str().and_then(|a| a.parse().ok());
+                let at: SocketAddr = at.ok_or_else(|| {
+                    Fatal::Call(format!("{address} knows of no leader, or is no steward"))
+                })?;
+                if at != address {
+                    body = call(at, "GET", "/status", &[], &[])?;
+                }
+            }
+            print_json(address, &body)
+        }
+        Command::Configuration { what: ConfigurationCall::Get { address } } => {
+            let body = call(address, "GET", "/configuration", &[], &[])?;
+            print_json(address, &body)
+        }
+        Command::Configuration { what: ConfigurationCall::Put { address, file, base } } => {
+            let body = read(&file)?;
+            Configuration::read(&body).map_err(Fatal::Configuration)?;
+            call(address, "PUT", "/configuration", &[("If-Match", base.to_string())], &body)?;
+            println!("taken");
+            Ok(())
+        }
+    }
+}
+
+fn read(file: &PathBuf) -> Result<Vec<u8>, Fatal> {
+    std::fs::read(file).map_err(|e| Fatal::Configuration(format!("{}: {e}", file.display())))
+}
+
+fn print_json(address: SocketAddr, body: &[u8]) -> Result<(), Fatal> {
+    let value: serde_json::Value = serde_json::from_slice(body)
+        .map_err(|e| Fatal::Call(format!("{address} answers nonsense: {e}")))?;
+    println!("{value:#}");
+    Ok(())
+}
+
+/// One call, following the way to the leader twice as callers of stewards do.
+fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, String)],
+    body: &[u8],
+) -> Result<Vec<u8>, Fatal> {
+    let mut at = address;
+    for _ in 0..3 {
+        let (status, location, answer) =
+            http::call(at, method, path, headers, body, Duration::from_secs(3))
+                .map_err(|e| Fatal::Call(format!("{at}: {e}")))?;
+        let next = location
+            .as_deref()
+            .and_then(|l| l.strip_prefix("http://"))
+            .and_then(|l| l.split('/').next())
+            .and_then(|a| a.parse().ok());
+        match (status, next) {
+            (200..=299, _) => return Ok(answer),
+            (307, Some(next)) => at = next,
+            _ => {
+                let text = String::from_utf8_lossy(&answer);
+                return Err(Fatal::Call(format!("{at} answers {status}: {text}")));
+            }
+        }
+    }
+    Err(Fatal::Call(format!("{address} sends from node to node")))
+}
--- /dev/null
+++ b/src/steward.rs
@@ -0,0 +1,2521 @@
+//! The steward: consensus on disk, the Almanac it keeps, who leads each service, and the leases.
+//!
+//! `Hedge`, `Almanac` and `Succession` are values moved on by events and a passed-in time; the
+//! program round them owns the sockets, the disk and the clock.
+use crate::common::config::{Beat, Configuration, Instance, Lifecycle, Listed, Role};
+use crate::common::errors::Fatal;
+use crate::common::http::{self, Request, Response};
+use crate::common::ids::*;
+use crate::common::peer::*;
+use crate::common::settings::{Settings, Watched};
+use crate::common::signals::Signals;
+use crate::common::wire::{self, Described};
+use log::{error, info, warn};
+use rusqlite::{Connection, OptionalExtension, params};
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, SyncSender, channel, sync_channel};
+use std::time::Duration;
+
+// ---------------------------------------------------------------------------------------------
+// Consensus
+
+/// How often the leader is heard of when there is nothing to say.
+const HEARTBEAT_MS: u64 = 200;
+/// A follower that heard its leader within this time helps nobody else to lead.
+pub const ELECTION_MIN_MS: u64 = 800;
+const ELECTION_SPREAD_MS: u64 = 500;
+/// The leader acts alone only while a quorum answered messages it sent within this time. It is
+/// less than `ELECTION_MIN_MS`, so no other steward can lead meanwhile.
+const QUORUM_FRESH_MS: u64 = ELECTION_MIN_MS - 100;
+/// Entries kept before the log is folded into a snapshot.
+const COMPACT_AFTER: usize = 256;
+/// Entries sent in one message.
+const BATCH: usize = 64;
+
+#[derive(Clone, Debug, PartialEq)]
+enum Rank {
+    Follower,
+    Candidate { trial: bool, handover: bool, votes: BTreeSet<MemberId> },
+    Leader { opened: Index, since: Tick },
+}
+
+#[derive(Clone, Debug)]
+struct Progress {
+    next: Index,
+    matched: Index,
+    /// When the newest message that this member answered was sent.
+    acked: Tick,
+}
+
+/// What must reach the disk before any message leaves.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Dirty {
+    pub hard: bool,
+    pub log_from: Option<Index>,
+    pub snapshot: bool,
+}
+
+/// What a steward keeps on disk.
+#[derive(Clone, Debug, Default)]
+pub struct Kept {
+    pub me: MemberId,
+    pub epoch: Epoch,
+    pub voted: Option<MemberId>,
+    pub log: Vec<Entry>,
+    pub snapshot: Snapshot,
+}
+
+/// The set of stewards, seen from one of them: Raft with trial votes, a quorum check, hand-over
+/// and one change of members at a time.
+pub struct Hedge {
+    pub kept: Kept,
+    pub commit: Index,
+    pub leader: Option<MemberId>,
+    role: Rank,
+    heard: Option<Tick>,
+    deadline: Tick,
+    next_beat: Tick,
+    /// After a restart nothing is known of what the leader was last told, so no vote is given yet.
+    quiet_until: Tick,
+    peers: BTreeMap<MemberId, Progress>,
+    leaving: bool,
+    pub dirty: Dirty,
+    pub out: Vec<(MemberId, Raft)>,
+    spread: fn() -> u64,
+}
+
+impl Hedge {
+    pub fn new(kept: Kept, restarted: bool, now: Tick, spread: fn() -> u64) -> Self {
+        let commit = kept.snapshot.last.1;
+        let mut hedge = Self {
+            kept,
+            commit,
+            leader: None,
+            role: Rank::Follower,
+            heard: None,
+            deadline: now,
+            next_beat: now,
+            quiet_until: if restarted { now.plus(ELECTION_MIN_MS) } else { now },
+            peers: BTreeMap::new(),
+            leaving: false,
+            dirty: Dirty::default(),
+            out: Vec::new(),
+            spread,
+        };
+        hedge.rest(now);
+        hedge
+    }
+
+    pub fn last(&self) -> (Epoch, Index) {
+        self.kept.log.last().map_or(self.kept.snapshot.last, |e| (e.epoch, e.index))
+    }
+    fn epoch_at(&self, index: Index) -> Option<Epoch> {
+        let base = self.kept.snapshot.last;
+        if index == base.1 {
+            return Some(base.0);
+        }
+        self.position(index).map(|at| self.kept.log[at].epoch)
+    }
+    fn position(&self, index: Index) -> Option<usize> {
+        let at = index.0.checked_sub(self.kept.snapshot.last.1.0 + 1)? as usize;
+        (at < self.kept.log.len()).then_some(at)
+    }
+    /// The newest list of members in the log, committed or not.
+    pub fn members(&self) -> &[Member] {
+        self.kept
+            .log
+            .iter()
+            .rev()
+            .find_map(|e| match &e.body {
+                Body::Members(members) => Some(members.as_slice()),
+                _ => None,
+            })
+            .unwrap_or(&self.kept.snapshot.members)
+    }
+    fn members_pending(&self) -> bool {
+        self.kept
+            .log
+            .iter()
+            .any(|e| e.index > self.commit && matches!(e.body, Body::Members(_)))
+    }
+    fn voters(&self) -> Vec<MemberId> {
+        self.members().iter().filter(|m| m.voter).map(|m| m.id).collect()
+    }
+    fn is_voter(&self) -> bool {
+        self.voters().contains(&self.kept.me)
+    }
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Rank::Leader { .. })
+    }
+    fn quorum(&self) -> usize {
+        self.voters().len() / 2 + 1
+    }
+    fn rest(&mut self, now: Tick) {
+        self.deadline = now.plus(ELECTION_MIN_MS + (self.spread)() % ELECTION_SPREAD_MS);
+    }
+
+    /// True while this steward may act as the only leader: a quorum is with it, its first entry
+    /// is committed, and it has not asked another to take over.
+    pub fn granting(&self, now: Tick) -> bool {
+        let Rank::Leader { opened, .. } = self.role else { return false };
+        !self.leaving && self.commit >= opened && self.fresh(now, QUORUM_FRESH_MS)
+    }
+    fn fresh(&self, now: Tick, within: u64) -> bool {
+        let count = self
+            .voters()
+            .iter()
+            .filter(|id| {
+                **id == self.kept.me
+                    || self.peers.get(id).is_some_and(|p| now.since(p.acked) < within)
+            })
+            .count();
+        count >= self.quorum()
+    }
+
+    fn say(&mut self, to: MemberId, kind: RaftKind) {
+        let message = Raft { from: self.kept.me, epoch: self.kept.epoch, kind };
+        self.out.push((to, message));
+    }
+    fn others(&self) -> Vec<MemberId> {
+        self.members().iter().map(|m| m.id).filter(|id| *id != self.kept.me).collect()
+    }
+    fn set_epoch(&mut self, epoch: Epoch) {
+        if epoch > self.kept.epoch {
+            self.kept.epoch = epoch;
+            self.kept.voted = None;
+            self.dirty.hard = true;
+        }
+    }
+    fn follow(&mut self, leader: Option<MemberId>, now: Tick) {
+        self.role = Rank::Follower;
+        self.leader = leader;
+        self.peers.clear();
+        self.rest(now);
+    }
+
+    pub fn tick(&mut self, now: Tick) {
+        match &self.role {
+            Rank::Leader { since, .. } => {
+                let patience = ELECTION_MIN_MS + ELECTION_SPREAD_MS;
+                if now.since(*since) > patience && !self.fresh(now, patience) {
+                    self.follow(None, now);
+                } else if now >= self.next_beat {
+                    self.next_beat = now.plus(HEARTBEAT_MS);
+                    for id in self.others() {
+                        self.append_to(id, now);
+                    }
+                }
+            }
+            _ if now >= self.deadline => {
+                self.rest(now);
+                if self.is_voter() && now >= self.quiet_until {
+                    self.leader = None;
+                    self.campaign(true, false, now);
+                }
+            }
+            _ => {}
+        }
+    }
+    /// When `tick` next has something to do.
+    pub fn due(&self) -> Tick {
+        if self.is_leader() { self.next_beat } else { self.deadline }
+    }
+
+    fn campaign(&mut self, trial: bool, handover: bool, now: Tick) {
+        let epoch = Epoch(self.kept.epoch.0 + 1);
+        if !trial {
+            self.set_epoch(epoch);
+            self.kept.voted = Some(self.kept.me);
+            self.dirty.hard = true;
+        }
+        let votes = BTreeSet::from([self.kept.me]);
+        self.role = Rank::Candidate { trial, handover, votes };
+        self.rest(now);
+        let last = self.last();
+        for id in self.voters() {
+            if id != self.kept.me {
+                let kind = RaftKind::AskVote { trial, handover, last };
+                self.out.push((id, Raft { from: self.kept.me, epoch, kind }));
+            }
+        }
+        self.count_votes(now);
+    }
+    fn count_votes(&mut self, now: Tick) {
+        let Rank::Candidate { trial, handover, votes } = &self.role else { return };
+        let (trial, handover) = (*trial, *handover);
+        if self.voters().iter().filter(|id| votes.contains(id)).count() < self.quorum() {
+            return;
+        }
+        if trial {
+            return self.campaign(false, handover, now);
+        }
+        let (_, last) = self.last();
+        let opened = Index(last.0 + 1);
+        self.role = Rank::Leader { opened, since: now };
+        self.leader = Some(self.kept.me);
+        self.leaving = false;
+        self.peers = self
+            .others()
+            .into_iter()
+            .map(|id| (id, Progress { next: opened, matched: Index(0), acked: Tick(0) }))
+            .collect();
+        self.push(Body::Opened, now);
+    }
+
+    /// Appends to the log if this steward leads; tells where.
+    pub fn propose(&mut self, body: Body, now: Tick) -> Option<Index> {
+        if !self.is_leader() || self.leaving {
+            return None;
+        }
+        Some(self.push(body, now))
+    }
+    fn push(&mut self, body: Body, now: Tick) -> Index {
+        let index = Index(self.last().1.0 + 1);
+        self.kept.log.push(Entry { epoch: self.kept.epoch, index, body });
+        self.mark_log(index);
+        let others = self.others();
+        self.peers.retain(|id, _| others.contains(id));
+        for id in others {
+            // A new member starts from the beginning: it can't yet say what it lacks.
+            self.peers.entry(id).or_insert(Progress {
+                next: Index(1),
+                matched: Index(0),
+                acked: Tick(0),
+            });
+            self.append_to(id, now);
+        }
+        index
+    }
+    fn mark_log(&mut self, from: Index) {
+        self.dirty.log_from = Some(self.dirty.log_from.map_or(from, |old| old.min(from)));
+    }
+    fn append_to(&mut self, id: MemberId, now: Tick) {
+        let Some(progress) = self.peers.get(&id) else { return };
+        let base = self.kept.snapshot.last;
+        if progress.next <= base.1 {
+            let kind = RaftKind::Snapshot { snapshot: self.kept.snapshot.clone(), sent: now.0 };
+            self.say(id, kind);
+            if let Some(progress) = self.peers.get_mut(&id) {
+                progress.next = Index(base.1.0 + 1);
+            }
+            return;
+        }
+        let before = Index(progress.next.0 - 1);
+        let Some(epoch) = self.epoch_at(before) else { return };
+        let from = (before.0 - base.1.0) as usize;
+        let entries: Vec<Entry> = self.kept.log.iter().skip(from).take(BATCH).cloned().collect();
+        let next = Index(progress.next.0 + entries.len() as u64);
+        let (commit, sent) = (self.commit, now.0);
+        self.say(id, RaftKind::Append { previous: (epoch, before), entries, commit, sent });
+        if let Some(progress) = self.peers.get_mut(&id) {
+            progress.next = next;
+        }
+    }
+
+    pub fn step(&mut self, message: Raft, now: Tick) {
+        let Raft { from, epoch, kind } = message;
+        match kind {
+            RaftKind::AskVote { trial, handover, last } => {
+                self.asked_vote(from, epoch, trial, handover, last, now)
+            }
+            RaftKind::Vote { trial, granted } => {
+                if !granted && epoch > self.kept.epoch {
+                    self.set_epoch(epoch);
+                    return self.follow(None, now);
+                }
+                let asked_for = self.kept.epoch.0 + u64::from(trial);
+                if let Rank::Candidate { trial: mine, votes, .. } = &mut self.role
+                    && *mine == trial
+                    && granted
+                    && epoch.0 == asked_for
+                {
+                    votes.insert(from);
+                    self.count_votes(now);
+                }
+            }
+            RaftKind::Append { previous, entries, commit, sent } => {
+                if !self.led_by(from, epoch, now) {
+                    let kind = RaftKind::Appended { upto: Index(0), ok: false, sent };
+                    return self.say(from, kind);
+                }
+                let (ok, upto) = self.take_entries(previous, entries);
+                if ok {
+                    self.commit = self.commit.max(commit.min(upto));
+                }
+                self.say(from, RaftKind::Appended { upto, ok, sent });
+            }
+            RaftKind::Snapshot { snapshot, sent } => {
+                if !self.led_by(from, epoch, now) {
+                    let kind = RaftKind::Appended { upto: Index(0), ok: false, sent };
+                    return self.say(from, kind);
+                }
+                let upto = snapshot.last.1;
+                if upto > self.commit {
+                    if self.epoch_at(upto) == Some(snapshot.last.0) {
+                        self.kept.log.retain(|e| e.index > upto);
+                    } else {
+                        self.kept.log.clear();
+                    }
+                    self.kept.snapshot = snapshot;
+                    self.commit = upto;
+                    self.dirty.snapshot = true;
+                    self.mark_log(Index(0));
+                }
+                self.say(from, RaftKind::Appended { upto, ok: true, sent });
+            }
+            RaftKind::Appended { upto, ok, sent } => {
+                if epoch > self.kept.epoch {
+                    self.set_epoch(epoch);
+                    return self.follow(None, now);
+                }
+                if !self.is_leader() || epoch < self.kept.epoch {
+                    return;
+                }
+                let last = self.last().1;
+                let Some(progress) = self.peers.get_mut(&from) else { return };
+                progress.acked = progress.acked.max(Tick(sent));
+                if ok {
+                    progress.matched = progress.matched.max(upto);
+                    progress.next = progress.next.max(Index(progress.matched.0 + 1));
+                    let behind = progress.next <= last;
+                    self.advance();
+                    if behind {
+                        self.append_to(from, now);
+                    }
+                } else {
+                    progress.next = Index(progress.matched.max(upto).0 + 1);
+                    self.append_to(from, now);
+                }
+            }
+            RaftKind::TakeOver => {
+                if epoch == self.kept.epoch && self.is_voter() && self.leader == Some(from) {
+                    self.campaign(false, true, now);
+                }
+            }
+        }
+    }
+
+    /// Accepts the sender as leader of its epoch, unless that epoch has passed.
+    fn led_by(&mut self, from: MemberId, epoch: Epoch, now: Tick) -> bool {
+        if epoch < self.kept.epoch {
+            return false;
+        }
+        self.set_epoch(epoch);
+        self.follow(Some(from), now);
+        self.heard = Some(now);
+        true
+    }
+
+    fn asked_vote(
+        &mut self,
+        from: MemberId,
+        epoch: Epoch,
+        trial: bool,
+        handover: bool,
+        last: (Epoch, Index),
+        now: Tick,
+    ) {
+        let followed = self.heard.is_some_and(|t| now.since(t) < ELECTION_MIN_MS)
+            || (self.is_leader() && self.fresh(now, ELECTION_MIN_MS));
+        if (followed && !handover) || now < self.quiet_until {
+            return;
+        }
+        if epoch < self.kept.epoch || (trial && epoch <= self.kept.epoch) {
+            return self.say(from, RaftKind::Vote { trial, granted: false });
+        }
+        let current = last >= self.last();
+        if trial {
+            if current {
+                let kind = RaftKind::Vote { trial, granted: true };
+                self.out.push((from, Raft { from: self.kept.me, epoch, kind }));
+            } else {
+                self.say(from, RaftKind::Vote { trial, granted: false });
+            }
+            return;
+        }
+        if epoch > self.kept.epoch {
+            self.set_epoch(epoch);
+            self.follow(None, now);
+        }
+        let free = self.kept.voted.is_none_or(|v| v == from);
+        let granted = current && free && self.leader.is_none();
+        if granted {
+            self.kept.voted = Some(from);
+            self.dirty.hard = true;
+            self.rest(now);
+        }
+        self.say(from, RaftKind::Vote { trial, granted });
+    }
+
+    fn take_entries(&mut self, previous: (Epoch, Index), entries: Vec<Entry>) -> (bool, Index) {
+        let base = self.kept.snapshot.last.1;
+        let agreed = previous.1 < base || self.epoch_at(previous.1) == Some(previous.0);
+        if !agreed {
+            let hint = Index(previous.1.0.saturating_sub(1)).min(self.last().1).max(self.commit);
+            return (false, hint);
+        }
+        let upto = Index(previous.1.0 + entries.len() as u64);
+        for entry in entries {
+            if entry.index <= base {
+                continue;
+            }
+            match self.epoch_at(entry.index) {
+                Some(epoch) if epoch == entry.epoch => continue,
+                Some(_) => {
+                    let keep = (entry.index.0 - base.0 - 1) as usize;
+                    self.kept.log.truncate(keep);
+                }
+                None => {}
+            }
+            self.mark_log(entry.index);
+            self.kept.log.push(entry);
+        }
+        (true, upto.max(base))
+    }
+
+    /// To be called once what was dirty is on disk: the leader's own copy counts from then on.
+    pub fn advance(&mut self) {
+        if !self.is_leader() {
+            return;
+        }
+        let mut reached: Vec<Index> = self
+            .voters()
+            .iter()
+            .map(|id| {
+                if *id == self.kept.me {
+                    self.last().1
+                } else {
+                    self.peers.get(id).map_or(Index(0), |p| p.matched)
+                }
+            })
+            .collect();
+        reached.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(agreed) = reached.get(self.quorum() - 1).copied() else { return };
+        // Only entries of the own epoch are committed by counting.
+        if agreed > self.commit && self.epoch_at(agreed) == Some(self.kept.epoch) {
+            self.commit = agreed;
+        }
+    }
+
+    /// Committed entries after `applied`.
+    pub fn committed(&self, applied: Index) -> Vec<Entry> {
+        self.kept
+            .log
+            .iter()
+            .filter(|e| e.index > applied && e.index <= self.commit)
+            .cloned()
+            .collect()
+    }
+
+    /// Folds everything up to `applied` into a snapshot when the log has grown long.
+    pub fn compact(&mut self, applied: Index, state: impl FnOnce() -> Vec<u8>) {
+        let Some(at) = self.position(applied) else { return };
+        if at < COMPACT_AFTER {
+            return;
+        }
+        let members = self.kept.log[..=at]
+            .iter()
+            .rev()
+            .find_map(|e| match &e.body {
+                Body::Members(members) => Some(members.clone()),
+                _ => None,
+            })
+            .unwrap_or_else(|| self.kept.snapshot.members.clone());
+        let last = (self.kept.log[at].epoch, applied);
+        self.kept.snapshot = Snapshot { last, members, state: ByteBuf::from(state()) };
+        self.kept.log.drain(..=at);
+        self.dirty.snapshot = true;
+        self.mark_log(Index(0));
+    }
+
+    /// Asks the voter that is furthest along to lead. No lease is given from here on.
+    pub fn hand_over(&mut self) {
+        if !self.is_leader() || self.leaving {
+            return;
+        }
+        self.leaving = true;
+        let voters = self.voters();
+        let best = self
+            .peers
+            .iter()
+            .filter(|(id, _)| voters.contains(id))
+            .max_by_key(|(_, p)| (p.matched, p.acked))
+            .map(|(id, _)| *id);
+        if let Some(id) = best {
+            self.say(id, RaftKind::TakeOver);
+        }
+    }
+
+    /// The next single change that brings the members closer to what is wanted, if any.
+    pub fn wanted_members(&self, joining: &BTreeMap<MemberId, Member>) -> Option<Vec<Member>> {
+        if self.members_pending() || !self.is_leader() {
+            return None;
+        }
+        let members = self.members();
+        for joiner in joining.values() {
+            if members.iter().any(|m| m.id == joiner.id) {
+                continue;
+            }
+            // The same machine under an older id has lost its disk: the old id goes first.
+            let rest: Vec<Member> =
+                members.iter().filter(|m| m.admin != joiner.admin).cloned().collect();
+            if rest.len() < members.len() {
+                return Some(rest);
+            }
+            let learner = Member { voter: false, ..joiner.clone() };
+            return Some(members.iter().cloned().chain([learner]).collect());
+        }
+        let ready = members.iter().find(|m| {
+            !m.voter && self.peers.get(&m.id).is_some_and(|p| p.matched >= self.commit)
+        })?;
+        let id = ready.id;
+        let promote = |m: &Member| Member { voter: m.voter || m.id == id, ..m.clone() };
+        Some(members.iter().map(promote).collect())
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// The disk
+
+/// The layout this program writes. A file with a higher one is from a newer program.
+const FORMAT: i64 = 1;
+
+/// The SQLite file that holds vote, log and snapshot.
+pub struct Granary {
+    db: Connection,
+}
+
+impl Granary {
+    /// Opens or makes the file; gives what it holds, `None` if it was new.
+    pub fn open(folder: &Path) -> Result<(Self, Option<Kept>), Fatal> {
+        let state = |e: rusqlite::Error| Fatal::State(e.to_string());
+        std::fs::create_dir_all(folder).map_err(|e| Fatal::State(e.to_string()))?;
+        let db = Connection::open(folder.join("hedge.sqlite")).map_err(state)?;
+        // Exclusive before WAL: the index of the log then lives on the heap.
+        db.pragma_update(None, "locking_mode", "EXCLUSIVE").map_err(state)?;
+        let format: i64 =
+            db.query_row("PRAGMA user_version", [], |r| r.get(0)).map_err(state)?;
+        if format > FORMAT {
+            return Err(Fatal::State(format!("format {format} is newer than {FORMAT}, left as it is")));
+        }
+        db.pragma_update(None, "journal_mode", "WAL").map_err(state)?;
+        db.pragma_update(None, "synchronous", "FULL").map_err(state)?;
+        db.pragma_update(None, "temp_store", "MEMORY").map_err(state)?;
+        db.pragma_update(None, "cache_size", -256).map_err(state)?;
+        let check: String =
+            db.query_row("PRAGMA quick_check(1)", [], |r| r.get(0)).map_err(state)?;
+        if check != "ok" {
+            return Err(Fatal::State(format!("damaged, left as it is: {check}")));
+        }
+        if format == 0 {
+            db.execute_batch(
+                "BEGIN;
+                 CREATE TABLE IF NOT EXISTS hard (only_one INTEGER PRIMARY KEY CHECK (only_one = 1), me INTEGER, epoch INTEGER, voted INTEGER);
+                 CREATE TABLE IF NOT EXISTS snapshot (only_one INTEGER PRIMARY KEY CHECK (only_one = 1), body BLOB NOT NULL);
+                 CREATE TABLE IF NOT EXISTS log (place INTEGER PRIMARY KEY, body BLOB NOT NULL);
+                 PRAGMA user_version = 1;
+                 COMMIT;",
+            )
+            .map_err(state)?;
+        }
+        let kept = Self::load(&db)?;
+        Ok((Self { db }, kept))
+    }
+
+    fn load(db: &Connection) -> Result<Option<Kept>, Fatal> {
+        let state = |e: rusqlite::Error| Fatal::State(e.to_string());
+        let broken = |e: std::io::Error| Fatal::State(format!("damaged, left as it is: {e}"));
+        let hard = db
+            .query_row("SELECT me, epoch, voted FROM hard", [], |r| {
+                Ok((r.get::<_, i64>(0)?, r.get::<_, i64>(1)?, r.get::<_, Option<i64>>(2)?))
+            })
+            .optional()
+            .map_err(state)?;
+        let Some((me, epoch, voted)) = hard else { return Ok(None) };
+        let snapshot = db
+            .query_row("SELECT body FROM snapshot", [], |r| r.get::<_, Vec<u8>>(0))
+            .optional()
+            .map_err(state)?;
+        let snapshot: Snapshot = match snapshot {
+            Some(body) => unpack(&body).map_err(broken)?,
+            None => Snapshot::default(),
+        };
+        let mut log: Vec<Entry> = Vec::new();
+        let mut rows = db.prepare("SELECT body FROM log ORDER BY place").map_err(state)?;
+        for body in rows.query_map([], |r| r.get::<_, Vec<u8>>(0)).map_err(state)? {
+            let entry: Entry = unpack(&body.map_err(state)?).map_err(broken)?;
+            let expected = log.last().map_or(snapshot.last.1.0, |e| e.index.0) + 1;
+            if entry.index.0 != expected {
+                return Err(Fatal::State(format!("damaged, left as it is: entry {expected} is missing")));
+            }
+            log.push(entry);
+        }
+        Ok(Some(Kept {
+            me: MemberId(me as u64),
+            epoch: Epoch(epoch as u64),
+            voted: voted.map(|v| MemberId(v as u64)),
+            log,
+            snapshot,
+        }))
+    }
+
+    /// Writes what changed in one transaction; when this returns it is durable.
+    pub fn save(&mut self, kept: &Kept, dirty: &Dirty) -> rusqlite::Result<()> {
+        let tx = self.db.transaction()?;
+        if dirty.hard {
+            tx.prepare_cached("INSERT OR REPLACE INTO hard VALUES (1, ?1, ?2, ?3)")?.execute(params![
+                kept.me.0 as i64,
+                kept.epoch.0 as i64,
+                kept.voted.map(|v| v.0 as i64)
+            ])?;
+        }
+        if dirty.snapshot {
+            tx.execute("INSERT OR REPLACE INTO snapshot VALUES (1, ?1)", [pack(&kept.snapshot)])?;
+        }
+        if let Some(from) = dirty.log_from {
+            tx.prepare_cached("DELETE FROM log WHERE place >= ?1")?.execute([from.0 as i64])?;
+            let mut insert = tx.prepare_cached("INSERT INTO log VALUES (?1, ?2)")?;
+            for entry in kept.log.iter().filter(|e| e.index >= from) {
+                insert.execute(params![entry.index.0 as i64, pack(entry)])?;
+            }
+        }
+        tx.commit()
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// The replicated state
+
+/// Everything the stewards agree on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Almanac {
+    /// The newest configuration, byte for byte as it was sent.
+    pub body: ByteBuf,
+    pub revision: Revision,
+    /// Length and hash of each configuration ever taken, so that a resend is known again.
+    taken: BTreeMap<Revision, (u64, u64)>,
+    pub instances: BTreeMap<InstanceId, Record>,
+    /// Databases that left, with their last sequence: a late beat must not bring them back.
+    gone: VecDeque<(InstanceId, u64)>,
+    pub leads: BTreeMap<ServiceName, Lead>,
+}
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    pub instance: Instance,
+    pub sequence: u64,
+}
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Lead {
+    pub term: DbTerm,
+    pub primary: InstanceId,
+    /// Decided but perhaps not yet done; nothing else may be decided before it is settled.
+    pub intent: Option<InstanceId>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    Configure { base: Revision, revision: Revision, body: ByteBuf },
+    Beat { id: InstanceId, instance: Instance, sequence: u64 },
+    Gone { id: InstanceId, sequence: u64 },
+    Led { service: ServiceName, term: DbTerm, primary: InstanceId },
+    Intend { service: ServiceName, term: DbTerm, target: InstanceId },
+    Abandon { service: ServiceName, target: InstanceId },
+}
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Done,
+    Nothing,
+    /// Another version is current.
+    Outdated,
+    /// Its revision is not above the current one.
+    NotAbove,
+}
+
+const GONE_KEPT: usize = 256;
+const TAKEN_KEPT: usize = 4096;
+
+/// FNV-1a: only to tell a resend from another body under the same revision.
+fn digest(bytes: &[u8]) -> (u64, u64) {
+    let hash = bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3));
+    (bytes.len() as u64, hash)
+}
+
+impl Almanac {
+    /// What `Configure` would come to now.
+    pub fn judge(&self, base: Revision, revision: Revision, body: &[u8]) -> Effect {
+        if self.taken.get(&revision) == Some(&digest(body)) {
+            Effect::Nothing
+        } else if base != self.revision {
+            Effect::Outdated
+        } else if revision <= self.revision {
+            Effect::NotAbove
+        } else {
+            Effect::Done
+        }
+    }
+    /// Whether a beat tells anything that must be kept.
+    pub fn news(&self, id: &InstanceId, instance: &Instance, sequence: u64) -> bool {
+        if self.gone.iter().any(|(old, last)| old == id && sequence <= *last) {
+            return false;
+        }
+        match self.instances.get(id) {
+            Some(record) => sequence > record.sequence && record.instance != *instance,
+            None => true,
+        }
+    }
+    pub fn apply(&mut self, change: &Change) -> Effect {
+        match change {
+            Change::Configure { base, revision, body } => {
+                let effect = self.judge(*base, *revision, body);
+                if effect == Effect::Done {
+                    self.taken.insert(*revision, digest(body));
+                    while self.taken.len() > TAKEN_KEPT {
+                        self.taken.pop_first();
+                    }
+                    self.revision = *revision;
+                    self.body = body.clone();
+                }
+                return effect;
+            }
+            Change::Beat { id, instance, sequence } => {
+                if !self.news(id, instance, *sequence) {
+                    return Effect::Nothing;
+                }
+                let record = Record { instance: instance.clone(), sequence: *sequence };
+                self.instances.insert(id.clone(), record);
+            }
+            Change::Gone { id, sequence } => {
+                let Some(record) = self.instances.remove(id) else { return Effect::Nothing };
+                self.gone.push_back((id.clone(), record.sequence.max(*sequence)));
+                if self.gone.len() > GONE_KEPT {
+                    self.gone.pop_front();
+                }
+            }
+            Change::Led { service, term, primary } => {
+                if self.leads.get(service).is_some_and(|l| l.term >= *term) {
+                    return Effect::Nothing;
+                }
+                let lead = Lead { term: *term, primary: primary.clone(), intent: None };
+                self.leads.insert(service.clone(), lead);
+            }
+            Change::Intend { service, term, target } => match self.leads.get_mut(service) {
+                Some(lead) if lead.term == *term && lead.intent.is_none() => {
+                    lead.intent = Some(target.clone());
+                }
+                _ => return Effect::Nothing,
+            },
+            Change::Abandon { service, target } => match self.leads.get_mut(service) {
+                Some(lead) if lead.intent.as_ref() == Some(target) => lead.intent = None,
+                _ => return Effect::Nothing,
+            },
+        }
+        Effect::Done
+    }
+    fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (&'a InstanceId, &'a Instance)> {
+        self.instances
+            .iter()
+            .filter(move |(_, r)| r.instance.target_service == *service)
+            .map(|(id, r)| (id, &r.instance))
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Who leads a service
+
+/// What the system asks a database for itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    Describe,
+    Pause(DbTerm),
+    Continue,
+    StepDown(DbTerm),
+}
+/// What came of asking.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    Row(Described),
+    /// It answered, so it lives, but not with its state.
+    Alive,
+    /// Refused, closed, or another database lives there.
+    Lost,
+    Silent,
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Posted {
+    Accepted,
+    /// The named database is not running.
+    Refused,
+    /// Not taken this time, for certain.
+    Busy,
+    Unclear,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Deed {
+    Ask(InstanceId, Ask),
+    Post(InstanceId),
+    Propose(Change),
+    Revoke(DbTerm),
+}
+
+/// A service as the leader sees it when a step is taken.
+#[derive(Clone, Debug)]
+pub struct Facts {
+    pub service: ServiceName,
+    pub lead: Option<Lead>,
+    /// Every listed database of the service.
+    pub databases: Vec<(InstanceId, Instance)>,
+    /// Those whose beats came lately.
+    pub beating: BTreeSet<InstanceId>,
+    pub sync_replicas: u32,
+    /// No lease on the present term can be in use any more.
+    pub leases_gone: bool,
+    /// Every stile that could have used the present term has given it back and said how far it
+    /// saw: the furthest position passed on.
+    pub given_back: Option<Option<Position>>,
+}
+
+impl Facts {
+    fn replicas(&self) -> impl Iterator<Item = &(InstanceId, Instance)> {
+        let primary = self.lead.as_ref().map(|l| l.primary.clone());
+        self.databases.iter().filter(move |(id, _)| Some(id) != primary.as_ref())
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Stage {
+    Steady,
+    /// A first primary says so itself; its term is being asked for.
+    Founding { asked: Tick },
+    /// The primary is suspected; its own answer decides.
+    Doubting { asked: Tick },
+    /// Replicas are paused, so that the old primary can commit no more than is seen.
+    Fencing {
+        /// The replica a planned change goes to; none when the primary was lost.
+        target: Option<InstanceId>,
+        since: Tick,
+        asked: Tick,
+        rows: BTreeMap<InstanceId, Described>,
+    },
+    /// The intent is on its way into the log.
+    Intending { target: InstanceId, since: Tick },
+    Posting {
+        target: InstanceId,
+        tried: Tick,
+        in_flight: bool,
+        /// The last call that may have taken effect.
+        perhaps: Option<Tick>,
+        looked: Tick,
+    },
+    /// The target leads; the old term's leases are running out.
+    Taking { target: InstanceId, term: DbTerm, recorded: bool },
+}
+
+const ASK_AGAIN_MS: u64 = 400;
+const POST_AGAIN_MS: u64 = 300;
+/// A call that got an answer or none at all is not under way any more after this.
+const POST_SETTLED_MS: u64 = 3_000;
+const LOOK_AGAIN_MS: u64 = 500;
+const PLANNED_PATIENCE_MS: u64 = 3_000;
+const PAUSE_PATIENCE_MS: u64 = 600;
+/// A primary that just proved itself is not doubted again for this long.
+const TRUST_MS: u64 = 300;
+
+/// Brings one service from primary to primary. Every step is safe to take again.
+#[derive(Clone, Debug)]
+pub struct Succession {
+    pub stage: Stage,
+    /// The term whose leases are being taken back; none is granted meanwhile.
+    pub revoking: bool,
+    /// With the replicas fenced, every acknowledged commit lies at or before this.
+    pub sealed: Option<Position>,
+    suspects: BTreeSet<NodeName>,
+    trusted: Option<Tick>,
+    rested: Option<Tick>,
+    paused: BTreeSet<InstanceId>,
+    stepped_down: Option<Tick>,
+}
+
+impl Succession {
+    /// Taken up by a new leader. An intent it finds is finished first, with the same target;
+    /// replicas that an earlier leader paused are let go.
+    pub fn begin(facts: &Facts, now: Tick) -> (Self, Vec<Deed>) {
+        let mut this = Self {
+            stage: Stage::Steady,
+            revoking: false,
+            sealed: None,
+            suspects: BTreeSet::new(),
+            trusted: None,
+            rested: None,
+            paused: BTreeSet::new(),
+            stepped_down: None,
+        };
+        let mut deeds = Vec::new();
+        match facts.lead.as_ref().and_then(|l| l.intent.clone().map(|target| (l.term, target))) {
+            Some((term, target)) => {
+                this.revoking = true;
+                deeds.push(Deed::Revoke(term));
+                this.paused = facts.replicas().map(|(id, _)| id.clone()).collect();
+                this.post(target, now, &mut deeds);
+            }
+            None if facts.lead.is_some() => {
+                deeds.extend(facts.replicas().map(|(id, _)| Deed::Ask(id.clone(), Ask::Continue)));
+            }
+            None => {}
+        }
+        (this, deeds)
+    }
+
+    fn post(&mut self, target: InstanceId, now: Tick, deeds: &mut Vec<Deed>) {
+        deeds.push(Deed::Post(target.clone()));
+        self.stage =
+            Stage::Posting { target, tried: now, in_flight: true, perhaps: None, looked: now };
+    }
+
+    fn settle(&mut self, now: Tick) {
+        self.stage = Stage::Steady;
+        self.revoking = false;
+        self.sealed = None;
+        self.suspects.clear();
+        self.trusted = Some(now);
+    }
+
+    /// Lets everything go as it was, while nothing has been posted.
+    fn call_off(&mut self, now: Tick) -> Vec<Deed> {
+        self.settle(now);
+        self.rested = Some(now);
+        std::mem::take(&mut self.paused)
+            .into_iter()
+            .map(|id| Deed::Ask(id, Ask::Continue))
+            .collect()
+    }
+
+    pub fn suspect(&mut self, facts: &Facts, who: &NodeName, of: &InstanceId, why: Doubt, now: Tick) -> Vec<Deed> {
+        let Some(lead) = &facts.lead else { return Vec::new() };
+        if lead.primary != *of || self.trusted.is_some_and(|t| now.since(t) < TRUST_MS) {
+            return Vec::new();
+        }
+        if why == Doubt::Silent {
+            self.suspects.insert(who.clone());
+        }
+        let planned = matches!(self.stage, Stage::Fencing { target: Some(_), .. });
+        match self.stage {
+            // Several stiles owed answers by a database that says nothing at all are enough.
+            Stage::Steady | Stage::Doubting { .. } if self.suspects.len() >= 3 => self.fence(facts, now),
+            Stage::Steady => {
+                self.stage = Stage::Doubting { asked: now };
+                vec![Deed::Ask(lead.primary.clone(), Ask::Describe)]
+            }
+            _ if planned => vec![Deed::Ask(lead.primary.clone(), Ask::Describe)],
+            _ => Vec::new(),
+        }
+    }
+
+    fn fence(&mut self, facts: &Facts, now: Tick) -> Vec<Deed> {
+        let Some(lead) = &facts.lead else { return Vec::new() };
+        self.revoking = true;
+        self.suspects.clear();
+        self.stage = Stage::Fencing { target: None, since: now, asked: now, rows: BTreeMap::new() };
+        let mut deeds = vec![Deed::Revoke(lead.term)];
+        deeds.extend(self.pause(facts.replicas().map(|(id, _)| id.clone()).collect(), lead.term));
+        deeds
+    }
+
+    fn pause(&mut self, which: Vec<InstanceId>, term: DbTerm) -> Vec<Deed> {
+        self.paused.extend(which.iter().cloned());
+        which.into_iter().map(|id| Deed::Ask(id, Ask::Pause(DbTerm(term.0 + 1)))).collect()
+    }
+
+    /// The replica a planned change should go to, so that one promote is enough.
+    fn successor(facts: &Facts) -> Option<InstanceId> {
+        facts
+            .replicas()
+            .filter(|(id, i)| {
+                i.lifecycle_state == Lifecycle::Available && facts.beating.contains(id)
+            })
+            .max_by_key(|(id, i)| (i.revision.len(), i.revision.clone(), std::cmp::Reverse(id.clone())))
+            .map(|(id, _)| id.clone())
+    }
+
+    pub fn told(&mut self, facts: &Facts, of: &InstanceId, ask: Ask, told: &Told, now: Tick) -> Vec<Deed> {
+        let lead = facts.lead.clone();
+        match (&mut self.stage, ask, told) {
+            (Stage::Founding { .. }, Ask::Describe, Told::Row(row)) if lead.is_none() => {
+                self.stage = Stage::Steady;
+                if !row.primary {
+                    return Vec::new();
+                }
+                let (service, primary) = (facts.service.clone(), of.clone());
+                vec![Deed::Propose(Change::Led { service, term: row.term, primary })]
+            }
+            (Stage::Founding { .. }, ..) => {
+                self.stage = Stage::Steady;
+                Vec::new()
+            }
+            (Stage::Doubting { .. } | Stage::Fencing { .. }, Ask::Describe, told)
+                if lead.as_ref().is_some_and(|l| l.primary == *of) =>
+            {
+                let leads = match told {
+                    Told::Row(row) => row.primary && lead.as_ref().is_some_and(|l| l.term == row.term),
+                    Told::Alive => true,
+                    Told::Lost | Told::Silent => false,
+                };
+                match (&self.stage, leads) {
+                    (Stage::Doubting { .. }, true) => {
+                        self.settle(now);
+                        Vec::new()
+                    }
+                    // Nothing was posted yet, and the alarm was false.
+                    (Stage::Fencing { target: None, .. }, true) => self.call_off(now),
+                    (Stage::Fencing { target: None, .. }, false) | (_, true) => Vec::new(),
+                    _ => self.fence(facts, now),
+                }
+            }
+            (Stage::Fencing { rows, .. }, Ask::Pause(_) | Ask::Describe, Told::Row(row)) => {
+                rows.insert(of.clone(), row.clone());
+                let deeds = self.choose(facts, now);
+                match &self.stage {
+                    // The others are paused: now see how far the target is.
+                    Stage::Fencing { target: Some(target), rows, .. }
+                        if !rows.contains_key(target)
+                            && facts.replicas().all(|(id, _)| id == target || rows.contains_key(id)) =>
+                    {
+                        vec![Deed::Ask(target.clone(), Ask::Describe)]
+                    }
+                    _ => deeds,
+                }
+            }
+            (Stage::Posting { target, .. }, Ask::Describe, Told::Row(row))
+                if of == target && row.primary && lead.as_ref().is_some_and(|l| l.term < row.term) =>
+            {
+                let (target, term) = (target.clone(), row.term);
+                self.stage = Stage::Taking { target, term, recorded: false };
+                let mut deeds = Vec::new();
+                if let Some(lead) = lead {
+                    if !self.revoking {
+                        self.revoking = true;
+                        deeds.push(Deed::Revoke(lead.term));
+                    }
+                    deeds.push(Deed::Ask(lead.primary, Ask::StepDown(term)));
+                }
+                deeds.extend(self.tick(facts, now));
+                deeds
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Whether the paused replicas are enough, and which one then takes over.
+    fn choose(&mut self, facts: &Facts, now: Tick) -> Vec<Deed> {
+        let Stage::Fencing { target, rows, .. } = &self.stage else { return Vec::new() };
+        let Some(lead) = &facts.lead else { return Vec::new() };
+        let furthest = rows.values().map(|r| r.received).max();
+        let chosen = match target {
+            Some(target) => {
+                let fenced = facts.replicas().all(|(id, _)| id == target || rows.contains_key(id));
+                // Commits that no paused replica can vouch for must have been given back.
+                let safe = match (fenced, &facts.given_back) {
+                    (true, _) if facts.sync_replicas > 0 => true,
+                    (_, Some(highest)) => {
+                        rows.get(target).is_some_and(|r| highest.is_none_or(|h| r.received >= h))
+                    }
+                    _ => false,
+                };
+                let whole = rows.get(target).is_some_and(|r| Some(r.received) >= furthest);
+                (safe && whole).then(|| target.clone())
+            }
+            None => {
+                let replicas = facts.replicas().count();
+                let needed = (replicas + 1).saturating_sub(facts.sync_replicas as usize).max(1);
+                let answered = facts.replicas().filter(|(id, _)| rows.contains_key(id)).count();
+                let fenced = facts.sync_replicas > 0 && answered >= needed;
+                let vouched = answered > 0
+                    && facts.given_back.is_some_and(|highest| highest <= furthest);
+                if fenced || vouched {
+                    self.sealed = furthest;
+                    facts
+                        .replicas()
+                        .filter(|(id, _)| rows.get(id).is_some_and(|r| Some(r.received) == furthest))
+                        .max_by_key(|(_, i)| {
+                            (i.lifecycle_state == Lifecycle::Available, i.revision.len(), i.revision.clone())
+                        })
+                        .map(|(id, _)| id.clone())
+                } else {
+                    None
+                }
+            }
+        };
+        let Some(target) = chosen else { return Vec::new() };
+        self.stage = Stage::Intending { target: target.clone(), since: now };
+        let (service, term) = (facts.service.clone(), lead.term);
+        vec![Deed::Propose(Change::Intend { service, term, target })]
+    }
+
+    pub fn posted(&mut self, facts: &Facts, of: &InstanceId, posted: Posted, now: Tick) -> Vec<Deed> {
+        let Stage::Posting { target, in_flight, perhaps, tried, .. } = &mut self.stage else {
+            return Vec::new();
+        };
+        if of != target {
+            return Vec::new();
+        }
+        *in_flight = false;
+        match posted {
+            Posted::Accepted => {
+                *perhaps = Some(now);
+                // Accepted: not to be repeated unless the target stays silent for long.
+                *tried = now.plus(POST_SETTLED_MS);
+            }
+            Posted::Unclear => *perhaps = Some(now),
+            Posted::Busy => {}
+            Posted::Refused => {
+                if perhaps.is_none_or(|t| now.since(t) > POST_SETTLED_MS) {
+                    let (service, target) = (facts.service.clone(), target.clone());
+                    return vec![Deed::Propose(Change::Abandon { service, target })];
+                }
+            }
+        }
+        Vec::new()
+    }
+
+    /// A change of this service was committed.
+    pub fn applied(&mut self, facts: &Facts, change: &Change, now: Tick) -> Vec<Deed> {
+        let mut deeds = Vec::new();
+        match change {
+            Change::Intend { target, .. } => self.post(target.clone(), now, &mut deeds),
+            Change::Abandon { .. } => return self.fence(facts, now),
+            Change::Led { primary, .. } => {
+                self.paused.remove(primary);
+                deeds = self.call_off(now);
+                self.rested = None;
+            }
+            _ => {}
+        }
+        deeds
+    }
+
+    /// A beat came in; `role` is how the database sees itself.
+    pub fn beat(&mut self, facts: &Facts, of: &InstanceId, role: Role, now: Tick) -> Vec<Deed> {
+        match (&mut self.stage, &facts.lead) {
+            (Stage::Steady, None) if role == Role::Primary => {
+                self.stage = Stage::Founding { asked: now };
+                vec![Deed::Ask(of.clone(), Ask::Describe)]
+            }
+            (Stage::Steady, Some(lead))
+                if role == Role::Primary
+                    && lead.primary != *of
+                    && self.stepped_down.is_none_or(|t| now.since(t) > 1_000) =>
+            {
+                self.stepped_down = Some(now);
+                vec![Deed::Ask(of.clone(), Ask::StepDown(lead.term))]
+            }
+            (Stage::Posting { target, looked, .. }, _) if target == of && role == Role::Primary => {
+                *looked = now;
+                vec![Deed::Ask(of.clone(), Ask::Describe)]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    pub fn tick(&mut self, facts: &Facts, now: Tick) -> Vec<Deed> {
+        let Some(lead) = &facts.lead else {
+            if let Stage::Founding { asked } = self.stage
+                && now.since(asked) > 2 * ASK_AGAIN_MS
+            {
+                self.stage = Stage::Steady;
+            }
+            return Vec::new();
+        };
+        let listed = facts.databases.iter().find(|(id, _)| *id == lead.primary);
+        match &mut self.stage {
+            Stage::Steady => {
+                if facts.databases.is_empty() {
+                    return Vec::new();
+                }
+                let Some((id, primary)) = listed else { return self.fence(facts, now) };
+                let rested = self.rested.is_none_or(|t| now.since(t) > 1_000);
+                if primary.lifecycle_state == Lifecycle::Draining && rested {
+                    let Some(target) = Self::successor(facts) else { return Vec::new() };
+                    let others: Vec<_> = facts
+                        .replicas()
+                        .map(|(id, _)| id.clone())
+                        .filter(|id| *id != target)
+                        .collect();
+                    let alone = others.is_empty();
+                    let mut deeds = self.pause(others, lead.term);
+                    if alone {
+                        deeds.push(Deed::Ask(target.clone(), Ask::Describe));
+                    }
+                    self.stage = Stage::Fencing {
+                        target: Some(target),
+                        since: now,
+                        asked: now,
+                        rows: BTreeMap::new(),
+                    };
+                    return deeds;
+                }
+                if !facts.beating.contains(id)
+                    && self.trusted.is_none_or(|t| now.since(t) > 2_000)
+                {
+                    self.stage = Stage::Doubting { asked: now };
+                    return vec![Deed::Ask(id.clone(), Ask::Describe)];
+                }
+            }
+            Stage::Founding { .. } => self.stage = Stage::Steady,
+            Stage::Doubting { asked } if now.since(*asked) > 3 * ASK_AGAIN_MS => {
+                self.stage = Stage::Steady;
+            }
+            Stage::Fencing { target, since, asked, rows } => {
+                let waited = now.since(*since);
+                if let Some(target) = target {
+                    let target = target.clone();
+                    if waited > PLANNED_PATIENCE_MS {
+                        return self.call_off(now);
+                    }
+                    let others = facts
+                        .replicas()
+                        .map(|(id, _)| id.clone())
+                        .filter(|id| *id != target && !rows.contains_key(id))
+                        .collect::<Vec<_>>();
+                    let stuck = !others.is_empty() && waited > PAUSE_PATIENCE_MS;
+                    if (others.is_empty() || facts.given_back.is_some()) && now.since(*asked) >= 100 {
+                        *asked = now;
+                        return vec![Deed::Ask(target, Ask::Describe)];
+                    }
+                    if stuck && !self.revoking {
+                        self.revoking = true;
+                        return vec![Deed::Revoke(lead.term)];
+                    }
+                    return Vec::new();
+                }
+                let mut deeds = Vec::new();
+                if now.since(*asked) > ASK_AGAIN_MS {
+                    *asked = now;
+                    let missing: Vec<_> = facts
+                        .replicas()
+                        .map(|(id, _)| id.clone())
+                        .filter(|id| !rows.contains_key(id))
+                        .collect();
+                    deeds = self.pause(missing, lead.term);
+                    if waited > 2 * ASK_AGAIN_MS && listed.is_some() {
+                        deeds.push(Deed::Ask(lead.primary.clone(), Ask::Describe));
+                    }
+                }
+                deeds.extend(self.choose(facts, now));
+                return deeds;
+            }
+            Stage::Intending { target, since } if now.since(*since) > 1_000 => {
+                // Proposed but not seen committed: the same proposal again changes nothing twice.
+                *since = now;
+                let (service, term, target) = (facts.service.clone(), lead.term, target.clone());
+                return vec![Deed::Propose(Change::Intend { service, term, target })];
+            }
+            Stage::Posting { target, tried, in_flight, looked, perhaps } => {
+                let mut deeds = Vec::new();
+                if !*in_flight && now >= tried.plus(POST_AGAIN_MS) {
+                    *in_flight = true;
+                    *tried = now;
+                    deeds.push(Deed::Post(target.clone()));
+                }
+                if perhaps.is_some_and(|t| now.since(t) > LOOK_AGAIN_MS)
+                    && now.since(*looked) > LOOK_AGAIN_MS
+                {
+                    *looked = now;
+                    deeds.push(Deed::Ask(target.clone(), Ask::Describe));
+                }
+                return deeds;
+            }
+            Stage::Taking { target, term, recorded } if facts.leases_gone && !*recorded => {
+                *recorded = true;
+                let (service, term, primary) = (facts.service.clone(), *term, target.clone());
+                return vec![Deed::Propose(Change::Led { service, term, primary })];
+            }
+            _ => {}
+        }
+        Vec::new()
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Leases and shares
+
+/// How long a stile may use what it was last granted, from when it asked.
+pub const LEASE_MS: u64 = 2_400;
+/// For what a clock may be off by a little.
+const LEASE_SLACK_MS: u64 = 50;
+/// Connections of a lost stile are counted this long: a database drops a dark end after 3 s.
+const SHARE_HELD_MS: u64 = 4_500;
+/// A lost stile may have passed on more than it told; others have seen further after this time.
+const UNTOLD_MS: u64 = 10_000;
+/// Connections to each database kept back for the stewards' own questions.
+const RESERVE: u32 = 4;
+
+/// One stile, as the leader accounts for it.
+#[derive(Clone, Debug, Default)]
+pub struct Seat {
+    pub life: u64,
+    pub conn: Option<u64>,
+    pub lost: Option<Tick>,
+    granted: BTreeMap<ServiceName, (DbTerm, Tick)>,
+    given_back: BTreeMap<ServiceName, (DbTerm, Option<Position>)>,
+    shares: BTreeMap<ServiceName, u32>,
+    reported: BTreeMap<ServiceName, u32>,
+    heard: Tick,
+}
+
+/// Which stile may use what until when. A value; the leader keeps one while it leads.
+#[derive(Clone, Debug, Default)]
+pub struct LeaseBook {
+    pub seats: BTreeMap<NodeName, Seat>,
+    elected: Tick,
+}
+
+impl LeaseBook {
+    pub fn new(elected: Tick) -> Self {
+        Self { seats: BTreeMap::new(), elected }
+    }
+    pub fn seat(&mut self, node: &NodeName, life: u64, conn: u64, now: Tick) {
+        let seat = self.seats.entry(node.clone()).or_default();
+        if seat.life != life {
+            // The old process is gone and its connections with it; what it passed on is not known.
+            *seat = Seat { life, ..Seat::default() };
+        }
+        seat.conn = Some(conn);
+        seat.lost = None;
+        seat.heard = now;
+    }
+    pub fn lose(&mut self, conn: u64, now: Tick) -> Option<NodeName> {
+        let (node, seat) = self.seats.iter_mut().find(|(_, s)| s.conn == Some(conn))?;
+        seat.conn = None;
+        seat.lost = Some(now);
+        Some(node.clone())
+    }
+    pub fn leave(&mut self, node: &NodeName) {
+        if let Some(seat) = self.seats.get_mut(node) {
+            seat.granted.clear();
+        }
+    }
+    pub fn forget_old(&mut self, now: Tick) {
+        self.seats.retain(|_, s| s.lost.is_none_or(|t| now.since(t) < UNTOLD_MS));
+    }
+    pub fn give_back(&mut self, node: &NodeName, service: &ServiceName, term: DbTerm, highest: Option<Position>) {
+        if let Some(seat) = self.seats.get_mut(node) {
+            seat.given_back.insert(service.clone(), (term, highest));
+        }
+    }
+    pub fn granted(&mut self, node: &NodeName, service: &ServiceName, term: DbTerm, now: Tick) {
+        if let Some(seat) = self.seats.get_mut(node) {
+            seat.granted.insert(service.clone(), (term, now));
+        }
+    }
+    /// No lease on `term` or an earlier one can still be in use.
+    pub fn gone(&self, service: &ServiceName, term: DbTerm, now: Tick) -> bool {
+        let over = |from: Tick| now.since(from) > LEASE_MS + LEASE_SLACK_MS;
+        over(self.elected)
+            && self.seats.values().all(|seat| {
+                seat.granted.get(service).is_none_or(|(held, at)| *held > term || over(*at))
+                    || seat.given_back.get(service).is_some_and(|(t, _)| *t >= term)
+            })
+    }
+    /// The furthest position passed on, once every stile has said it.
+    pub fn given_back(&self, service: &ServiceName, term: DbTerm, now: Tick) -> Option<Option<Position>> {
+        if now.since(self.elected) < UNTOLD_MS {
+            return None;
+        }
+        self.seats
+            .values()
+            .map(|seat| match seat.given_back.get(service) {
+                Some((t, highest)) if *t >= term => Some(*highest),
+                _ => None,
+            })
+            .try_fold(None, |most: Option<Position>, one| Some(most.max(one?)))
+    }
+    /// Divides `total` among the live stiles; what another still holds is not given twice.
+    pub fn share(&mut self, node: &NodeName, service: &ServiceName, total: u32, now: Tick) -> u32 {
+        let live = self.seats.values().filter(|s| s.conn.is_some()).count().max(1) as u32;
+        let total = total.saturating_sub(RESERVE.min(total / 4));
+        let target = (total / live).max(1);
+        let held = |s: &Seat| {
+            let last = s.shares.get(service).copied().unwrap_or(0);
+            last.max(s.reported.get(service).copied().unwrap_or(0))
+        };
+        let others: u32 = self
+            .seats
+            .iter()
+            .filter(|(name, s)| *name != node && s.lost.is_none_or(|t| now.since(t) < SHARE_HELD_MS))
+            .map(|(_, s)| held(s))
+            .sum();
+        let young = now.since(self.elected) < SHARE_HELD_MS;
+        let Some(seat) = self.seats.get_mut(node) else { return 0 };
+        let reported = seat.reported.get(service).copied().unwrap_or(0);
+        let mut share = target.min(total.saturating_sub(others));
+        // A new leader does not know all who hold something; nobody gets more meanwhile.
+        if young && reported > 0 {
+            share = share.min(reported);
+        }
+        seat.shares.insert(service.clone(), share);
+        share
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// The program
+
+enum Input {
+    /// A connection on the peer port, and what came over it.
+    Opened(u64, TcpStream),
+    Frame(u64, Frame),
+    Closed(u64),
+    /// A connection of ours to another steward.
+    Linked(MemberId, Option<TcpStream>),
+    Http(Request, SyncSender<Response>),
+    Told(ServiceName, InstanceId, Ask, Told),
+    Posted(ServiceName, InstanceId, Posted),
+}
+
+struct Link {
+    stream: Option<TcpStream>,
+    dialing: bool,
+    retry: Tick,
+}
+
+enum Waiter {
+    Configured(SyncSender<Response>),
+    Beaten(SyncSender<Response>),
+}
+
+/// What only the leader keeps, and forgets when it no longer leads.
+struct Office {
+    leases: LeaseBook,
+    /// When each database was last heard of, and its newest sequence.
+    beats: HashMap<InstanceId, (Tick, u64)>,
+    successions: BTreeMap<ServiceName, Succession>,
+    opened: bool,
+}
+
+struct Steward {
+    settings: Settings,
+    hedge: Hedge,
+    granary: Granary,
+    almanac: Almanac,
+    applied: Index,
+    config: Option<Configuration>,
+    links: HashMap<MemberId, Link>,
+    conns: HashMap<u64, TcpStream>,
+    stiles: HashMap<u64, NodeName>,
+    joining: BTreeMap<MemberId, Member>,
+    next_join: Tick,
+    office: Option<Office>,
+    waiting: BTreeMap<Index, Waiter>,
+    tx: Sender<Input>,
+    known_leader: Option<MemberId>,
+    asks: Arc<AtomicUsize>,
+}
+
+/// Questions under way at once.
+const MAX_ASKS: usize = 32;
+/// A database whose beats miss this many intervals is doubted.
+const MISSED_BEATS: u64 = 3;
+/// One that stays silent this long is dropped from the directory.
+const FORGOTTEN_MS: u64 = 60_000;
+
+pub fn run(path: PathBuf, settings: Settings) -> Result<(), Fatal> {
+    let admin = settings
+        .listeners
+        .admin
+        .ok_or_else(|| Fatal::Settings("listeners.admin is needed by a steward".into()))?;
+    let folder = settings
+        .data_path
+        .clone()
+        .ok_or_else(|| Fatal::Settings("data_path is needed by a steward".into()))?;
+    let signals = Signals::install().map_err(|e| Fatal::Call(e.to_string()))?;
+    let (mut granary, kept) = Granary::open(&folder)?;
+    let now = Tick::now();
+    let restarted = kept.is_some();
+    let kept = match kept {
+        Some(kept) => kept,
+        None => {
+            let kept = found(&settings, admin);
+            let all = Dirty { hard: true, log_from: Some(Index(0)), snapshot: true };
+            granary.save(&kept, &all).map_err(|e| Fatal::State(e.to_string()))?;
+            kept
+        }
+    };
+    info!(target: "hedge", "member {} starts at epoch {}, entry {}", kept.me, kept.epoch,
+        kept.log.last().map_or(kept.snapshot.last.1, |e| e.index));
+    let almanac: Almanac = if kept.snapshot.state.is_empty() {
+        Almanac::default()
+    } else {
+        unpack(&kept.snapshot.state).map_err(|e| Fatal::State(format!("damaged, left as it is: {e}")))?
+    };
+    let applied = kept.snapshot.last.1;
+    let (tx, rx) = channel();
+    let peer = SocketAddr::new(settings.ip_address, settings.peer_port());
+    accept_peers(peer, tx.clone())?;
+    let http_tx = tx.clone();
+    http::serve(listen(admin)?, "admin", move |request| ask_core(&http_tx, request))
+        .map_err(|e| Fatal::Listen(admin.to_string(), e))?;
+    let config = Configuration::read(&almanac.body).ok();
+    let mut steward = Steward {
+        hedge: Hedge::new(kept, restarted, now, rand::random::<u64>),
+        settings,
+        granary,
+        almanac,
+        applied,
+        config,
+        links: HashMap::new(),
+        conns: HashMap::new(),
+        stiles: HashMap::new(),
+        joining: BTreeMap::new(),
+        next_join: now,
+        office: None,
+        waiting: BTreeMap::new(),
+        tx,
+        known_leader: None,
+        asks: Arc::default(),
+    };
+    steward.serve(rx, &signals, Watched::new(path))
+}
+
+/// The first state of an empty disk: the seeds found the hedge when the system starts for the
+/// first time; anyone else begins as a stranger under a fresh id and asks to join.
+fn found(settings: &Settings, admin: SocketAddr) -> Kept {
+    let mut seeds = settings.seed_nodes.clone();
+    seeds.sort();
+    seeds.dedup();
+    let place = seeds.iter().position(|s| *s == admin);
+    match (settings.bootstrap, place) {
+        (true, Some(place)) => {
+            let founder = |(i, seed): (usize, &SocketAddr)| Member {
+                id: MemberId(i as u64 + 1),
+                node: NodeName(seed.to_string()),
+                peer: SocketAddr::new(seed.ip(), settings.peer_port()),
+                admin: *seed,
+                voter: true,
+            };
+            let members = seeds.iter().enumerate().map(founder).collect();
+            Kept {
+                me: MemberId(place as u64 + 1),
+                snapshot: Snapshot { members, ..Snapshot::default() },
+                ..Kept::default()
+            }
+        }
+        // Below i64::MAX for the disk, and far above the founders' ids.
+        _ => Kept { me: MemberId((rand::random::<u64>() >> 2) | (1 << 40)), ..Kept::default() },
+    }
+}
+
+/// Hands a request to the core and waits for its answer.
+fn ask_core(core: &Sender<Input>, request: Request) -> Response {
+    let (reply, answer) = sync_channel(1);
+    if core.send(Input::Http(request, reply)).is_err() {
+        return Response::refusal(503, "stopping");
+    }
+    answer
+        .recv_timeout(Duration::from_secs(4))
+        .unwrap_or_else(|_| Response::refusal(503, "no quorum in time"))
+}
+
+fn accept_peers(at: SocketAddr, tx: Sender<Input>) -> Result<(), Fatal> {
+    let listener = listen(at)?;
+    let next = AtomicU64::new(1);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(stream) = stream else {
+                std::thread::sleep(Duration::from_millis(50));
+                continue;
+            };
+            let id = next.fetch_add(1, Ordering::Relaxed);
+            let tx = tx.clone();
+            let reader = std::thread::Builder::new().stack_size(256 << 10);
+            let spawned = reader.spawn(move || {
+                let dark = Duration::from_secs(3);
+                let ready = tune(&stream, dark)
+                    .and_then(|()| keep_alive(&stream, dark))
+                    .and_then(|()| stream.set_write_timeout(Some(Duration::from_millis(200))))
+                    .and_then(|()| stream.try_clone());
+                let Ok(writer) = ready else { return };
+                if tx.send(Input::Opened(id, writer)).is_err() {
+                    return;
+                }
+                let mut reader = std::io::BufReader::with_capacity(4096, stream);
+                loop {
+                    match receive(&mut reader) {
+                        Ok(frame) => {
+                            if tx.send(Input::Frame(id, frame)).is_err() {
+                                return;
+                            }
+                        }
+                        Err(e) => {
+                            if e.kind() == std::io::ErrorKind::InvalidData {
+                                warn!(target: "peers", "closed a connection: {e}");
+                            }
+                            break;
+                        }
+                    }
+                }
+                // The core may be gone already when the program ends.
+                let _ = tx.send(Input::Closed(id));
+            });
+            if spawned.is_err() {
+                warn!(target: "peers", "no thread for a connection");
+            }
+        }
+    });
+    Ok(())
+}
+
+/// Asks a database one thing on a connection of its own.
+fn ask_database(service: &ServiceName, id: &InstanceId, address: SocketAddr, ask: Ask) -> Told {
+    let text = match ask {
+        Ask::Describe => "DESCRIBE".to_owned(),
+        Ask::Pause(term) => format!("PAUSE {term}"),
+        Ask::Continue => "CONTINUE".to_owned(),
+        Ask::StepDown(term) => format!("STEPDOWN {term}"),
+    };
+    let exchange = || -> std::io::Result<Told> {
+        let limit = Duration::from_millis(300);
+        let mut stream = dial(address, limit, Duration::from_secs(1))?;
+        stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+        stream.write_all(format!("CONNECT {service} steward {id}\r\n").as_bytes())?;
+        let mut inbox = wire::Inbox::default();
+        if let Some(refused) = read_answer(&mut stream, &mut inbox)? {
+            use crate::common::errors::ErrorKind;
+            return Ok(match refused {
+                ErrorKind::WrongNode => Told::Lost,
+                _ => Told::Alive,
+            });
+        }
+        stream.write_all(format!("QUERY - {text}\r\n").as_bytes())?;
+        loop {
+            match wire::reply(inbox.pending()) {
+                Ok(Some(reply)) => {
+                    let row = reply.row.and_then(|(from, to)| {
+                        wire::described(std::str::from_utf8(&inbox.pending()[from..to]).ok()?)
+                    });
+                    return Ok(row.map_or(Told::Alive, Told::Row));
+                }
+                Ok(None) => {
+                    if inbox.fill(&mut stream)? == 0 {
+                        return Ok(Told::Lost);
+                    }
+                }
+                Err(wire::Garbled) => return Ok(Told::Lost),
+            }
+        }
+    };
+    match exchange() {
+        Ok(told) => told,
+        Err(e) => match e.kind() {
+            std::io::ErrorKind::TimedOut | std::io::ErrorKind::WouldBlock => Told::Silent,
+            _ => Told::Lost,
+        },
+    }
+}
+
+/// Waits for the answer to CONNECT; a refusal is given back.
+fn read_answer(
+    stream: &mut TcpStream,
+    inbox: &mut wire::Inbox,
+) -> std::io::Result<Option<crate::common::errors::ErrorKind>> {
+    loop {
+        if let Some(kind) = wire::refused_connect(inbox.pending()) {
+            return Ok(Some(kind));
+        }
+        match wire::reply(inbox.pending()) {
+            Ok(Some(reply)) => {
+                inbox.use_up(reply.end);
+                return Ok(None);
+            }
+            Ok(None) => {
+                if inbox.fill(stream)? == 0 {
+                    return Err(std::io::ErrorKind::UnexpectedEof.into());
+                }
+            }
+            Err(wire::Garbled) => return Err(std::io::ErrorKind::InvalidData.into()),
+        }
+    }
+}
+
+fn post_failover(provider: SocketAddr, holder: &str, fence: Epoch, service: &ServiceName, target: &InstanceId) -> Posted {
+    let body = serde_json::json!({ "target_service": service, "instance_id": target }).to_string();
+    let headers = [("Duty-Holder", holder.to_owned()), ("Fence-Token", fence.to_string())];
+    match http::call(provider, "POST", "/failovers", &headers, body.as_bytes(), Duration::from_secs(1)) {
+        Ok((200..=299, ..)) => Posted::Accepted,
+        Ok((409, ..)) => Posted::Refused,
+        Ok((429, ..)) => Posted::Busy,
+        Ok((status, _, body)) => {
+            warn!(target: "failover", "platform answered {status}: {}", String::from_utf8_lossy(&body));
+            Posted::Unclear
+        }
+        Err(e) => {
+            warn!(target: "failover", "platform: {e}");
+            Posted::Unclear
+        }
+    }
+}
+
+impl Steward {
+    fn serve(&mut self, rx: Receiver<Input>, signals: &Signals, mut watched: Watched) -> Result<(), Fatal> {
+        let mut leaving: Option<Tick> = None;
+        let mut looked = Tick::now();
+        loop {
+            let now = Tick::now();
+            let busy = self.office.as_ref().is_some_and(|o| {
+                o.successions.values().any(|s| s.stage != Stage::Steady)
+            });
+            let wait = if busy { 25 } else { 200 };
+            let wait = self.hedge.due().since(now).clamp(1, wait);
+            match rx.recv_timeout(Duration::from_millis(wait)) {
+                Ok(input) => {
+                    self.take(input, Tick::now());
+                    for _ in 0..64 {
+                        let Ok(input) = rx.try_recv() else { break };
+                        self.take(input, Tick::now());
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+            let now = Tick::now();
+            self.hedge.tick(now);
+            self.flush(now)?;
+            self.reconcile(now);
+            self.flush(now)?;
+            if now.since(looked) > 1_000 {
+                looked = now;
+                if let Some(settings) = watched.poll(signals.take_hup()) {
+                    self.settings = settings;
+                }
+            }
+            if signals.terminated() && leaving.is_none() {
+                info!(target: "hedge", "stopping");
+                leaving = Some(now);
+                self.hedge.hand_over();
+                self.flush(now)?;
+            }
+            // The hand-over needs a moment; a follower can go at once.
+            if leaving.is_some_and(|t| !self.hedge.is_leader() || now.since(t) > 500) {
+                info!(target: "hedge", "stopped");
+                return Ok(());
+            }
+        }
+    }
+
+    /// Makes durable what changed, then lets messages leave, then applies what was agreed.
+    fn flush(&mut self, now: Tick) -> Result<(), Fatal> {
+        loop {
+            let dirty = std::mem::take(&mut self.hedge.dirty);
+            if dirty != Dirty::default() {
+                if let Err(e) = self.granary.save(&self.hedge.kept, &dirty) {
+                    error!(target: "hedge", "cannot write: {e}");
+                    return Err(Fatal::State(e.to_string()));
+                }
+                self.hedge.advance();
+            }
+            for (to, message) in std::mem::take(&mut self.hedge.out) {
+                self.send_raft(to, message, now);
+            }
+            self.apply(now);
+            self.change_office(now);
+            if self.hedge.dirty == Dirty::default() && self.hedge.out.is_empty() {
+                return Ok(());
+            }
+        }
+    }
+
+    fn send_raft(&mut self, to: MemberId, message: Raft, now: Tick) {
+        let Some(member) = self.hedge.members().iter().find(|m| m.id == to) else { return };
+        let address = member.peer;
+        let link = self.links.entry(to).or_insert(Link { stream: None, dialing: false, retry: now });
+        let frame = Frame::Raft { to, message: Box::new(message) };
+        if let Some(stream) = &mut link.stream {
+            if send(stream, &frame).is_ok() {
+                return;
+            }
+            link.stream = None;
+        }
+        if !link.dialing && now >= link.retry {
+            link.dialing = true;
+            link.retry = now.plus(100);
+            let tx = self.tx.clone();
+            std::thread::spawn(move || {
+                let stream = dial(address, Duration::from_millis(500), Duration::from_secs(2))
+                    .and_then(|s| s.set_write_timeout(Some(Duration::from_millis(200))).map(|()| s))
+                    .and_then(|mut s| send(&mut s, &frame).map(|()| s));
+                // The core may have ended meanwhile.
+                let _ = tx.send(Input::Linked(to, stream.ok()));
+            });
+        }
+    }
+
+    fn take(&mut self, input: Input, now: Tick) {
+        match input {
+            Input::Opened(id, stream) => {
+                self.conns.insert(id, stream);
+            }
+            Input::Closed(id) => {
+                self.conns.remove(&id);
+                if let Some(node) = self.stiles.remove(&id)
+                    && let Some(office) = &mut self.office
+                    && office.leases.lose(id, now).is_some()
+                {
+                    info!(target: "stiles", "{node} lost");
+                }
+            }
+            Input::Linked(member, stream) => {
+                if let Some(link) = self.links.get_mut(&member) {
+                    link.dialing = false;
+                    link.stream = stream;
+                }
+            }
+            Input::Frame(_, Frame::Raft { to, message }) => {
+                if to == self.hedge.kept.me {
+                    self.hedge.step(*message, now);
+                }
+            }
+            Input::Frame(_, Frame::Join(member)) => {
+                if self.hedge.is_leader() {
+                    self.joining.insert(member.id, member);
+                }
+            }
+            Input::Frame(conn, Frame::Stile(message)) => self.hear_stile(conn, message, now),
+            Input::Frame(..) => {}
+            Input::Http(request, reply) => self.answer_http(request, reply, now),
+            Input::Told(service, id, ask, told) => {
+                info!(target: "failover", "{service}: {id} on {ask:?}: {told:?}");
+                self.move_on(&service, now, |s, facts| s.told(facts, &id, ask, &told, now));
+            }
+            Input::Posted(service, id, posted) => {
+                info!(target: "failover", "{service}: promote of {id}: {posted:?}");
+                self.move_on(&service, now, |s, facts| s.posted(facts, &id, posted, now));
+            }
+        }
+    }
+
+    // -- state ---------------------------------------------------------------------------------
+
+    fn apply(&mut self, now: Tick) {
+        if self.hedge.kept.snapshot.last.1 > self.applied {
+            match unpack::<Almanac>(&self.hedge.kept.snapshot.state) {
+                Ok(almanac) => self.almanac = almanac,
+                Err(e) => error!(target: "hedge", "unreadable snapshot: {e}"),
+            }
+            self.applied = self.hedge.kept.snapshot.last.1;
+            self.config = Configuration::read(&self.almanac.body).ok();
+        }
+        for entry in self.hedge.committed(self.applied) {
+            self.applied = entry.index;
+            let waiter = self.waiting.remove(&entry.index);
+            match &entry.body {
+                Body::Opened => {}
+                Body::Members(members) => {
+                    let names: Vec<_> = members
+                        .iter()
+                        .map(|m| format!("{}{}", m.node, if m.voter { "" } else { " (learning)" }))
+                        .collect();
+                    info!(target: "hedge", "members: {}", names.join(", "));
+                    self.joining.retain(|id, _| !members.iter().any(|m| m.id == *id));
+                    self.links.retain(|id, _| members.iter().any(|m| m.id == *id));
+                }
+                Body::Change(bytes) => match unpack::<Change>(bytes) {
+                    Ok(change) => self.apply_change(&change, waiter, now),
+                    Err(e) => error!(target: "hedge", "unreadable change: {e}"),
+                },
+            }
+        }
+        let almanac = &self.almanac;
+        self.hedge.compact(self.applied, || pack(almanac));
+    }
+
+    fn apply_change(&mut self, change: &Change, waiter: Option<Waiter>, now: Tick) {
+        let effect = self.almanac.apply(change);
+        match waiter {
+            // A caller that no longer waits is none of our business.
+            Some(Waiter::Configured(reply)) => drop(reply.try_send(judged(&effect))),
+            Some(Waiter::Beaten(reply)) => drop(reply.try_send(self.beat_answer())),
+            None => {}
+        }
+        if effect != Effect::Done {
+            return;
+        }
+        match change {
+            Change::Configure { revision, body, .. } => {
+                info!(target: "almanac", "configuration {revision} is in force");
+                self.config = Configuration::read(body).ok();
+                if let Some(config) = self.config.clone() {
+                    self.tell_stiles(&ToStile::Configured(Box::new(config)));
+                }
+            }
+            Change::Beat { id, instance, .. } => {
+                let listed = Listed { id: id.clone(), instance: instance.clone() };
+                info!(target: "almanac", "{id} of {}: {:?}, {:?}", instance.target_service,
+                    instance.database_role, instance.lifecycle_state);
+                self.tell_stiles(&ToStile::Upsert(listed));
+                let (service, role) = (&instance.target_service, instance.database_role);
+                self.move_on(service, now, |s, facts| s.beat(facts, id, role, now));
+            }
+            Change::Gone { id, .. } => {
+                info!(target: "almanac", "{id} is gone");
+                self.tell_stiles(&ToStile::Remove(id.clone()));
+            }
+            Change::Led { service, term, primary } => {
+                info!(target: "failover", "{service}: {primary} leads term {term}");
+            }
+            Change::Intend { service, target, .. } => {
+                info!(target: "failover", "{service}: {target} is to take over");
+            }
+            Change::Abandon { service, target } => {
+                info!(target: "failover", "{service}: {target} is not running, given up");
+            }
+        }
+        if let Change::Led { service, .. } | Change::Intend { service, .. } | Change::Abandon { service, .. } = change {
+            self.move_on(service, now, |s, facts| s.applied(facts, change, now));
+            if matches!(change, Change::Led { .. }) {
+                self.tell_stiles(&ToStile::Renew);
+            }
+        }
+    }
+
+    fn propose(&mut self, change: &Change, now: Tick) -> Option<Index> {
+        self.hedge.propose(Body::Change(ByteBuf::from(pack(change))), now)
+    }
+
+    // -- office --------------------------------------------------------------------------------
+
+    fn change_office(&mut self, now: Tick) {
+        if self.known_leader != self.hedge.leader {
+            self.known_leader = self.hedge.leader;
+            match self.leader() {
+                Some(m) => info!(target: "hedge", "{} leads epoch {}", m.node, self.hedge.kept.epoch),
+                None => info!(target: "hedge", "no leader in epoch {}", self.hedge.kept.epoch),
+            }
+        }
+        match (self.hedge.is_leader(), self.office.is_some()) {
+            (true, false) => {
+                let beats = self.almanac.instances.iter();
+                self.office = Some(Office {
+                    leases: LeaseBook::new(now),
+                    beats: beats.map(|(id, r)| (id.clone(), (now, r.sequence))).collect(),
+                    successions: BTreeMap::new(),
+                    opened: false,
+                });
+            }
+            (false, true) => {
+                self.office = None;
+                for (_, waiter) in std::mem::take(&mut self.waiting) {
+                    let (Waiter::Configured(reply) | Waiter::Beaten(reply)) = waiter;
+                    // Whether it will be in force is not known here; asked again it shows.
+                    drop(reply.try_send(Response::refusal(503, "no longer the leader")));
+                }
+                let elsewhere = Frame::Steward(ToStile::Elsewhere(self.leader().map(|m| m.peer)));
+                for (conn, _) in std::mem::take(&mut self.stiles) {
+                    self.send_conn(conn, &elsewhere);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn leader(&self) -> Option<&Member> {
+        let id = self.hedge.leader?;
+        self.hedge.members().iter().find(|m| m.id == id)
+    }
+
+    /// Compares what is wanted with what is, and acts on the difference.
+    fn reconcile(&mut self, now: Tick) {
+        self.ask_to_join(now);
+        if !self.hedge.granting(now) {
+            return;
+        }
+        if let Some(members) = self.hedge.wanted_members(&self.joining) {
+            self.hedge.propose(Body::Members(members), now);
+        }
+        let services: BTreeSet<ServiceName> = self
+            .almanac
+            .instances
+            .values()
+            .map(|r| r.instance.target_service.clone())
+            .chain(self.almanac.leads.keys().cloned())
+            .collect();
+        if let Some(office) = &mut self.office {
+            office.leases.forget_old(now);
+            office.opened = true;
+        }
+        for service in services {
+            self.move_on(&service, now, |s, facts| s.tick(facts, now));
+        }
+        let forgotten: Vec<InstanceId> = match &self.office {
+            Some(office) => office
+                .beats
+                .iter()
+                .filter(|(id, (at, _))| {
+                    now.since(*at) > FORGOTTEN_MS
+                        && self.almanac.instances.contains_key(*id)
+                        && !self.almanac.leads.values().any(|l| l.primary == **id)
+                })
+                .map(|(id, _)| id.clone())
+                .collect(),
+            None => Vec::new(),
+        };
+        for id in forgotten {
+            if let Some(office) = &mut self.office {
+                office.beats.remove(&id);
+            }
+            self.propose(&Change::Gone { id, sequence: 0 }, now);
+        }
+    }
+
+    fn ask_to_join(&mut self, now: Tick) {
+        let me = self.hedge.kept.me;
+        let member = self.hedge.members().iter().any(|m| m.id == me);
+        if member || now < self.next_join {
+            return;
+        }
+        self.next_join = now.plus(500);
+        let Some(admin) = self.settings.listeners.admin else { return };
+        let joiner = Member {
+            id: me,
+            node: self.settings.node(),
+            peer: SocketAddr::new(self.settings.ip_address, self.settings.peer_port()),
+            admin,
+            voter: false,
+        };
+        let own = joiner.peer;
+        let frame = Frame::Join(joiner);
+        for seed in self.settings.seed_peers() {
+            if seed == own {
+                continue;
+            }
+            let frame = frame.clone();
+            std::thread::spawn(move || {
+                // Asked again soon; a seed that is down is no reason to stop.
+                if let Ok(mut stream) = dial(seed, Duration::from_millis(400), Duration::from_secs(1)) {
+                    drop(send(&mut stream, &frame));
+                }
+            });
+        }
+    }
+
+    fn facts(&self, service: &ServiceName, now: Tick) -> Facts {
+        let lead = self.almanac.leads.get(service).cloned();
+        let patience = MISSED_BEATS * self.settings.heartbeat_ms;
+        let mut facts = Facts {
+            service: service.clone(),
+            databases: self
+                .almanac
+                .of_service(service)
+                .map(|(id, i)| (id.clone(), i.clone()))
+                .collect(),
+            beating: BTreeSet::new(),
+            sync_replicas: self
+                .config
+                .as_ref()
+                .and_then(|c| c.service(service))
+                .map_or(0, |s| s.sync_replicas),
+            leases_gone: false,
+            given_back: None,
+            lead,
+        };
+        if let Some(office) = &self.office {
+            facts.beating = office
+                .beats
+                .iter()
+                .filter(|(_, (at, _))| now.since(*at) < patience)
+                .map(|(id, _)| id.clone())
+                .collect();
+            if let Some(lead) = &facts.lead {
+                facts.leases_gone = office.leases.gone(service, lead.term, now);
+                facts.given_back = office.leases.given_back(service, lead.term, now);
+            }
+        }
+        facts
+    }
+
+    /// Takes one step of a service's succession and carries out what it asks for.
+    fn move_on(
+        &mut self,
+        service: &ServiceName,
+        now: Tick,
+        step: impl FnOnce(&mut Succession, &Facts) -> Vec<Deed>,
+    ) {
+        if !self.hedge.granting(now) {
+            return;
+        }
+        let facts = self.facts(service, now);
+        let Some(office) = &mut self.office else { return };
+        let mut deeds = Vec::new();
+        let succession = office.successions.entry(service.clone()).or_insert_with(|| {
+            let (begun, first) = Succession::begin(&facts, now);
+            deeds = first;
+            begun
+        });
+        let before = std::mem::discriminant(&succession.stage);
+        deeds.extend(step(succession, &facts));
+        if before != std::mem::discriminant(&succession.stage) {
+            info!(target: "failover", "{service}: now {}", stage_name(&succession.stage));
+        }
+        for deed in deeds {
+            self.carry_out(service, deed, now);
+        }
+    }
+
+    fn carry_out(&mut self, service: &ServiceName, deed: Deed, now: Tick) {
+        match deed {
+            Deed::Propose(change) => {
+                self.propose(&change, now);
+            }
+            Deed::Revoke(term) => {
+                self.tell_stiles(&ToStile::Revoke { service: service.clone(), term });
+            }
+            Deed::Ask(id, ask) => {
+                let Some(record) = self.almanac.instances.get(&id) else { return };
+                if self.asks.fetch_add(1, Ordering::Relaxed) >= MAX_ASKS {
+                    self.asks.fetch_sub(1, Ordering::Relaxed);
+                    return;
+                }
+                let (tx, asks) = (self.tx.clone(), Arc::clone(&self.asks));
+                let (service, address) = (service.clone(), record.instance.address);
+                std::thread::spawn(move || {
+                    let told = ask_database(&service, &id, address, ask);
+                    asks.fetch_sub(1, Ordering::Relaxed);
+                    // The core may have ended meanwhile.
+                    drop(tx.send(Input::Told(service, id, ask, told)));
+                });
+            }
+            Deed::Post(target) => {
+                let Some(provider) = &self.settings.provider else {
+                    warn!(target: "failover", "no provider is set, {service} can't be moved");
+                    return;
+                };
+                let (provider, holder) = (provider.address, self.settings.node_name.clone());
+                let (tx, service, fence) = (self.tx.clone(), service.clone(), self.hedge.kept.epoch);
+                std::thread::spawn(move || {
+                    let posted = post_failover(provider, &holder, fence, &service, &target);
+                    // The core may have ended meanwhile.
+                    drop(tx.send(Input::Posted(service, target, posted)));
+                });
+            }
+        }
+    }
+
+    // -- stiles --------------------------------------------------------------------------------
+
+    fn send_conn(&mut self, conn: u64, frame: &Frame) {
+        if let Some(stream) = self.conns.get_mut(&conn)
+            && send(stream, frame).is_err()
+        {
+            // Its reader sees the end and reports it.
+            drop(stream.shutdown(std::net::Shutdown::Both));
+        }
+    }
+    fn tell_stiles(&mut self, message: &ToStile) {
+        let frame = Frame::Steward(message.clone());
+        let conns: Vec<u64> = self.stiles.keys().copied().collect();
+        for conn in conns {
+            self.send_conn(conn, &frame);
+        }
+    }
+
+    fn hear_stile(&mut self, conn: u64, message: ToSteward, now: Tick) {
+        if self.office.is_none() {
+            let leader = self.leader().map(|m| m.peer);
+            return self.send_conn(conn, &Frame::Steward(ToStile::Elsewhere(leader)));
+        }
+        if let ToSteward::Hello { node, life, revision } = message {
+            info!(target: "stiles", "{node} is here");
+            if let Some(office) = &mut self.office {
+                office.leases.seat(&node, life, conn, now);
+            }
+            self.stiles.insert(conn, node);
+            let stewards = self.hedge.members().iter().map(|m| m.peer).collect();
+            self.send_conn(conn, &Frame::Steward(ToStile::Welcome { stewards }));
+            if let Some(config) = self.config.clone().filter(|c| c.revision > revision) {
+                self.send_conn(conn, &Frame::Steward(ToStile::Configured(Box::new(config))));
+            }
+            let listed = self
+                .almanac
+                .instances
+                .iter()
+                .map(|(id, r)| Listed { id: id.clone(), instance: r.instance.clone() })
+                .collect();
+            return self.send_conn(conn, &Frame::Steward(ToStile::Directory(listed)));
+        }
+        let Some(node) = self.stiles.get(&conn).cloned() else { return };
+        match message {
+            ToSteward::Hello { .. } => {}
+            ToSteward::Renew { seq, shares } => self.renew(conn, &node, seq, shares, now),
+            ToSteward::Suspect { service, instance, why } => {
+                info!(target: "failover", "{service}: {node} doubts {instance} ({why:?})");
+                self.move_on(&service, now, |s, facts| s.suspect(facts, &node, &instance, why, now));
+            }
+            ToSteward::Revoked { service, term, highest } => {
+                if let Some(office) = &mut self.office {
+                    office.leases.give_back(&node, &service, term, highest);
+                }
+            }
+            ToSteward::Bye => {
+                if let Some(office) = &mut self.office {
+                    office.leases.leave(&node);
+                }
+            }
+        }
+    }
+
+    fn renew(&mut self, conn: u64, node: &NodeName, seq: u64, shares: Vec<(ServiceName, u32)>, now: Tick) {
+        if !self.hedge.granting(now) {
+            return;
+        }
+        let Some(office) = &mut self.office else { return };
+        if let Some(seat) = office.leases.seats.get_mut(node) {
+            seat.heard = now;
+            seat.reported = shares.into_iter().collect();
+        }
+        let Some(config) = &self.config else { return };
+        let mut grants = Vec::new();
+        for service in &config.services {
+            let lead = self.almanac.leads.get(&service.name);
+            let succession = office.successions.get(&service.name);
+            let standing = match (lead, succession) {
+                (Some(_), Some(s)) if s.revoking => {
+                    s.sealed.map_or(Standing::Unled, Standing::Sealed)
+                }
+                (Some(lead), Some(_)) => {
+                    office.leases.granted(node, &service.name, lead.term, now);
+                    Standing::Led { term: lead.term, primary: lead.primary.clone() }
+                }
+                _ => Standing::Unled,
+            };
+            let share = office.leases.share(node, &service.name, service.max_connections, now);
+            grants.push(Grant { service: service.name.clone(), standing, share });
+        }
+        let granted = ToStile::Granted { seq, lease_ms: LEASE_MS, grants };
+        self.send_conn(conn, &Frame::Steward(granted));
+    }
+
+    // -- HTTP ----------------------------------------------------------------------------------
+
+    fn answer_http(&mut self, request: Request, reply: SyncSender<Response>, now: Tick) {
+        // A caller that no longer waits is none of our business.
+        let say = |response: Response| drop(reply.try_send(response));
+        let path = request.path.split('?').next().unwrap_or_default().to_owned();
+        let method = request.method.as_str();
+        let instance = path.strip_prefix("/instances/").filter(|id| {
+            !id.is_empty() && id.len() <= 200 && id.bytes().all(|b| b.is_ascii_graphic() && b != b'/')
+        });
+        let known = match (path.as_str(), instance) {
+            ("/configuration", _) => ["GET", "PUT"].contains(&method),
+            ("/status", _) => method == "GET",
+            (_, Some(_)) => ["PUT", "DELETE"].contains(&method),
+            _ => return say(Response::refusal(404, "no such path")),
+        };
+        if !known {
+            return say(Response::refusal(405, "not with this method"));
+        }
+        if path == "/status" {
+            return say(Response::json(200, self.status(now).to_string().into_bytes()));
+        }
+        // What can't be read is refused by any steward.
+        let parsed = match (method, instance) {
+            ("PUT", None) => match read_configuration(&request) {
+                Ok(change) => Some(change),
+                Err(response) => return say(response),
+            },
+            ("PUT", Some(id)) => match serde_json::from_slice::<Beat>(&request.body) {
+                Ok(beat) if is_word(&beat.instance.target_service.0) => Some(Change::Beat {
+                    id: InstanceId(id.to_owned()),
+                    instance: beat.instance,
+                    sequence: beat.sequence,
+                }),
+                Ok(_) => return say(Response::refusal(400, "target_service is no word")),
+                Err(e) => return say(Response::refusal(400, &format!("cannot be read: {e}"))),
+            },
+            ("DELETE", Some(id)) => {
+                Some(Change::Gone { id: InstanceId(id.to_owned()), sequence: 0 })
+            }
+            _ => None,
+        };
+        if !self.hedge.is_leader() {
+            return say(match self.leader() {
+                Some(m) => Response::elsewhere(format!("http://{}{path}", m.admin)),
+                None => Response::refusal(503, "no leader"),
+            });
+        }
+        // Only a leader that is certain of it may say what is current.
+        if !self.hedge.granting(now) {
+            return say(Response::refusal(503, "no quorum"));
+        }
+        match parsed {
+            None if self.almanac.body.is_empty() => {
+                say(Response::refusal(404, "no configuration yet"));
+            }
+            None => say(Response::json(200, self.almanac.body.to_vec())),
+            Some(Change::Configure { base, revision, body }) => {
+                let effect = self.almanac.judge(base, revision, &body);
+                if effect != Effect::Done {
+                    return say(judged(&effect));
+                }
+                let change = Change::Configure { base, revision, body };
+                match self.propose(&change, now) {
+                    Some(index) => {
+                        self.waiting.insert(index, Waiter::Configured(reply));
+                    }
+                    None => say(Response::refusal(503, "no leader")),
+                }
+            }
+            Some(Change::Beat { id, instance, sequence }) => {
+                self.take_beat(id, instance, sequence, reply, now);
+            }
+            Some(change) => {
+                let mut change = change;
+                if let Change::Gone { id, sequence } = &mut change {
+                    if !self.almanac.instances.contains_key(id) {
+                        return say(Response::ok());
+                    }
+                    let beats = self.office.as_ref().and_then(|o| o.beats.get(id));
+                    *sequence = beats.map_or(0, |(_, last)| *last);
+                }
+                match self.propose(&change, now) {
+                    Some(index) => {
+                        self.waiting.insert(index, Waiter::Beaten(reply));
+                    }
+                    None => say(Response::refusal(503, "no leader")),
+                }
+            }
+        }
+    }
+
+    fn take_beat(&mut self, id: InstanceId, instance: Instance, sequence: u64, reply: SyncSender<Response>, now: Tick) {
+        let (service, role) = (instance.target_service.clone(), instance.database_role);
+        if let Some(office) = &mut self.office {
+            let beat = office.beats.entry(id.clone()).or_insert((now, 0));
+            if sequence > beat.1 {
+                *beat = (now, sequence);
+            } else if beat.1 != 0 {
+                // Late or repeated: nothing changes.
+                drop(reply.try_send(self.beat_answer()));
+                return;
+            }
+        }
+        if self.almanac.news(&id, &instance, sequence) {
+            let change = Change::Beat { id, instance, sequence };
+            match self.propose(&change, now) {
+                Some(index) => {
+                    self.waiting.insert(index, Waiter::Beaten(reply));
+                }
+                None => drop(reply.try_send(Response::refusal(503, "no leader"))),
+            }
+        } else {
+            drop(reply.try_send(self.beat_answer()));
+            self.move_on(&service, now, |s, facts| s.beat(facts, &id, role, now));
+        }
+    }
+
+    fn beat_answer(&self) -> Response {
+        Response::ok()
+    }
+
+    fn status(&self, now: Tick) -> serde_json::Value {
+        let members: Vec<_> = self
+            .hedge
+            .members()
+            .iter()
+            .map(|m| serde_json::json!({ "id": m.id.0, "node": m.node, "peer": m.peer, "admin": m.admin, "voter": m.voter }))
+            .collect();
+        let databases: Vec<_> = self
+            .almanac
+            .instances
+            .iter()
+            .map(|(id, r)| serde_json::json!({ "id": id, "database": r.instance, "sequence": r.sequence }))
+            .collect();
+        let stiles: Vec<_> = self.office.iter().flat_map(|o| &o.leases.seats).map(|(node, seat)| {
+            serde_json::json!({
+                "node": node,
+                "connected": seat.conn.is_some(),
+                "heard_ms_ago": now.since(seat.heard),
+                "shares": seat.shares,
+                "leases": seat.granted.iter().map(|(service, (term, at))| serde_json::json!({
+                    "service": service, "term": term, "left_ms": (at.0 + LEASE_MS).saturating_sub(now.0),
+                })).collect::<Vec<_>>(),
+            })
+        }).collect();
+        let services: Vec<_> = self.almanac.leads.iter().map(|(service, lead)| {
+            let stage = self.office.as_ref().and_then(|o| o.successions.get(service));
+            serde_json::json!({
+                "service": service, "term": lead.term, "primary": lead.primary,
+                "intent": lead.intent, "stage": stage.map(|s| stage_name(&s.stage)),
+            })
+        }).collect();
+        serde_json::json!({
+            "node": self.settings.node_name,
+            "role": "steward",
+            "member": self.hedge.kept.me.0,
+            "leader": self.leader().map(|m| m.node.0.clone()),
+            "leader_admin": self.leader().map(|m| m.admin),
+            "leads": self.hedge.granting(now),
+            "epoch": self.hedge.kept.epoch,
+            "entry": self.hedge.last().1,
+            "committed": self.hedge.commit,
+            "members": members,
+            "revision": self.almanac.revision,
+            "databases": databases,
+            "services": services,
+            "stiles": stiles,
+        })
+    }
+}
+
+fn stage_name(stage: &Stage) -> &'static str {
+    match stage {
+        Stage::Steady => "steady",
+        Stage::Founding { .. } => "asking the first primary",
+        Stage::Doubting { .. } => "doubting the primary",
+        Stage::Fencing { target: Some(_), .. } => "fencing for a planned change",
+        Stage::Fencing { target: None, .. } => "fencing a lost primary",
+        Stage::Intending { .. } => "writing down the intent",
+        Stage::Posting { .. } => "promoting",
+        Stage::Taking { .. } => "waiting for old leases",
+    }
+}
+
+fn is_word(text: &str) -> bool {
+    !text.is_empty() && text.len() <= 200 && !text.contains(|c: char| c.is_whitespace() || c.is_control())
+}
+
+fn judged(effect: &Effect) -> Response {
+    match effect {
+        Effect::Done | Effect::Nothing => Response::ok(),
+        Effect::Outdated => Response::refusal(412, "another version is in place"),
+        Effect::NotAbove => Response::refusal(400, "revision is not above the current one"),
+    }
+}
+
+fn read_configuration(request: &Request) -> Result<Change, Response> {
+    let refuse = |why: &str| Err(Response::refusal(400, why));
+    let base = match request.if_match.as_deref().map(str::parse) {
+        Some(Ok(base)) => Revision(base),
+        Some(Err(_)) => return refuse("If-Match is no number"),
+        None => return refuse("If-Match is missing"),
+    };
+    match Configuration::read(&request.body) {
+        Ok(config) => Ok(Change::Configure {
+            base,
+            revision: config.revision,
+            body: ByteBuf::from(request.body.clone()),
+        }),
+        Err(why) => refuse(&why),
+    }
+}
