--- /dev/null
+++ b/src/stile.rs
@@ -0,0 +1,1850 @@
+//! The stile: clients' sessions, the pool of database connections, and the reroute design.
+//!
+//! `Graft` decides what a statement needs and what a loss means; it is a value without sockets.
+//! A `Scion` is a client's session and runs on a thread of its own, a `Rootstock` is a
+//! connection to a database that it borrows.
+use crate::common::config::{Configuration, Instance, Lifecycle, Listed, Route, RouteType};
+use crate::common::errors::{ErrorKind, Fatal};
+use crate::common::http::{self, Request, Response};
+use crate::common::ids::*;
+use crate::common::peer::*;
+use crate::common::settings::{Settings, Watched};
+use crate::common::signals::Signals;
+use crate::common::wire::{self, Inbox, Line, NoLine, Outcome, Reply, State, Statement, Verb};
+use log::{info, warn};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::io::{self, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// A poisoned lock means that another thread died half way; going on with its data is the best
+/// that is left, since every value behind a lock here is whole between two statements.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+// ---------------------------------------------------------------------------------------------
+// The reroute design
+
+/// A prepared statement, whatever its name.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Shape {
+    pub verb: Verb,
+    pub text: String,
+}
+
+/// What a statement does at a database.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Read,
+    Write,
+    Commit,
+}
+
+/// A statement that a database has to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Task {
+    pub kind: Kind,
+    /// Outside any transaction of the client's.
+    pub alone: bool,
+    /// The transaction has had no answer from a database yet, so that nothing ties it to one.
+    pub first: bool,
+    /// Only reads can follow in this transaction.
+    pub read_only: bool,
+    /// For EXECUTE: the shape behind the client's name.
+    pub shape: Option<Shape>,
+}
+
+/// What to do with a statement of the client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Answered here with success; no database is asked.
+    Settled,
+    /// Answered here with success; what a database has open is rolled back.
+    RolledBack,
+    Refused(ErrorKind),
+    Run(Task),
+}
+
+/// What the loss of a connection means for the statement that was on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// Nothing can have been kept and nothing was shown: run again elsewhere, silently.
+    Rerun,
+    /// The client is told; its session goes on.
+    Tell(ErrorKind),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Phase {
+    Idle,
+    Open { read_only: bool, began: Tick, shown: bool, wrote: bool },
+    Failed,
+}
+
+/// The state of one session that a reroute has to keep: whether it may leave its connection, and
+/// what the next connection needs first. Both are derived from the statements and answers seen.
+#[derive(Clone, Debug)]
+pub struct Graft {
+    phase: Phase,
+    values: BTreeMap<String, String>,
+    names: BTreeMap<String, Shape>,
+    /// Grows whenever what has to be replayed changes.
+    version: u64,
+}
+
+impl Default for Graft {
+    fn default() -> Self {
+        Self { phase: Phase::Idle, values: BTreeMap::new(), names: BTreeMap::new(), version: 0 }
+    }
+}
+
+impl Graft {
+    pub fn state(&self) -> State {
+        match self.phase {
+            Phase::Idle => State::Idle,
+            Phase::Open { .. } => State::Open,
+            Phase::Failed => State::Failed,
+        }
+    }
+    /// The source's flag: no resource of the session lives in a connection, which may be changed
+    /// or given to another session.
+    pub fn reusable(&self) -> bool {
+        self.phase == Phase::Idle
+    }
+    /// What every connection must hold before the next statement: the source's SET statements,
+    /// with the prepared names beside them.
+    pub fn replay(&self) -> (&BTreeMap<String, String>, impl Iterator<Item = &Shape>) {
+        (&self.values, self.names.values())
+    }
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+    /// From when on the freshness of reads counts, for a statement that came at `arrived`.
+    pub fn began(&self, arrived: Tick) -> Tick {
+        match self.phase {
+            Phase::Open { began, .. } => began,
+            _ => arrived,
+        }
+    }
+    /// The transaction cannot be ended well any more.
+    pub fn fail(&mut self) {
+        self.phase = Phase::Failed;
+    }
+
+    /// Decides on a statement of the client.
+    pub fn hear(&mut self, statement: &Statement<'_>, now: Tick) -> Verdict {
+        let verdict = self.judge(statement, now);
+        // An error inside a transaction fails it.
+        if matches!(verdict, Verdict::Refused(_)) && matches!(self.phase, Phase::Open { .. }) {
+            self.phase = Phase::Failed;
+        }
+        verdict
+    }
+
+    fn judge(&mut self, statement: &Statement<'_>, now: Tick) -> Verdict {
+        if self.phase == Phase::Failed {
+            return match statement {
+                Statement::Abort => {
+                    self.phase = Phase::Idle;
+                    Verdict::RolledBack
+                }
+                // Ending it rolls back, and a commit that was none must not look like one.
+                Statement::Commit => {
+                    self.phase = Phase::Idle;
+                    Verdict::Refused(ErrorKind::RolledBack)
+                }
+                _ => Verdict::Refused(ErrorKind::Malformed),
+            };
+        }
+        match *statement {
+            Statement::Begin { read_only } => {
+                if self.phase != Phase::Idle {
+                    return Verdict::Refused(ErrorKind::Malformed);
+                }
+                self.phase = Phase::Open { read_only, began: now, shown: false, wrote: false };
+                Verdict::Settled
+            }
+            Statement::Commit if self.phase == Phase::Idle => Verdict::Refused(ErrorKind::Malformed),
+            Statement::Commit => self.run(Kind::Commit, None),
+            Statement::Abort => {
+                self.phase = Phase::Idle;
+                Verdict::RolledBack
+            }
+            Statement::Fetch => self.run(Kind::Read, None),
+            Statement::Store => self.run(Kind::Write, None),
+            Statement::Configure { name, value } => {
+                self.values.insert(name.to_owned(), value.to_owned());
+                self.version += 1;
+                Verdict::Settled
+            }
+            Statement::Prepare { name, verb, shape } => {
+                let shape = Shape { verb, text: shape.to_owned() };
+                self.names.insert(name.to_owned(), shape);
+                self.version += 1;
+                Verdict::Settled
+            }
+            Statement::Deallocate { name } => match self.names.remove(name) {
+                Some(_) => Verdict::Settled,
+                None => Verdict::Refused(ErrorKind::NotFound),
+            },
+            Statement::Execute { name, .. } => match self.names.get(name).cloned() {
+                Some(shape) => {
+                    let kind = match shape.verb {
+                        Verb::Fetch => Kind::Read,
+                        Verb::Store => Kind::Write,
+                    };
+                    self.run(kind, Some(shape))
+                }
+                None => Verdict::Refused(ErrorKind::NotFound),
+            },
+        }
+    }
+
+    fn run(&mut self, kind: Kind, shape: Option<Shape>) -> Verdict {
+        let task = match &mut self.phase {
+            Phase::Open { read_only, shown, wrote, .. } => {
+                if kind == Kind::Write {
+                    // From here on the end of the transaction matters, sent or not.
+                    *wrote = true;
+                }
+                Task { kind, alone: false, first: !*shown, read_only: *read_only, shape }
+            }
+            _ => Task { kind, alone: true, first: true, read_only: kind == Kind::Read, shape },
+        };
+        Verdict::Run(task)
+    }
+
+    /// The connection is gone, or its answer can't be used. `sent` says whether the statement may
+    /// have reached a database.
+    pub fn lost(&mut self, task: &Task, sent: bool) -> Fate {
+        if task.alone {
+            return match task.kind {
+                // A write that may have run may also have been kept.
+                Kind::Write if sent => Fate::Tell(ErrorKind::Unknown),
+                _ => Fate::Rerun,
+            };
+        }
+        let wrote = matches!(self.phase, Phase::Open { wrote: true, .. });
+        match task.kind {
+            // Nothing was shown, and without a commit nothing is kept: not even a write.
+            Kind::Read | Kind::Write if task.first => Fate::Rerun,
+            Kind::Commit if task.first && !wrote => Fate::Rerun,
+            Kind::Commit if wrote && sent => {
+                self.phase = Phase::Idle;
+                Fate::Tell(ErrorKind::Unknown)
+            }
+            // The client has seen rows or answers that another connection need not repeat.
+            _ => {
+                self.phase = Phase::Idle;
+                Fate::Tell(ErrorKind::RolledBack)
+            }
+        }
+    }
+
+    /// The statement is given up without having run; nothing of its transaction is kept.
+    pub fn give_up(&mut self) {
+        self.phase = Phase::Idle;
+    }
+
+    /// A database's answer is passed on to the client.
+    pub fn answered(&mut self, state: State) {
+        self.phase = match (std::mem::replace(&mut self.phase, Phase::Idle), state) {
+            (Phase::Open { read_only, began, wrote, .. }, State::Open) => {
+                Phase::Open { read_only, began, shown: true, wrote }
+            }
+            (Phase::Open { .. } | Phase::Failed, State::Failed) => Phase::Failed,
+            _ => Phase::Idle,
+        };
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Fresh reads
+
+/// Positions seen at the primary: a pair (s, p) says that p covers every commit acknowledged
+/// before s.
+#[derive(Clone, Debug, Default)]
+pub struct Floors {
+    kept: VecDeque<(Tick, Position)>,
+    newest: Option<(Tick, Position)>,
+}
+
+const FLOORS_KEPT: usize = 64;
+const FLOOR_STEP_MS: u64 = 60;
+
+impl Floors {
+    pub fn learn(&mut self, sent: Tick, position: Position) {
+        if self.newest.is_some_and(|(s, p)| s > sent || p > position) {
+            return;
+        }
+        self.newest = Some((sent, position));
+        if self.kept.back().is_none_or(|(s, _)| sent.since(*s) >= FLOOR_STEP_MS) {
+            if self.kept.len() == FLOORS_KEPT {
+                self.kept.pop_front();
+            }
+            self.kept.push_back((sent, position));
+        }
+    }
+    /// The least demanding position that is no older than `stale_ms` for a read begun at `began`.
+    pub fn needed(&self, began: Tick, stale_ms: u64) -> Option<Position> {
+        // Times are cut to whole milliseconds, so one is kept in hand.
+        let fresh = |s: Tick| s.plus(stale_ms) > began.plus(1);
+        let old_enough = self.kept.iter().find(|(s, _)| fresh(*s));
+        old_enough.or(self.newest.as_ref().filter(|(s, _)| fresh(*s))).map(|(_, p)| *p)
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Connections to databases
+
+/// How often a thread that waits for a database looks up.
+const LOOK_MS: u64 = 50;
+/// A database that owes an answer and says nothing to anyone here for this long is doubted.
+const SILENT_MS: u64 = 400;
+const CONNECT_MS: u64 = 400;
+const HANDSHAKE_MS: u64 = 1_500;
+/// An answer larger than this is no answer.
+const MAX_ANSWER: usize = 4 << 20;
+/// Prepared statements on one connection before it is cleared.
+const MAX_PREPARED: usize = 256;
+
+/// A connection to a database, and what the database holds for it.
+pub struct Rootstock {
+    stream: TcpStream,
+    inbox: Inbox,
+    values: BTreeMap<String, String>,
+    prepared: HashSet<u64>,
+    /// The session and the version of its state that was last laid on.
+    holds: Option<(u64, u64)>,
+    /// A transaction was opened and not ended.
+    open: bool,
+    /// State was laid on inside a transaction that may be rolled back with it.
+    inside: bool,
+    cleared: bool,
+    used: Tick,
+}
+
+#[derive(Debug)]
+enum Loss {
+    /// The connection is gone or can't be trusted.
+    Broken,
+    /// The database owes the answer for too long.
+    Overdue,
+    /// The deadline of the statement is there.
+    Late,
+}
+
+impl Rootstock {
+    fn write(&mut self, bytes: &[u8]) -> Result<(), Loss> {
+        // Bytes that nobody asked for make every later answer doubtful.
+        if !self.inbox.is_empty() {
+            return Err(Loss::Broken);
+        }
+        self.stream.write_all(bytes).map_err(|_| Loss::Broken)
+    }
+    /// Waits for one answer. `look` is asked now and then whether it is still worth it.
+    fn answer(&mut self, mut look: impl FnMut() -> Option<Loss>) -> Result<Reply, Loss> {
+        loop {
+            if !self.inbox.is_empty() {
+                match wire::reply(self.inbox.pending()) {
+                    Ok(Some(reply)) => return Ok(reply),
+                    Ok(None) if self.inbox.pending().len() > MAX_ANSWER => return Err(Loss::Broken),
+                    Ok(None) => {}
+                    Err(wire::Garbled) => {
+                        warn!(target: "pool", "garbled answer");
+                        return Err(Loss::Broken);
+                    }
+                }
+            }
+            match self.inbox.fill(&mut self.stream) {
+                Ok(0) => return Err(Loss::Broken),
+                Ok(_) => {}
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                    if let Some(loss) = look() {
+                        return Err(loss);
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return Err(Loss::Broken),
+            }
+        }
+    }
+}
+
+/// How a connection can be refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoRoom {
+    /// The database can't be reached now.
+    Down,
+    /// All connections are in use, and waiting longer makes no sense.
+    Full,
+}
+
+/// The order in which waiters get connections.
+pub type Turn = (u8, Tick, u64);
+
+/// Who may open or borrow, as a value: the pool puts sockets to it.
+#[derive(Debug, Default)]
+pub struct Admission {
+    pub cap: u32,
+    pub open: u32,
+    waiting: BTreeSet<Turn>,
+    next: u64,
+}
+
+impl Admission {
+    /// May another connection be opened? If so it counts from now on.
+    pub fn grow(&mut self) -> bool {
+        let room = self.open < self.cap;
+        self.open += u32::from(room);
+        room
+    }
+    pub fn shrink(&mut self) {
+        self.open = self.open.saturating_sub(1);
+    }
+    pub fn queue(&mut self, priority: u8, deadline: Tick) -> Turn {
+        self.next += 1;
+        let turn = (priority, deadline, self.next);
+        self.waiting.insert(turn);
+        turn
+    }
+    pub fn leave(&mut self, turn: &Turn) {
+        self.waiting.remove(turn);
+    }
+    /// Whether it is this waiter's turn, with `free` connections to hand out.
+    pub fn turn(&self, turn: &Turn, free: usize) -> bool {
+        let ahead = self.waiting.range(..turn).count();
+        let room = self.cap.saturating_sub(self.open) as usize;
+        ahead < free + room
+    }
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+    pub fn over(&self) -> bool {
+        self.open > self.cap
+    }
+}
+
+#[derive(Default)]
+struct PoolInner {
+    admission: Admission,
+    idle: Vec<Rootstock>,
+    draining: bool,
+    gone: bool,
+}
+
+/// The connections of this stile to one database.
+struct Pool {
+    id: InstanceId,
+    service: ServiceName,
+    address: SocketAddr,
+    zone: String,
+    inner: Mutex<PoolInner>,
+    freed: Condvar,
+    heard: AtomicU64,
+    /// Not to be tried before this.
+    down_until: AtomicU64,
+    failures: AtomicU64,
+}
+
+impl Pool {
+    fn new(id: InstanceId, instance: &Instance) -> Self {
+        Self {
+            id,
+            service: instance.target_service.clone(),
+            address: instance.address,
+            zone: instance.zone.clone(),
+            inner: Mutex::default(),
+            freed: Condvar::new(),
+            heard: AtomicU64::new(0),
+            down_until: AtomicU64::new(0),
+            failures: AtomicU64::new(0),
+        }
+    }
+    fn is_down(&self, now: Tick) -> bool {
+        now.0 < self.down_until.load(Ordering::Relaxed)
+    }
+    fn failed(&self, now: Tick) {
+        let failures = self.failures.fetch_add(1, Ordering::Relaxed).min(4);
+        self.down_until.store(now.0 + (100 << failures), Ordering::Relaxed);
+    }
+    fn heard(&self, now: Tick) {
+        self.heard.store(now.0, Ordering::Relaxed);
+    }
+    /// Work that this stile has there or holds for it.
+    fn load(&self) -> (usize, bool) {
+        let inner = lock(&self.inner);
+        let busy = (inner.admission.open as usize).saturating_sub(inner.idle.len());
+        (busy + inner.admission.waiting(), inner.draining || inner.gone || inner.admission.cap == 0)
+    }
+    fn set_cap(&self, cap: u32) {
+        let mut inner = lock(&self.inner);
+        if inner.admission.cap == cap {
+            return;
+        }
+        inner.admission.cap = cap;
+        while inner.admission.over() && inner.idle.pop().is_some() {
+            inner.admission.shrink();
+        }
+        drop(inner);
+        self.freed.notify_all();
+    }
+    fn retire(&self, draining: bool, gone: bool) {
+        let mut inner = lock(&self.inner);
+        inner.draining = draining;
+        inner.gone = gone;
+        if gone {
+            let idle = inner.idle.len();
+            inner.idle.clear();
+            for _ in 0..idle {
+                inner.admission.shrink();
+            }
+            drop(inner);
+            self.freed.notify_all();
+        }
+    }
+
+    /// Borrows a connection, the one that needs the least to be laid on; opens one if it may.
+    fn borrow(&self, graft: &Graft, session: u64, priority: u8, until: Tick) -> Result<Rootstock, NoRoom> {
+        let mut inner = lock(&self.inner);
+        let mut turn: Option<Turn> = None;
+        loop {
+            let now = Tick::now();
+            if inner.gone || self.is_down(now) {
+                break;
+            }
+            let free = inner.idle.len();
+            let mine = match &turn {
+                Some(turn) => inner.admission.turn(turn, free),
+                None => inner.admission.waiting() < free || inner.admission.waiting() == 0,
+            };
+            if mine {
+                if let Some(best) = best_fit(&inner.idle, graft, session) {
+                    let stock = inner.idle.swap_remove(best);
+                    if let Some(turn) = &turn {
+                        inner.admission.leave(turn);
+                    }
+                    return Ok(stock);
+                }
+                if inner.admission.grow() {
+                    if let Some(turn) = &turn {
+                        inner.admission.leave(turn);
+                    }
+                    drop(inner);
+                    return self.open(now, until).inspect_err(|_| self.close_one());
+                }
+            }
+            if now >= until {
+                break;
+            }
+            if turn.is_none() {
+                turn = Some(inner.admission.queue(priority, until));
+            }
+            let wait = Duration::from_millis(until.since(now).clamp(1, 500));
+            inner = match self.freed.wait_timeout(inner, wait) {
+                Ok((guard, _)) => guard,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
+        }
+        if let Some(turn) = &turn {
+            inner.admission.leave(turn);
+        }
+        let down = inner.gone || self.is_down(Tick::now());
+        drop(inner);
+        // The one behind may be next now.
+        self.freed.notify_all();
+        Err(if down { NoRoom::Down } else { NoRoom::Full })
+    }
+
+    fn open(&self, now: Tick, until: Tick) -> Result<Rootstock, NoRoom> {
+        let connect = || -> io::Result<Result<Rootstock, ErrorKind>> {
+            let stream = dial(self.address, Duration::from_millis(CONNECT_MS), Duration::from_secs(3))?;
+            stream.set_read_timeout(Some(Duration::from_millis(LOOK_MS)))?;
+            stream.set_write_timeout(Some(Duration::from_secs(1)))?;
+            let mut stock = Rootstock {
+                stream,
+                inbox: Inbox::default(),
+                values: BTreeMap::new(),
+                prepared: HashSet::new(),
+                holds: None,
+                open: false,
+                inside: false,
+                cleared: true,
+                used: now,
+            };
+            let hello = format!("CONNECT {} stile {}\r\n", self.service, self.id);
+            stock.stream.write_all(hello.as_bytes())?;
+            let limit = now.plus(HANDSHAKE_MS).min(until.plus(CONNECT_MS));
+            loop {
+                if let Some(kind) = wire::refused_connect(stock.inbox.pending()) {
+                    return Ok(Err(kind));
+                }
+                match wire::reply(stock.inbox.pending()) {
+                    Ok(Some(reply)) => {
+                        stock.inbox.use_up(reply.end);
+                        return Ok(Ok(stock));
+                    }
+                    Ok(None) => {}
+                    Err(wire::Garbled) => return Err(io::ErrorKind::InvalidData.into()),
+                }
+                match stock.inbox.fill(&mut stock.stream) {
+                    Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                    Ok(_) => {}
+                    Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                        if Tick::now() >= limit {
+                            return Err(io::ErrorKind::TimedOut.into());
+                        }
+                    }
+                    Err(e) => return Err(e),
+                }
+            }
+        };
+        match connect() {
+            Ok(Ok(stock)) => {
+                self.failures.store(0, Ordering::Relaxed);
+                self.heard(Tick::now());
+                Ok(stock)
+            }
+            Ok(Err(ErrorKind::ConnLimit | ErrorKind::Throttled)) => Err(NoRoom::Full),
+            Ok(Err(_)) | Err(_) => {
+                self.failed(Tick::now());
+                Err(NoRoom::Down)
+            }
+        }
+    }
+
+    fn close_one(&self) {
+        lock(&self.inner).admission.shrink();
+        self.freed.notify_all();
+    }
+
+    /// Takes a connection back that is at rest.
+    fn give_back(&self, mut stock: Rootstock, now: Tick) {
+        stock.used = now;
+        let mut inner = lock(&self.inner);
+        if inner.gone || inner.admission.over() {
+            inner.admission.shrink();
+        } else {
+            inner.idle.push(stock);
+        }
+        let waiting = inner.admission.waiting() > 0;
+        drop(inner);
+        if waiting {
+            self.freed.notify_all();
+        }
+    }
+    /// A borrowed connection was lost; dropping it rolls back what it had open.
+    fn lose(&self, stock: Rootstock) {
+        drop(stock);
+        self.close_one();
+    }
+}
+
+/// The idle connection that needs the least work before the session's next statement.
+fn best_fit(idle: &[Rootstock], graft: &Graft, session: u64) -> Option<usize> {
+    let (values, _) = graft.replay();
+    // Later ones were used last, and are the likeliest to live.
+    idle.iter()
+        .enumerate()
+        .rev()
+        .min_by_key(|(_, stock)| {
+            if stock.holds == Some((session, graft.version())) {
+                0
+            } else if stock.inside || stock.values.keys().any(|k| !values.contains_key(k)) {
+                100
+            } else {
+                1 + values.iter().filter(|(k, v)| stock.values.get(*k) != Some(v)).count()
+            }
+        })
+        .map(|(at, _)| at)
+}
+
+// ---------------------------------------------------------------------------------------------
+// What this stile knows
+
+/// Who may be asked for what is only at the primary.
+#[derive(Clone, Debug, PartialEq)]
+enum Held {
+    None,
+    Led { term: DbTerm, primary: InstanceId, until: Tick },
+}
+
+#[derive(Debug)]
+struct ServiceView {
+    held: Held,
+    /// Terms up to this were taken back and are not used again.
+    revoked: Option<DbTerm>,
+    floors: Floors,
+    /// The furthest position passed on to a client or seen at the primary.
+    highest: Option<Position>,
+    share: u32,
+    share_until: Tick,
+    /// When the primary was last lost to this stile, for saying when to come back.
+    unled_since: Option<Tick>,
+}
+impl Default for ServiceView {
+    fn default() -> Self {
+        Self {
+            held: Held::None,
+            revoked: None,
+            floors: Floors::default(),
+            highest: None,
+            share: 0,
+            share_until: Tick(0),
+            unled_since: None,
+        }
+    }
+}
+impl ServiceView {
+    fn lease(&self, now: Tick) -> Option<(DbTerm, &InstanceId)> {
+        match &self.held {
+            Held::Led { term, primary, until } if *until > now => Some((*term, primary)),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Default)]
+struct View {
+    config: Option<Arc<Configuration>>,
+    listed: bool,
+    pools: BTreeMap<InstanceId, Arc<Pool>>,
+    services: BTreeMap<ServiceName, ServiceView>,
+}
+
+/// A session, as others may see and end it.
+struct Seen {
+    stream: TcpStream,
+    /// When the session began to wait for its client; 0 while it works.
+    resting: AtomicU64,
+    open: AtomicBool,
+}
+
+struct Stile {
+    node: NodeName,
+    zone: String,
+    life: u64,
+    view: Mutex<View>,
+    changed: Condvar,
+    link: Mutex<Option<TcpStream>>,
+    sent: Mutex<VecDeque<(u64, Tick)>>,
+    seq: AtomicU64,
+    linked: AtomicBool,
+    draining: AtomicBool,
+    /// While draining, idle sessions are closed from this tick on.
+    close_from: AtomicU64,
+    sessions: Mutex<HashMap<u64, Arc<Seen>>>,
+    next_session: AtomicU64,
+    doubted: Mutex<HashMap<InstanceId, Tick>>,
+    hasher: std::hash::RandomState,
+    max_sessions: usize,
+}
+
+/// A connection in a session's hands.
+struct Bound {
+    stock: Rootstock,
+    pool: Arc<Pool>,
+    /// The term under which the primary is used; none at a replica.
+    term: Option<DbTerm>,
+}
+
+const RENEW_MS: u64 = 450;
+/// With no word from a leader for this long, the share of connections is no longer ours.
+const SHARE_KEPT_MS: u64 = 3_000;
+/// Silent reruns of one statement.
+const MAX_RERUNS: u32 = 4;
+const RERUN_PAUSE_MS: u64 = 15;
+
+impl Stile {
+    fn config(&self) -> Option<Arc<Configuration>> {
+        lock(&self.view).config.clone()
+    }
+    /// The primary's pool and term, if a lease on it is held now.
+    fn primary(&self, service: &ServiceName, now: Tick) -> Option<(DbTerm, Arc<Pool>)> {
+        let view = lock(&self.view);
+        let (term, id) = view.services.get(service)?.lease(now)?;
+        Some((term, Arc::clone(view.pools.get(id)?)))
+    }
+    /// Whether the lease on this term is still held.
+    fn still(&self, service: &ServiceName, term: DbTerm, now: Tick) -> bool {
+        let view = lock(&self.view);
+        view.services.get(service).and_then(|s| s.lease(now)).is_some_and(|(t, _)| t == term)
+    }
+    /// An answer of the primary came under a lease that still holds.
+    fn learn(&self, service: &ServiceName, sent: Tick, position: Position) {
+        let mut view = lock(&self.view);
+        if let Some(seen) = view.services.get_mut(service) {
+            seen.floors.learn(sent, position);
+            seen.highest = seen.highest.max(Some(position));
+        }
+    }
+    fn floor(&self, service: &ServiceName, began: Tick, stale_ms: u64) -> Option<Position> {
+        lock(&self.view).services.get(service)?.floors.needed(began, stale_ms)
+    }
+    /// Replicas to read from, the best first. The zone's own costs nothing between zones, so it is
+    /// taken until it has clearly more to do.
+    fn replicas(&self, service: &ServiceName, now: Tick) -> Vec<Arc<Pool>> {
+        let view = lock(&self.view);
+        let primary = match view.services.get(service).map(|s| &s.held) {
+            Some(Held::Led { primary, .. }) => Some(primary),
+            _ => None,
+        };
+        let mut found: Vec<(usize, u64, Arc<Pool>)> = view
+            .pools
+            .values()
+            .filter(|p| p.service == *service && Some(&p.id) != primary && !p.is_down(now))
+            .filter_map(|p| {
+                let (load, closed) = p.load();
+                let far = if p.zone == self.zone { 0 } else { 3 };
+                (!closed).then(|| (load + far, rand::random(), Arc::clone(p)))
+            })
+            .collect();
+        found.sort_by_key(|(load, tie, _)| (*load, *tie));
+        found.into_iter().map(|(_, _, pool)| pool).collect()
+    }
+
+    fn tell(&self, message: ToSteward) {
+        if let Some(stream) = lock(&self.link).as_mut()
+            && send(stream, &Frame::Stile(message)).is_err()
+        {
+            // The reader sees the end and looks for another leader.
+            drop(stream.shutdown(Shutdown::Both));
+        }
+    }
+    fn doubt(&self, pool: &Pool, why: Doubt, now: Tick) {
+        {
+            let mut doubted = lock(&self.doubted);
+            if doubted.get(&pool.id).is_some_and(|t| now.since(*t) < 250) {
+                return;
+            }
+            doubted.insert(pool.id.clone(), now);
+        }
+        let (service, instance) = (pool.service.clone(), pool.id.clone());
+        self.tell(ToSteward::Suspect { service, instance, why });
+    }
+    fn renew(&self) {
+        let shares = {
+            let view = lock(&self.view);
+            view.services.iter().map(|(name, s)| (name.clone(), s.share)).collect()
+        };
+        let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
+        {
+            let mut sent = lock(&self.sent);
+            sent.push_back((seq, Tick::now()));
+            if sent.len() > 16 {
+                sent.pop_front();
+            }
+        }
+        self.tell(ToSteward::Renew { seq, shares });
+    }
+
+    // -- what the leader says --------------------------------------------------------------------
+
+    fn hear(&self, message: ToStile) {
+        match message {
+            ToStile::Elsewhere(_) | ToStile::Welcome { .. } => {}
+            ToStile::Configured(config) => {
+                let mut view = lock(&self.view);
+                if view.config.as_ref().is_some_and(|c| c.revision >= config.revision) {
+                    return;
+                }
+                info!(target: "stile", "configuration {} is in force", config.revision);
+                for service in &config.services {
+                    view.services.entry(service.name.clone()).or_default();
+                }
+                view.config = Some(Arc::new(*config));
+            }
+            ToStile::Directory(listed) => {
+                let mut view = lock(&self.view);
+                let gone: Vec<InstanceId> = view
+                    .pools
+                    .keys()
+                    .filter(|id| !listed.iter().any(|l| l.id == **id))
+                    .cloned()
+                    .collect();
+                for id in gone {
+                    Self::remove(&mut view, &id);
+                }
+                for one in listed {
+                    Self::upsert(&mut view, one);
+                }
+                view.listed = true;
+            }
+            ToStile::Upsert(listed) => Self::upsert(&mut lock(&self.view), listed),
+            ToStile::Remove(id) => Self::remove(&mut lock(&self.view), &id),
+            ToStile::Granted { seq, lease_ms, grants } => self.granted(seq, lease_ms, grants),
+            ToStile::Revoke { service, term } => {
+                let highest = {
+                    let mut view = lock(&self.view);
+                    let seen = view.services.entry(service.clone()).or_default();
+                    seen.revoked = seen.revoked.max(Some(term));
+                    if matches!(seen.held, Held::Led { term: held, .. } if held <= term) {
+                        seen.held = Held::None;
+                        seen.unled_since = Some(Tick::now());
+                    }
+                    seen.highest
+                };
+                info!(target: "lease", "{service}: term {term} was taken back");
+                self.changed.notify_all();
+                self.tell(ToSteward::Revoked { service, term, highest });
+            }
+            ToStile::Renew => self.renew(),
+        }
+    }
+
+    fn upsert(view: &mut View, listed: Listed) {
+        let share = view.services.get(&listed.instance.target_service).map_or(0, |s| s.share);
+        let fits = |p: &Arc<Pool>| p.address == listed.instance.address && p.zone == listed.instance.zone;
+        let pool = match view.pools.get(&listed.id).filter(|p| fits(p)) {
+            Some(pool) => Arc::clone(pool),
+            None => {
+                Self::remove(view, &listed.id);
+                let pool = Arc::new(Pool::new(listed.id.clone(), &listed.instance));
+                pool.set_cap(share);
+                view.pools.insert(listed.id.clone(), Arc::clone(&pool));
+                pool
+            }
+        };
+        // News of a database: whatever kept it from being tried may be over.
+        pool.down_until.store(0, Ordering::Relaxed);
+        pool.retire(listed.instance.lifecycle_state == Lifecycle::Draining, false);
+    }
+    fn remove(view: &mut View, id: &InstanceId) {
+        if let Some(pool) = view.pools.remove(id) {
+            pool.retire(true, true);
+        }
+    }
+
+    fn granted(&self, seq: u64, lease_ms: u64, grants: Vec<Grant>) {
+        let asked = {
+            let mut sent = lock(&self.sent);
+            let found = sent.iter().find(|(s, _)| *s == seq).map(|(_, t)| *t);
+            sent.retain(|(s, _)| *s > seq);
+            found
+        };
+        let Some(asked) = asked else { return };
+        let mut view = lock(&self.view);
+        for grant in grants {
+            let seen = view.services.entry(grant.service.clone()).or_default();
+            let led = matches!(seen.held, Held::Led { .. });
+            match grant.standing {
+                Standing::Led { term, primary } => {
+                    if seen.revoked.is_none_or(|r| term > r) {
+                        if !matches!(&seen.held, Held::Led { term: t, .. } if *t == term) {
+                            info!(target: "lease", "{}: {primary} leads term {term}", grant.service);
+                        }
+                        seen.held = Held::Led { term, primary, until: asked.plus(lease_ms) };
+                        seen.unled_since = None;
+                    }
+                }
+                Standing::Sealed(position) => {
+                    seen.held = Held::None;
+                    seen.floors.learn(asked, position);
+                }
+                Standing::Unled => seen.held = Held::None,
+            }
+            if led && matches!(seen.held, Held::None) {
+                seen.unled_since = Some(Tick::now());
+                info!(target: "lease", "{}: none is granted", grant.service);
+            }
+            seen.share = grant.share;
+            seen.share_until = asked.plus(SHARE_KEPT_MS);
+            for pool in view.pools.values().filter(|p| p.service == grant.service) {
+                pool.set_cap(grant.share);
+            }
+        }
+        drop(view);
+        self.changed.notify_all();
+    }
+
+    fn ready(&self, now: Tick) -> bool {
+        if self.draining.load(Ordering::Relaxed) || !self.linked.load(Ordering::Relaxed) {
+            return false;
+        }
+        let view = lock(&self.view);
+        view.config.is_some() && view.listed && view.services.values().any(|s| s.share_until > now)
+    }
+    fn status(&self, now: Tick) -> serde_json::Value {
+        let view = lock(&self.view);
+        let services: Vec<_> = view
+            .services
+            .iter()
+            .map(|(name, s)| {
+                let lease = s.lease(now);
+                serde_json::json!({
+                    "service": name,
+                    "term": lease.map(|(t, _)| t),
+                    "primary": lease.map(|(_, p)| p),
+                    "lease_left_ms": match &s.held { Held::Led { until, .. } => until.since(now), Held::None => 0 },
+                    "connections_allowed": s.share,
+                    "highest": s.highest.map(|p| p.to_string()),
+                })
+            })
+            .collect();
+        let databases: Vec<_> = view
+            .pools
+            .values()
+            .map(|p| {
+                let inner = lock(&p.inner);
+                serde_json::json!({
+                    "id": p.id, "service": p.service, "address": p.address, "zone": p.zone,
+                    "open": inner.admission.open, "idle": inner.idle.len(),
+                    "waiting": inner.admission.waiting(), "draining": inner.draining,
+                    "down": p.is_down(now),
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "node": self.node,
+            "role": "stile",
+            "ready": self.linked.load(Ordering::Relaxed) && view.config.is_some(),
+            "draining": self.draining.load(Ordering::Relaxed),
+            "revision": view.config.as_ref().map(|c| c.revision),
+            "sessions": lock(&self.sessions).len(),
+            "services": services,
+            "databases": databases,
+        })
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// A client's session
+
+struct Scion {
+    stile: Arc<Stile>,
+    seen: Arc<Seen>,
+    id: u64,
+    graft: Graft,
+    bound: Option<Bound>,
+    database: String,
+    config: Arc<Configuration>,
+    route: Route,
+    /// The last position of this session's own commits.
+    own: Option<Position>,
+    last_position: Option<Position>,
+}
+
+/// What goes back to the client.
+enum Say {
+    /// The database's own bytes, up to `end` in the inbox of the bound connection.
+    Passed { reply: Reply },
+    Complete,
+    Error(ErrorKind, String),
+}
+
+fn session(stile: &Arc<Stile>, seen: Arc<Seen>, id: u64) -> io::Result<()> {
+    let mut client = &seen.stream;
+    let mut inbox = Inbox::default();
+    let refuse = |kind: ErrorKind, text: &str| {
+        let mut client = &seen.stream;
+        client.write_all(format!("ERROR {kind} {text}\r\n").as_bytes())
+    };
+    let database = match inbox.line(&mut client) {
+        Ok(line) => match wire::parse(line) {
+            Ok(Line::Connect { database }) => database.to_owned(),
+            Ok(Line::Close) => return Ok(()),
+            _ => return refuse(ErrorKind::Malformed, "CONNECT comes first"),
+        },
+        Err(NoLine::TooLarge) => return refuse(ErrorKind::TooLarge, "over 1 MiB"),
+        Err(_) => return Ok(()),
+    };
+    let found = stile.config().and_then(|c| c.route(&database).cloned().map(|r| (c, r)));
+    let Some((config, route)) = found else {
+        return refuse(ErrorKind::NoDatabase, "no such database");
+    };
+    client.write_all(b"READY I -\r\n")?;
+    let mut scion = Scion {
+        stile: Arc::clone(stile),
+        seen: Arc::clone(&seen),
+        id,
+        graft: Graft::default(),
+        bound: None,
+        database,
+        config,
+        route,
+        own: None,
+        last_position: None,
+    };
+    let ended = scion.converse(&mut inbox);
+    scion.unbind();
+    ended
+}
+
+impl Scion {
+    fn converse(&mut self, inbox: &mut Inbox) -> io::Result<()> {
+        let seen = Arc::clone(&self.seen);
+        let mut client = &seen.stream;
+        loop {
+            let state = self.graft.state();
+            if state == State::Idle && inbox.is_empty() && self.stile.draining.load(Ordering::Relaxed)
+                && self.stile.closing_idle()
+            {
+                return Ok(());
+            }
+            seen.open.store(state != State::Idle, Ordering::Relaxed);
+            seen.resting.store(Tick::now().0, Ordering::Relaxed);
+            let line = inbox.line(&mut client);
+            seen.resting.store(0, Ordering::Relaxed);
+            let line = match line {
+                Ok(line) => line,
+                Err(NoLine::TooLarge) => {
+                    return client.write_all(b"ERROR TOOLARGE over 1 MiB\r\n");
+                }
+                Err(NoLine::Closed) => return Ok(()),
+                Err(NoLine::Io(e)) => return Err(e),
+            };
+            let arrived = Tick::now();
+            let say = match wire::parse(line) {
+                Ok(Line::Close) => return Ok(()),
+                Ok(Line::Query { id, text, statement }) => {
+                    if state == State::Idle && !self.rebind_route() {
+                        return client.write_all(b"ERROR NODATABASE no such database any more\r\n");
+                    }
+                    match self.graft.hear(&statement, arrived) {
+                        Verdict::Settled => Say::Complete,
+                        Verdict::RolledBack => {
+                            self.unbind();
+                            Say::Complete
+                        }
+                        Verdict::Refused(kind) => {
+                            if self.graft.state() != State::Open {
+                                self.unbind();
+                            }
+                            Say::Error(kind, refusal_text(kind).to_owned())
+                        }
+                        Verdict::Run(task) => self.run(id, text, &statement, &task, arrived),
+                    }
+                }
+                Ok(Line::Connect { .. }) | Err(_) => {
+                    if self.graft.state() == State::Open {
+                        self.graft.fail();
+                        self.unbind();
+                    }
+                    Say::Error(ErrorKind::Malformed, "not understood".to_owned())
+                }
+            };
+            self.say(&mut client, say)?;
+        }
+    }
+
+    /// A changed route binds from the next transaction on. False when it is no longer there.
+    fn rebind_route(&mut self) -> bool {
+        let Some(config) = self.stile.config() else { return false };
+        if !Arc::ptr_eq(&config, &self.config) {
+            let Some(route) = config.route(&self.database) else { return false };
+            self.route = route.clone();
+            self.config = config;
+        }
+        true
+    }
+
+    fn say(&mut self, client: &mut &TcpStream, say: Say) -> io::Result<()> {
+        let position = |p: Option<Position>| p.map_or("-".to_owned(), |p| p.to_string());
+        match say {
+            Say::Complete => {
+                let state = self.graft.state().letter();
+                let position = position(self.last_position);
+                client.write_all(format!("COMPLETE -\r\nREADY {state} {position}\r\n").as_bytes())
+            }
+            Say::Error(kind, text) => {
+                let state = self.graft.state().letter();
+                let position = position(self.last_position);
+                client.write_all(format!("ERROR {kind} {text}\r\nREADY {state} {position}\r\n").as_bytes())
+            }
+            Say::Passed { reply } => {
+                self.last_position = reply.position.or(self.last_position);
+                let Some(bound) = &mut self.bound else { return Ok(()) };
+                let sent = client.write_all(&bound.stock.inbox.pending()[..reply.end]);
+                bound.stock.inbox.use_up(reply.end);
+                match self.graft.state() {
+                    State::Open => {}
+                    _ => self.unbind(),
+                }
+                sent
+            }
+        }
+    }
+
+    /// Lets go of the connection; what it has open is rolled back first.
+    fn unbind(&mut self) {
+        let Some(Bound { mut stock, pool, .. }) = self.bound.take() else { return };
+        if !stock.open {
+            return pool.give_back(stock, Tick::now());
+        }
+        let limit = Tick::now().plus(300);
+        let ended = stock.write(b"QUERY - ABORT\r\n").and_then(|()| {
+            stock.answer(|| (Tick::now() >= limit).then_some(Loss::Overdue))
+        });
+        match ended {
+            Ok(reply) if reply.state == State::Idle => {
+                stock.inbox.use_up(reply.end);
+                stock.open = false;
+                // What was laid on inside may have been rolled back too; it is laid on anew.
+                if stock.inside {
+                    stock.holds = None;
+                }
+                pool.give_back(stock, Tick::now());
+            }
+            _ => pool.lose(stock),
+        }
+    }
+    /// The connection can't be used any more.
+    fn cut(&mut self) {
+        if let Some(Bound { stock, pool, .. }) = self.bound.take() {
+            pool.lose(stock);
+        }
+    }
+
+    /// Has a database run the statement, on as many connections as the reroute rules allow.
+    fn run(&mut self, id: &str, text: &str, statement: &Statement<'_>, task: &Task, arrived: Tick) -> Say {
+        let limit = arrived.plus(self.route.timeout_ms);
+        // Waiting for a connection longer than this rarely ends well; the client is better off
+        // coming back, and has the time to.
+        let hold = arrived.plus(self.route.timeout_ms * 6 / 10);
+        let mut avoid: Vec<InstanceId> = Vec::new();
+        let mut patient = false;
+        let mut reruns = 0;
+        loop {
+            if self.bound.is_none() {
+                if !task.first {
+                    self.graft.give_up();
+                    return Say::Error(ErrorKind::RolledBack, "connection lost".to_owned());
+                }
+                match self.bind(task, arrived, hold, &avoid) {
+                    Ok(bound) => self.bound = Some(bound),
+                    Err(kind) => return self.refuse(kind),
+                }
+            }
+            let (loss, sent) = match self.exchange(id, text, statement, task, arrived, limit, patient) {
+                Ok(reply) => match reply.outcome {
+                    Outcome::Complete => return self.passed(task, reply),
+                    Outcome::Error(kind) => match self.denied(task, kind, &reply, &mut avoid) {
+                        Some(say) => return say,
+                        None => (None, false),
+                    },
+                },
+                Err((loss, sent)) => {
+                    if let Some(bound) = &self.bound {
+                        avoid.push(bound.pool.id.clone());
+                    }
+                    self.cut();
+                    (Some(loss), sent)
+                }
+            };
+            if let Some(loss) = loss {
+                if let Fate::Tell(kind) = self.graft.lost(task, sent) {
+                    return Say::Error(kind, "connection lost".to_owned());
+                }
+                patient |= matches!(loss, Loss::Overdue);
+                if matches!(loss, Loss::Late) {
+                    return self.expired(task);
+                }
+            }
+            reruns += 1;
+            let now = Tick::now();
+            if reruns > MAX_RERUNS || now >= limit {
+                return self.refuse(ErrorKind::Throttled);
+            }
+            if reruns > 1 {
+                std::thread::sleep(Duration::from_millis(RERUN_PAUSE_MS * u64::from(reruns)));
+            }
+        }
+    }
+
+    /// The statement's time is over; nothing of it can have been kept.
+    fn expired(&mut self, task: &Task) -> Say {
+        if task.alone {
+            return Say::Error(ErrorKind::TimedOut, "no answer in time".to_owned());
+        }
+        self.graft.give_up();
+        Say::Error(ErrorKind::RolledBack, "no answer in time".to_owned())
+    }
+
+    /// It did not run, and nothing is kept: the client is told when to come back.
+    fn refuse(&mut self, kind: ErrorKind) -> Say {
+        self.graft.give_up();
+        self.unbind();
+        let after = self.stile.come_back_ms(&self.route.target_service);
+        Say::Error(kind, format!("retry_after_ms={after}"))
+    }
+
+    /// Picks a database and borrows a connection to it.
+    fn bind(&self, task: &Task, arrived: Tick, hold: Tick, avoid: &[InstanceId]) -> Result<Bound, ErrorKind> {
+        let stile = &self.stile;
+        let service = &self.route.target_service;
+        let began = self.graft.began(arrived);
+        loop {
+            let now = Tick::now();
+            if task.read_only && self.route.route_type != RouteType::Primary {
+                if self.need(began).is_some() {
+                    for pool in stile.replicas(service, now) {
+                        if avoid.contains(&pool.id) {
+                            continue;
+                        }
+                        match pool.borrow(&self.graft, self.id, self.route.priority, hold) {
+                            Ok(stock) => return Ok(Bound { stock, pool, term: None }),
+                            Err(NoRoom::Full | NoRoom::Down) => {}
+                        }
+                    }
+                }
+            }
+            if let Some((term, pool)) = stile.primary(service, now) {
+                match pool.borrow(&self.graft, self.id, self.route.priority, hold) {
+                    // The lease may have run out while waiting.
+                    Ok(stock) if stile.still(service, term, Tick::now()) => {
+                        return Ok(Bound { stock, pool, term: Some(term) });
+                    }
+                    Ok(stock) => pool.give_back(stock, Tick::now()),
+                    Err(NoRoom::Full) => {}
+                    Err(NoRoom::Down) => stile.doubt(&pool, Doubt::Broken, Tick::now()),
+                }
+            }
+            let now = Tick::now();
+            if now >= hold {
+                return Err(ErrorKind::Throttled);
+            }
+            stile.wait_for_news(hold.since(now).clamp(1, 50));
+        }
+    }
+
+    /// The position a replica must have for a read that began at `began`.
+    fn need(&self, began: Tick) -> Option<Position> {
+        let floor = self.stile.floor(&self.route.target_service, began, self.route.stale_ms)?;
+        Some(match self.route.route_type {
+            RouteType::ReadYourWrites => self.own.map_or(floor, |own| own.max(floor)),
+            _ => floor,
+        })
+    }
+
+    /// One round with the bound connection: what the session needs is laid on, a transaction is
+    /// opened where one is wanted, and the statement is sent. An error tells whether it was sent.
+    #[allow(clippy::too_many_arguments)]
+    fn exchange(
+        &mut self,
+        id: &str,
+        text: &str,
+        statement: &Statement<'_>,
+        task: &Task,
+        arrived: Tick,
+        limit: Tick,
+        patient: bool,
+    ) -> Result<Reply, (Loss, bool)> {
+        let began = self.graft.began(arrived);
+        let waits = match &self.bound {
+            Some(bound) if bound.term.is_none() => match self.need(began) {
+                Some(position) => format!("WAITFOR {position} "),
+                None => return Err((Loss::Overdue, false)),
+            },
+            _ => String::new(),
+        };
+        let stile = Arc::clone(&self.stile);
+        let service = self.route.target_service.clone();
+        let Some(bound) = &mut self.bound else { return Err((Loss::Broken, false)) };
+        let pool = Arc::clone(&bound.pool);
+        let term = bound.term;
+        let read = task.kind == Kind::Read && task.first;
+        let patience = (self.route.timeout_ms / 4).clamp(150, 500);
+        let look = |sent: Tick| {
+            let (stile, pool, service) = (&stile, &pool, &service);
+            move || {
+                let now = Tick::now();
+                if now >= limit {
+                    return Some(Loss::Late);
+                }
+                if term.is_some_and(|term| !stile.still(service, term, now)) {
+                    return Some(Loss::Overdue);
+                }
+                let waited = now.since(sent);
+                if waited >= SILENT_MS && pool.heard.load(Ordering::Relaxed) < sent.0 {
+                    if term.is_some() {
+                        stile.doubt(pool, Doubt::Silent, now);
+                    } else {
+                        pool.failed(now);
+                    }
+                    if read && term.is_none() {
+                        return Some(Loss::Overdue);
+                    }
+                }
+                // A read can be had elsewhere, or here again; its answer may have been lost.
+                (read && !patient && waited >= patience).then_some(Loss::Overdue)
+            }
+        };
+        let broken = |loss: Loss, sent: bool| {
+            if matches!(loss, Loss::Broken) {
+                if term.is_some() {
+                    stile.doubt(&pool, Doubt::Broken, Tick::now());
+                } else {
+                    pool.failed(Tick::now());
+                }
+            }
+            (loss, sent)
+        };
+        lay_on(&mut bound.stock, &self.graft, self.id, &stile.hasher, look(Tick::now()))
+            .map_err(|loss| broken(loss, false))?;
+        let mut waits = waits;
+        if !task.alone && !bound.stock.open {
+            let begin = if task.read_only { "BEGIN FETCH" } else { "BEGIN" };
+            let line = format!("QUERY - {waits}{begin}\r\n");
+            bound.stock.write(line.as_bytes()).map_err(|l| broken(l, false))?;
+            let reply = bound.stock.answer(look(Tick::now())).map_err(|l| broken(l, false))?;
+            pool.heard(Tick::now());
+            if reply.outcome != Outcome::Complete {
+                return Ok(reply);
+            }
+            bound.stock.inbox.use_up(reply.end);
+            bound.stock.open = true;
+        }
+        if !task.alone {
+            waits.clear();
+        }
+        let line = match (&task.shape, statement) {
+            (Some(shape), Statement::Execute { rest, .. }) => {
+                let name = shape_id(&stile.hasher, shape);
+                format!("QUERY {id} {waits}EXECUTE p{name:x} {rest}\r\n")
+            }
+            _ => format!("QUERY {id} {waits}{text}\r\n"),
+        };
+        let sent = Tick::now();
+        // The last look before a write can take effect there.
+        if term.is_some_and(|term| !stile.still(&service, term, sent)) {
+            return Err((Loss::Overdue, false));
+        }
+        bound.stock.write(line.as_bytes()).map_err(|l| broken(l, true))?;
+        let reply = bound.stock.answer(look(sent)).map_err(|l| broken(l, true))?;
+        let now = Tick::now();
+        pool.heard(now);
+        if let Some(term) = term {
+            if stile.still(&service, term, now) {
+                if let Some(position) = reply.position {
+                    stile.learn(&service, sent, position);
+                }
+            } else if reply.outcome == Outcome::Complete {
+                // Another primary may lead by now: a success of the old one is not passed on.
+                return Err((Loss::Overdue, true));
+            }
+        }
+        Ok(reply)
+    }
+
+    fn passed(&mut self, task: &Task, reply: Reply) -> Say {
+        let state = match (task.alone, task.kind) {
+            (true, _) | (false, Kind::Commit) => State::Idle,
+            _ => State::Open,
+        };
+        if reply.state != state {
+            // The database sees the transaction otherwise than this session: nothing of it counts.
+            warn!(target: "pool", "answered {:?} where {state:?} was due", reply.state);
+            self.cut();
+            return match self.graft.lost(task, true) {
+                Fate::Tell(kind) => Say::Error(kind, "out of step".to_owned()),
+                Fate::Rerun => self.refuse(ErrorKind::Throttled),
+            };
+        }
+        let kept = task.kind == Kind::Commit || (task.alone && task.kind == Kind::Write);
+        if kept {
+            self.own = self.own.max(reply.position);
+        }
+        if let Some(bound) = &mut self.bound {
+            bound.stock.open = state == State::Open;
+            if !bound.stock.open {
+                bound.stock.inside = false;
+            }
+        }
+        self.graft.answered(state);
+        Say::Passed { reply }
+    }
+
+    /// A database answered with an error. `None`: to be run again.
+    fn denied(&mut self, task: &Task, kind: ErrorKind, reply: &Reply, avoid: &mut Vec<InstanceId>) -> Option<Say> {
+        let ran = matches!(kind, ErrorKind::Failed | ErrorKind::TimedOut | ErrorKind::Unknown);
+        let again = if ran {
+            task.alone && task.kind == Kind::Read && avoid.is_empty()
+        } else {
+            task.first
+        };
+        let bound = self.bound.as_mut()?;
+        let id = bound.pool.id.clone();
+        let at_primary = bound.term.is_some();
+        if again {
+            bound.stock.inbox.use_up(reply.end);
+            bound.stock.open = reply.state != State::Idle;
+            match kind {
+                ErrorKind::ReadOnly if at_primary => {
+                    // It has lost the lead; the stewards find out who has it.
+                    let pool = Arc::clone(&bound.pool);
+                    self.unbind();
+                    self.stile.doubt(&pool, Doubt::Broken, Tick::now());
+                    self.stile.wait_for_news(50);
+                }
+                ErrorKind::NotFound => {
+                    // The name was laid on and is not there: this connection can't be trusted.
+                    self.cut();
+                }
+                _ => self.unbind(),
+            }
+            avoid.push(id);
+            return None;
+        }
+        if ran || task.alone {
+            let state = if task.alone { State::Idle } else { State::Failed };
+            let (state, same) = match reply.state {
+                State::Open => (State::Failed, false),
+                other => (other, other == state),
+            };
+            bound.stock.open = reply.state != State::Idle;
+            self.graft.answered(state);
+            if same {
+                return Some(Say::Passed { reply: reply.clone() });
+            }
+            bound.stock.inbox.use_up(reply.end);
+            self.unbind();
+            return Some(Say::Error(kind, "from the database".to_owned()));
+        }
+        // It did not run, but its transaction can't go on as if nothing had been.
+        bound.stock.inbox.use_up(reply.end);
+        bound.stock.open = reply.state != State::Idle;
+        self.unbind();
+        self.graft.give_up();
+        Some(Say::Error(ErrorKind::RolledBack, format!("{kind} at the database")))
+    }
+}
+
+fn refusal_text(kind: ErrorKind) -> &'static str {
+    match kind {
+        ErrorKind::NotFound => "no such prepared name",
+        ErrorKind::RolledBack => "the transaction had failed",
+        _ => "not here, or not now",
+    }
+}
+
+fn shape_id(hasher: &std::hash::RandomState, shape: &Shape) -> u64 {
+    use std::hash::BuildHasher;
+    hasher.hash_one(shape)
+}
+
+/// Brings a connection to the state of the session: the difference is sent, in one write.
+fn lay_on(
+    stock: &mut Rootstock,
+    graft: &Graft,
+    session: u64,
+    hasher: &std::hash::RandomState,
+    mut look: impl FnMut() -> Option<Loss>,
+) -> Result<(), Loss> {
+    let mark = (session, graft.version());
+    if stock.holds == Some(mark) {
+        return Ok(());
+    }
+    let (values, shapes) = graft.replay();
+    let mut lines = String::new();
+    let mut count = 0;
+    let mut say = |text: std::fmt::Arguments<'_>| {
+        use std::fmt::Write;
+        count += 1;
+        // Writing to a String cannot fail.
+        let _ = write!(lines, "QUERY - {text}\r\n");
+    };
+    let foreign = stock.values.keys().any(|k| !values.contains_key(k));
+    let wanted: Vec<(u64, &Shape)> = shapes.map(|s| (shape_id(hasher, s), s)).collect();
+    let missing = wanted.iter().filter(|(id, _)| !stock.prepared.contains(id)).count();
+    if !stock.open && (foreign || stock.inside || stock.prepared.len() + missing > MAX_PREPARED) {
+        say(format_args!("DISCARD"));
+        stock.values.clear();
+        stock.prepared.clear();
+        stock.inside = false;
+    }
+    for (name, value) in values {
+        if stock.values.get(name) != Some(value) {
+            say(format_args!("CONFIGURE {name} {value}"));
+            stock.values.insert(name.clone(), value.clone());
+        }
+    }
+    for (id, shape) in wanted {
+        if stock.prepared.insert(id) {
+            say(format_args!("PREPARE p{id:x} {} {}", shape.verb.word(), shape.text));
+        }
+    }
+    if count > 0 {
+        stock.cleared = false;
+        stock.inside |= stock.open;
+        stock.write(lines.as_bytes())?;
+        for _ in 0..count {
+            let reply = stock.answer(&mut look)?;
+            if reply.outcome != Outcome::Complete {
+                // What it holds now is not known.
+                return Err(Loss::Broken);
+            }
+            stock.inbox.use_up(reply.end);
+        }
+    }
+    stock.holds = Some(mark);
+    Ok(())
+}
+
+// ---------------------------------------------------------------------------------------------
+// The program
+
+/// Sessions get this much of the program's stack; statements are small and buffers on the heap.
+const STACK: usize = 128 << 10;
+/// Descriptors kept for connections to databases, the link and files.
+const SPARE_FILES: u64 = 400;
+
+impl Stile {
+    fn wait_for_news(&self, ms: u64) {
+        let view = lock(&self.view);
+        drop(self.changed.wait_timeout(view, Duration::from_millis(ms)));
+    }
+    /// When a refused client should try again.
+    fn come_back_ms(&self, service: &ServiceName) -> u64 {
+        let now = Tick::now();
+        let view = lock(&self.view);
+        match view.services.get(service) {
+            Some(seen) if seen.lease(now).is_some() => 100,
+            // A change of primary takes about a second; less of it is left the longer it lasts.
+            Some(ServiceView { unled_since: Some(since), .. }) => {
+                1_000u64.saturating_sub(now.since(*since)).max(150)
+            }
+            _ => 500,
+        }
+    }
+    /// While draining: whether idle sessions are to be closed by now.
+    fn closing_idle(&self) -> bool {
+        Tick::now().0 >= self.close_from.load(Ordering::Relaxed)
+    }
+
+    /// Keeps a connection to the leader, looking for it whenever there is none.
+    fn keep_link(self: &Arc<Self>, seeds: Vec<SocketAddr>) {
+        let mut known = seeds.clone();
+        let mut hint: Option<SocketAddr> = None;
+        let mut next = 0usize;
+        loop {
+            let to = match hint.take() {
+                Some(to) => to,
+                None => {
+                    next += 1;
+                    if next % known.len().max(1) == 0 {
+                        std::thread::sleep(Duration::from_millis(80));
+                    }
+                    known[next % known.len().max(1)]
+                }
+            };
+            match self.follow(to, &mut known) {
+                Ok(elsewhere) => hint = elsewhere.filter(|e| *e != to),
+                Err(e) => log::debug!(target: "stile", "steward {to}: {e}"),
+            }
+            for seed in &seeds {
+                if !known.contains(seed) {
+                    known.push(*seed);
+                }
+            }
+        }
+    }
+
+    /// Follows one steward for as long as it leads; tells who leads otherwise.
+    fn follow(self: &Arc<Self>, to: SocketAddr, known: &mut Vec<SocketAddr>) -> io::Result<Option<SocketAddr>> {
+        let mut stream = dial(to, Duration::from_millis(300), Duration::from_secs(2))?;
+        stream.set_write_timeout(Some(Duration::from_millis(500)))?;
+        // Renewals are answered far more often than this; silence means another leader.
+        stream.set_read_timeout(Some(Duration::from_millis(1_200)))?;
+        let revision = self.config().map_or(Revision(0), |c| c.revision);
+        let hello = ToSteward::Hello { node: self.node.clone(), life: self.life, revision };
+        send(&mut stream, &Frame::Stile(hello))?;
+        let mut reader = io::BufReader::with_capacity(4096, stream.try_clone()?);
+        match receive(&mut reader)? {
+            Frame::Steward(ToStile::Welcome { stewards }) => {
+                if !stewards.is_empty() {
+                    *known = stewards;
+                }
+            }
+            Frame::Steward(ToStile::Elsewhere(other)) => return Ok(other),
+            _ => return Err(io::ErrorKind::InvalidData.into()),
+        }
+        info!(target: "stile", "following {to}");
+        *lock(&self.link) = Some(stream);
+        self.linked.store(true, Ordering::Relaxed);
+        self.renew();
+        let ended = loop {
+            match receive(&mut reader) {
+                Ok(Frame::Steward(ToStile::Elsewhere(other))) => break Ok(other),
+                Ok(Frame::Steward(message)) => self.hear(message),
+                Ok(_) => break Err(io::ErrorKind::InvalidData.into()),
+                Err(e) => break Err(e),
+            }
+        };
+        *lock(&self.link) = None;
+        self.linked.store(false, Ordering::Relaxed);
+        info!(target: "stile", "lost {to}");
+        ended
+    }
+
+    /// Serves one client on a thread of its own, if there is room for it.
+    fn admit(self: &Arc<Self>, stream: TcpStream) {
+        let id = self.next_session.fetch_add(1, Ordering::Relaxed);
+        if lock(&self.sessions).len() >= self.max_sessions {
+            return;
+        }
+        let ready = tune(&stream, Duration::from_secs(10))
+            .and_then(|()| keep_alive(&stream, Duration::from_secs(30)))
+            .and_then(|()| stream.set_write_timeout(Some(Duration::from_secs(5))));
+        if ready.is_err() {
+            return;
+        }
+        let seen = Arc::new(Seen {
+            stream,
+            resting: AtomicU64::new(Tick::now().0),
+            open: AtomicBool::new(false),
+        });
+        lock(&self.sessions).insert(id, Arc::clone(&seen));
+        let stile = Arc::clone(self);
+        let started = std::thread::Builder::new().stack_size(STACK).spawn(move || {
+            let _gone = Leaves { stile: &stile, id };
+            // How a client's connection ends is not worth a line each.
+            if let Err(e) = session(&stile, seen, id) {
+                log::debug!(target: "session", "{id}: {e}");
+            }
+        });
+        if started.is_err() {
+            lock(&self.sessions).remove(&id);
+        }
+    }
+
+    /// Ends transactions that rest for too long, and connections that nobody may hold any more.
+    fn tend(&self, now: Tick) {
+        let rest = self.config().map_or(3_000, |c| c.limits.txn_idle_ms);
+        for seen in lock(&self.sessions).values() {
+            let since = seen.resting.load(Ordering::Relaxed);
+            if seen.open.load(Ordering::Relaxed) && since > 0 && now.0 > since + rest {
+                drop(seen.stream.shutdown(Shutdown::Both));
+            }
+        }
+        let view = lock(&self.view);
+        for seen in view.services.iter().filter(|(_, s)| s.share > 0 && s.share_until <= now) {
+            for pool in view.pools.values().filter(|p| p.service == *seen.0) {
+                pool.set_cap(0);
+            }
+        }
+    }
+}
+
+/// Takes a session off the list however its thread ends.
+struct Leaves<'a> {
+    stile: &'a Stile,
+    id: u64,
+}
+impl Drop for Leaves<'_> {
+    fn drop(&mut self) {
+        lock(&self.stile.sessions).remove(&self.id);
+    }
+}
+
+pub fn run(path: PathBuf, settings: Settings) -> Result<(), Fatal> {
+    let needed = |at: Option<SocketAddr>, name: &str| {
+        at.ok_or_else(|| Fatal::Settings(format!("listeners.{name} is needed by a stile")))
+    };
+    let frontend = needed(settings.listeners.frontend, "frontend")?;
+    let readiness = needed(settings.listeners.readiness, "readiness")?;
+    let signals = Signals::install().map_err(|e| Fatal::Call(e.to_string()))?;
+    let stile = Arc::new(Stile {
+        node: settings.node(),
+        zone: settings.zone.clone(),
+        life: rand::random(),
+        view: Mutex::default(),
+        changed: Condvar::new(),
+        link: Mutex::new(None),
+        sent: Mutex::default(),
+        seq: AtomicU64::new(0),
+        linked: AtomicBool::new(false),
+        draining: AtomicBool::new(false),
+        close_from: AtomicU64::new(u64::MAX),
+        sessions: Mutex::default(),
+        next_session: AtomicU64::new(1),
+        doubted: Mutex::default(),
+        hasher: std::hash::RandomState::new(),
+        max_sessions: settings.limits.max_open_files.saturating_sub(SPARE_FILES).max(16) as usize,
+    });
+    let asked = Arc::clone(&stile);
+    http::serve(listen(readiness)?, "readiness", move |request| answer(&asked, &request))
+        .map_err(|e| Fatal::Listen(readiness.to_string(), e))?;
+    let listener = listen(frontend)?;
+    let accepting = Arc::clone(&stile);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            match stream {
+                Ok(stream) => accepting.admit(stream),
+                Err(_) => std::thread::sleep(Duration::from_millis(20)),
+            }
+        }
+    });
+    let linking = Arc::clone(&stile);
+    let seeds = settings.seed_peers();
+    std::thread::spawn(move || linking.keep_link(seeds));
+    info!(target: "stile", "{} serves {frontend}", settings.node_name);
+    tend(&stile, &signals, Watched::new(path), settings)
+}
+
+fn answer(stile: &Stile, request: &Request) -> Response {
+    let now = Tick::now();
+    match (request.method.as_str(), request.path.as_str()) {
+        ("GET", "/readiness") if stile.ready(now) => Response::ok(),
+        ("GET", "/readiness") => Response::refusal(503, "not ready"),
+        ("GET", "/status") => Response::json(200, stile.status(now).to_string().into_bytes()),
+        (_, "/readiness" | "/status") => Response::refusal(405, "not with this method"),
+        _ => Response::refusal(404, "no such path"),
+    }
+}
+
+/// The platform looks at readiness each second and needs two misses; new sessions come until then.
+const NOTICED_MS: u64 = 2_300;
+
+/// The loop that renews leases, tends sessions and ends the program in order.
+fn tend(stile: &Arc<Stile>, signals: &Signals, mut watched: Watched, mut settings: Settings) -> Result<(), Fatal> {
+    let mut renewed = Tick(0);
+    let mut tended = Tick(0);
+    let mut leaving: Option<Tick> = None;
+    loop {
+        std::thread::sleep(Duration::from_millis(if leaving.is_some() { 50 } else { 150 }));
+        let now = Tick::now();
+        if now.since(renewed) >= RENEW_MS {
+            renewed = now;
+            if stile.linked.load(Ordering::Relaxed) {
+                stile.renew();
+            }
+        }
+        if now.since(tended) >= 500 {
+            tended = now;
+            stile.tend(now);
+            if let Some(new) = watched.poll(signals.take_hup()) {
+                settings = new;
+            }
+        }
+        if signals.terminated() && leaving.is_none() {
+            info!(target: "stile", "draining");
+            leaving = Some(now);
+            stile.draining.store(true, Ordering::Relaxed);
+        }
+        let Some(since) = leaving else { continue };
+        let grace = settings.timing_bounds.grace_s * 1_000;
+        let waited = now.since(since);
+        if waited < NOTICED_MS.min(grace / 3) {
+            continue;
+        }
+        stile.close_from.store(0, Ordering::Relaxed);
+        let late = waited > grace / 2;
+        let sessions: Vec<Arc<Seen>> = lock(&stile.sessions).values().cloned().collect();
+        for seen in &sessions {
+            let rests = seen.resting.load(Ordering::Relaxed) > 0;
+            if rests && (late || !seen.open.load(Ordering::Relaxed)) {
+                // What was already read is still answered; nothing more is taken.
+                drop(seen.stream.shutdown(Shutdown::Read));
+            }
+        }
+        if sessions.is_empty() || waited + 300 > grace {
+            stile.tell(ToSteward::Bye);
+            info!(target: "stile", "stopped with {} sessions open", sessions.len());
+            return Ok(());
+        }
+    }
+}
