Listen only once ready, and tell lost answers by the measured pace of a database

Now a stile binds its frontend address only once it is ready, and a first read or a transaction under way is given up after the running mean plus six deviations of that database's answers; the hold for a connection went from 60% to 45% of the time-out, since more than half of it counts as kept to the end.

--- a/src/stile.rs
+++ b/src/stile.rs
@@ -302,7 +302,7 @@
 // Connections to databases
 
 /// How often a thread that waits for a database looks up.
-const LOOK_MS: u64 = 50;
+const LOOK_MS: u64 = 25;
 /// A database that owes an answer and says nothing to anyone here for this long is doubted.
 const SILENT_MS: u64 = 400;
 const CONNECT_MS: u64 = 400;
@@ -429,6 +429,39 @@
     }
 }
 
+/// How long answers take, so that a lost one is told from a slow one: a running mean and how far
+/// answers stray from it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    mean: f32,
+    stray: f32,
+    seen: u32,
+}
+
+/// Answers before the pace is trusted.
+const PACE_TRUSTED: u32 = 8;
+const PATIENCE_MIN_MS: u64 = 40;
+
+impl Pace {
+    pub fn learn(&mut self, took_ms: u64) {
+        let took = took_ms as f32;
+        if self.seen == 0 {
+            (self.mean, self.stray) = (took, took / 2.0);
+        } else {
+            self.stray += ((took - self.mean).abs() - self.stray) / 8.0;
+            self.mean += (took - self.mean) / 16.0;
+        }
+        self.seen = self.seen.saturating_add(1);
+    }
+    /// After this long an answer is more likely lost than under way.
+    pub fn patience(&self, most: u64) -> u64 {
+        if self.seen < PACE_TRUSTED {
+            return most;
+        }
+        ((self.mean + 6.0 * self.stray) as u64).max(PATIENCE_MIN_MS).min(most)
+    }
+}
+
 #[derive(Default)]
 struct PoolInner {
     admission: Admission,
@@ -449,6 +482,8 @@
     /// Not to be tried before this.
     down_until: AtomicU64,
     failures: AtomicU64,
+    /// By the type of the route: their statements differ in work.
+    paces: Mutex<[Pace; 3]>,
 }
 
 impl Pool {
@@ -463,6 +498,7 @@
             heard: AtomicU64::new(0),
             down_until: AtomicU64::new(0),
             failures: AtomicU64::new(0),
+            paces: Mutex::default(),
         }
     }
     fn is_down(&self, now: Tick) -> bool {
@@ -826,6 +862,13 @@
         let (service, instance) = (pool.service.clone(), pool.id.clone());
         self.tell(ToSteward::Suspect { service, instance, why });
     }
+    fn renew_when_due(&self) {
+        let last = lock(&self.sent).back().map(|(_, t)| *t);
+        let due = last.is_none_or(|t| Tick::now().since(t) >= RENEW_MS);
+        if due && self.linked.load(Ordering::Relaxed) {
+            self.renew();
+        }
+    }
     fn renew(&self) {
         let shares = {
             let view = lock(&self.view);
@@ -923,7 +966,7 @@
         let asked = {
             let mut sent = lock(&self.sent);
             let found = sent.iter().find(|(s, _)| *s == seq).map(|(_, t)| *t);
-            sent.retain(|(s, _)| *s > seq);
+            sent.retain(|(s, _)| *s >= seq);
             found
         };
         let Some(asked) = asked else { return };
@@ -1204,7 +1247,7 @@
         let limit = arrived.plus(self.route.timeout_ms);
         // Waiting for a connection longer than this rarely ends well; the client is better off
         // coming back, and has the time to.
-        let hold = arrived.plus(self.route.timeout_ms * 6 / 10);
+        let hold = arrived.plus(self.route.timeout_ms * 45 / 100);
         let mut avoid: Vec<InstanceId> = Vec::new();
         let mut patient = false;
         let mut reruns = 0;
@@ -1346,8 +1389,13 @@
         let Some(bound) = &mut self.bound else { return Err((Loss::Broken, false)) };
         let pool = Arc::clone(&bound.pool);
         let term = bound.term;
-        let read = task.kind == Kind::Read && task.first;
-        let patience = (self.route.timeout_ms / 4).clamp(150, 500);
+        // Given up early only where nothing can have been kept: a first read is run again, a
+        // transaction under way is rolled back and may be tried again in time.
+        let rerun = task.kind == Kind::Read && task.first;
+        let early = !patient && !(task.alone && task.kind == Kind::Write) && task.kind != Kind::Commit;
+        let most = self.route.timeout_ms / if rerun { 4 } else { 3 };
+        let kind = self.route.route_type as usize;
+        let patience = lock(&pool.paces)[kind].patience(most) * if rerun { 1 } else { 2 };
         let look = |sent: Tick| {
             let (stile, pool, service) = (&stile, &pool, &service);
             move || {
@@ -1365,12 +1413,11 @@
                     } else {
                         pool.failed(now);
                     }
-                    if read && term.is_none() {
+                    if rerun && term.is_none() {
                         return Some(Loss::Overdue);
                     }
                 }
-                // A read can be had elsewhere, or here again; its answer may have been lost.
-                (read && !patient && waited >= patience).then_some(Loss::Overdue)
+                (early && waited >= patience).then_some(Loss::Overdue)
             }
         };
         let broken = |loss: Loss, sent: bool| {
@@ -1417,6 +1464,9 @@
         let reply = bound.stock.answer(look(sent)).map_err(|l| broken(l, true))?;
         let now = Tick::now();
         pool.heard(now);
+        if reply.outcome == Outcome::Complete {
+            lock(&pool.paces)[kind].learn(now.since(sent));
+        }
         if let Some(term) = term {
             if stile.still(&service, term, now) {
                 if let Some(position) = reply.position {
@@ -1768,6 +1818,18 @@
     let asked = Arc::clone(&stile);
     http::serve(listen(readiness)?, "readiness", move |request| answer(&asked, &request))
         .map_err(|e| Fatal::Listen(readiness.to_string(), e))?;
+    let linking = Arc::clone(&stile);
+    let seeds = settings.seed_peers();
+    std::thread::spawn(move || linking.keep_link(seeds));
+    // Until it knows what to serve, a stile has no address: who is refused there goes on to
+    // another node at once.
+    while !stile.ready(Tick::now()) {
+        if signals.terminated() {
+            return Ok(());
+        }
+        stile.wait_for_news(50);
+        stile.renew_when_due();
+    }
     let listener = listen(frontend)?;
     let accepting = Arc::clone(&stile);
     std::thread::spawn(move || {
@@ -1778,9 +1840,6 @@
             }
         }
     });
-    let linking = Arc::clone(&stile);
-    let seeds = settings.seed_peers();
-    std::thread::spawn(move || linking.keep_link(seeds));
     info!(target: "stile", "{} serves {frontend}", settings.node_name);
     tend(&stile, &signals, Watched::new(path), settings)
 }
@@ -1801,18 +1860,12 @@
 
 /// The loop that renews leases, tends sessions and ends the program in order.
 fn tend(stile: &Arc<Stile>, signals: &Signals, mut watched: Watched, mut settings: Settings) -> Result<(), Fatal> {
-    let mut renewed = Tick(0);
     let mut tended = Tick(0);
     let mut leaving: Option<Tick> = None;
     loop {
         std::thread::sleep(Duration::from_millis(if leaving.is_some() { 50 } else { 150 }));
         let now = Tick::now();
-        if now.since(renewed) >= RENEW_MS {
-            renewed = now;
-            if stile.linked.load(Ordering::Relaxed) {
-                stile.renew();
-            }
-        }
+        stile.renew_when_due();
         if now.since(tended) >= 500 {
             tended = now;
             stile.tend(now);
