Doubt a primary that owes answers after 200 ms of silence instead of 400

Ruled out: the fence (15 ms) and the platform's call (17 ms). A false alarm costs one DESCRIBE, as the stewards ask the primary itself unless three stiles agree.

--- a/src/stile.rs
+++ b/src/stile.rs
@@ -304,7 +304,7 @@
 /// How often a thread that waits for a database looks up.
 const LOOK_MS: u64 = 25;
 /// A database that owes an answer and says nothing to anyone here for this long is doubted.
-const SILENT_MS: u64 = 400;
+const SILENT_MS: u64 = 200;
 const CONNECT_MS: u64 = 400;
 const HANDSHAKE_MS: u64 = 1_500;
 /// An answer larger than this is no answer.
