--- a/src/common/peer.rs
+++ b/src/common/peer.rs
@@ -1,6 +1,8 @@
 //! What the system's own processes say to each other: `rmp-serde` frames behind a length.
 use super::config::{Configuration, Listed};
-use super::ids::{DbTerm, Epoch, Index, InstanceId, MemberId, NodeName, Position, Revision, ServiceName};
+use super::ids::{
+    DbTerm, Epoch, Index, InstanceId, MemberId, NodeName, Position, Revision, ServiceName,
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_bytes::ByteBuf;
 use std::io::{self, Read, Write};
@@ -164,7 +166,10 @@
 }
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Standing {
-    Led { term: DbTerm, primary: InstanceId },
+    Led {
+        term: DbTerm,
+        primary: InstanceId,
+    },
     /// Nobody can commit; every acknowledged commit lies at or before this position.
     Sealed(Position),
     Unled,
@@ -191,7 +196,10 @@
     from.read_exact(&mut length)?;
     let length = u32::from_be_bytes(length) as usize;
     if length > MAX_FRAME {
-        return Err(io::Error::new(io::ErrorKind::InvalidData, format!("frame of {length} bytes")));
+        return Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            format!("frame of {length} bytes"),
+        ));
     }
     // Grown as bytes come: a lying length reserves nothing.
     let mut bytes = Vec::with_capacity(length.min(64 << 10));
@@ -206,7 +214,8 @@
     rmp_serde::to_vec(value).unwrap_or_default()
 }
 pub fn unpack<T: DeserializeOwned>(bytes: &[u8]) -> io::Result<T> {
-    rmp_serde::from_slice(bytes).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.to_string()))
+    rmp_serde::from_slice(bytes)
+        .map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.to_string()))
 }
 
 /// Opens a connection that gives up on a dark far end after `dark` and sends without delay.
--- a/src/common/wire.rs
+++ b/src/common/wire.rs
@@ -23,22 +23,42 @@
 /// What a client may ask, told apart as far as the pool needs it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Statement<'a> {
-    Begin { read_only: bool },
+    Begin {
+        read_only: bool,
+    },
     Commit,
     Abort,
     Fetch,
     Store,
-    Configure { name: &'a str, value: &'a str },
-    Prepare { name: &'a str, verb: Verb, shape: &'a str },
-    Execute { name: &'a str, rest: &'a str },
-    Deallocate { name: &'a str },
+    Configure {
+        name: &'a str,
+        value: &'a str,
+    },
+    Prepare {
+        name: &'a str,
+        verb: Verb,
+        shape: &'a str,
+    },
+    Execute {
+        name: &'a str,
+        rest: &'a str,
+    },
+    Deallocate {
+        name: &'a str,
+    },
 }
 
 /// A line from a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Line<'a> {
-    Connect { database: &'a str },
-    Query { id: &'a str, text: &'a str, statement: Statement<'a> },
+    Connect {
+        database: &'a str,
+    },
+    Query {
+        id: &'a str,
+        text: &'a str,
+        statement: Statement<'a>,
+    },
     Close,
 }
 
@@ -66,7 +86,11 @@
             if id.is_empty() || id == "-" {
                 return Err(ErrorKind::Malformed);
             }
-            Ok(Line::Query { id, text, statement: statement(text)? })
+            Ok(Line::Query {
+                id,
+                text,
+                statement: statement(text)?,
+            })
         }
         _ => Err(ErrorKind::Malformed),
     }
@@ -191,7 +215,10 @@
         let mut words = line.split(' ');
         match (words.next(), &outcome) {
             (Some("COMPLETE"), None) => {
-                words.next().filter(|stamp| !stamp.is_empty()).ok_or(Garbled)?;
+                words
+                    .next()
+                    .filter(|stamp| !stamp.is_empty())
+                    .ok_or(Garbled)?;
                 outcome = Some(Outcome::Complete);
             }
             (Some("ERROR"), None) => {
@@ -215,7 +242,13 @@
                 }
                 // The answer to CONNECT is a READY alone.
                 let outcome = outcome.unwrap_or(Outcome::Complete);
-                return Ok(Some(Reply { outcome, state, position, end: at, row }));
+                return Ok(Some(Reply {
+                    outcome,
+                    state,
+                    position,
+                    end: at,
+                    row,
+                }));
             }
             _ => return Err(Garbled),
         }
@@ -245,7 +278,11 @@
     };
     let term = super::ids::DbTerm(words.next()?.parse().ok()?);
     let received = words.next()?.parse().ok()?;
-    Some(Described { primary, term, received })
+    Some(Described {
+        primary,
+        term,
+        received,
+    })
 }
 
 /// Why no line could be had.
@@ -275,7 +312,11 @@
                     return Err(NoLine::TooLarge);
                 }
                 // A line that ends in a bare LF is handed out with it, so that it can't be read.
-                let end = if end > start && self.bytes[end - 1] == b'\r' { end - 1 } else { end + 1 };
+                let end = if end > start && self.bytes[end - 1] == b'\r' {
+                    end - 1
+                } else {
+                    end + 1
+                };
                 return Ok(&self.bytes[start..end]);
             }
             looked = self.bytes.len();
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -42,8 +42,15 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Rank {
     Follower,
-    Candidate { trial: bool, handover: bool, votes: BTreeSet<MemberId> },
-    Leader { opened: Index, since: Tick },
+    Candidate {
+        trial: bool,
+        handover: bool,
+        votes: BTreeSet<MemberId>,
+    },
+    Leader {
+        opened: Index,
+        since: Tick,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -102,7 +109,11 @@
             heard: None,
             deadline: now,
             next_beat: now,
-            quiet_until: if restarted { now.plus(ELECTION_MIN_MS) } else { now },
+            quiet_until: if restarted {
+                now.plus(ELECTION_MIN_MS)
+            } else {
+                now
+            },
             peers: BTreeMap::new(),
             leaving: false,
             dirty: Dirty::default(),
@@ -114,7 +125,10 @@
     }
 
     pub fn last(&self) -> (Epoch, Index) {
-        self.kept.log.last().map_or(self.kept.snapshot.last, |e| (e.epoch, e.index))
+        self.kept
+            .log
+            .last()
+            .map_or(self.kept.snapshot.last, |e| (e.epoch, e.index))
     }
     fn epoch_at(&self, index: Index) -> Option<Epoch> {
         let base = self.kept.snapshot.last;
@@ -146,7 +160,11 @@
             .any(|e| e.index > self.commit && matches!(e.body, Body::Members(_)))
     }
     fn voters(&self) -> Vec<MemberId> {
-        self.members().iter().filter(|m| m.voter).map(|m| m.id).collect()
+        self.members()
+            .iter()
+            .filter(|m| m.voter)
+            .map(|m| m.id)
+            .collect()
     }
     fn is_voter(&self) -> bool {
         self.voters().contains(&self.kept.me)
@@ -164,7 +182,9 @@
     /// True while this steward may act as the only leader: a quorum is with it, its first entry
     /// is committed, and it has not asked another to take over.
     pub fn granting(&self, now: Tick) -> bool {
-        let Rank::Leader { opened, .. } = self.role else { return false };
+        let Rank::Leader { opened, .. } = self.role else {
+            return false;
+        };
         !self.leaving && self.commit >= opened && self.fresh(now, QUORUM_FRESH_MS)
     }
     fn fresh(&self, now: Tick, within: u64) -> bool {
@@ -173,18 +193,29 @@
             .iter()
             .filter(|id| {
                 **id == self.kept.me
-                    || self.peers.get(id).is_some_and(|p| now.since(p.acked) < within)
+                    || self
+                        .peers
+                        .get(id)
+                        .is_some_and(|p| now.since(p.acked) < within)
             })
             .count();
         count >= self.quorum()
     }
 
     fn say(&mut self, to: MemberId, kind: RaftKind) {
-        let message = Raft { from: self.kept.me, epoch: self.kept.epoch, kind };
+        let message = Raft {
+            from: self.kept.me,
+            epoch: self.kept.epoch,
+            kind,
+        };
         self.out.push((to, message));
     }
     fn others(&self) -> Vec<MemberId> {
-        self.members().iter().map(|m| m.id).filter(|id| *id != self.kept.me).collect()
+        self.members()
+            .iter()
+            .map(|m| m.id)
+            .filter(|id| *id != self.kept.me)
+            .collect()
     }
     fn set_epoch(&mut self, epoch: Epoch) {
         if epoch > self.kept.epoch {
@@ -225,7 +256,11 @@
     }
     /// When `tick` next has something to do.
     pub fn due(&self) -> Tick {
-        if self.is_leader() { self.next_beat } else { self.deadline }
+        if self.is_leader() {
+            self.next_beat
+        } else {
+            self.deadline
+        }
     }
 
     fn campaign(&mut self, trial: bool, handover: bool, now: Tick) {
@@ -236,19 +271,41 @@
             self.dirty.hard = true;
         }
         let votes = BTreeSet::from([self.kept.me]);
-        self.role = Rank::Candidate { trial, handover, votes };
+        self.role = Rank::Candidate {
+            trial,
+            handover,
+            votes,
+        };
         self.rest(now);
         let last = self.last();
         for id in self.voters() {
             if id != self.kept.me {
-                let kind = RaftKind::AskVote { trial, handover, last };
-                self.out.push((id, Raft { from: self.kept.me, epoch, kind }));
+                let kind = RaftKind::AskVote {
+                    trial,
+                    handover,
+                    last,
+                };
+                self.out.push((
+                    id,
+                    Raft {
+                        from: self.kept.me,
+                        epoch,
+                        kind,
+                    },
+                ));
             }
         }
         self.count_votes(now);
     }
     fn count_votes(&mut self, now: Tick) {
-        let Rank::Candidate { trial, handover, votes } = &self.role else { return };
+        let Rank::Candidate {
+            trial,
+            handover,
+            votes,
+        } = &self.role
+        else {
+            return;
+        };
         let (trial, handover) = (*trial, *handover);
         if self.voters().iter().filter(|id| votes.contains(id)).count() < self.quorum() {
             return;
@@ -264,7 +321,16 @@
         self.peers = self
             .others()
             .into_iter()
-            .map(|id| (id, Progress { next: opened, matched: Index(0), acked: Tick(0) }))
+            .map(|id| {
+                (
+                    id,
+                    Progress {
+                        next: opened,
+                        matched: Index(0),
+                        acked: Tick(0),
+                    },
+                )
+            })
             .collect();
         self.push(Body::Opened, now);
     }
@@ -278,7 +344,11 @@
     }
     fn push(&mut self, body: Body, now: Tick) -> Index {
         let index = Index(self.last().1.0 + 1);
-        self.kept.log.push(Entry { epoch: self.kept.epoch, index, body });
+        self.kept.log.push(Entry {
+            epoch: self.kept.epoch,
+            index,
+            body,
+        });
         self.mark_log(index);
         let others = self.others();
         self.peers.retain(|id, _| others.contains(id));
@@ -297,10 +367,15 @@
         self.dirty.log_from = Some(self.dirty.log_from.map_or(from, |old| old.min(from)));
     }
     fn append_to(&mut self, id: MemberId, now: Tick) {
-        let Some(progress) = self.peers.get(&id) else { return };
+        let Some(progress) = self.peers.get(&id) else {
+            return;
+        };
         let base = self.kept.snapshot.last;
         if progress.next <= base.1 {
-            let kind = RaftKind::Snapshot { snapshot: self.kept.snapshot.clone(), sent: now.0 };
+            let kind = RaftKind::Snapshot {
+                snapshot: self.kept.snapshot.clone(),
+                sent: now.0,
+            };
             self.say(id, kind);
             if let Some(progress) = self.peers.get_mut(&id) {
                 progress.next = Index(base.1.0 + 1);
@@ -308,12 +383,29 @@
             return;
         }
         let before = Index(progress.next.0 - 1);
-        let Some(epoch) = self.epoch_at(before) else { return };
+        let Some(epoch) = self.epoch_at(before) else {
+            return;
+        };
         let from = (before.0 - base.1.0) as usize;
-        let entries: Vec<Entry> = self.kept.log.iter().skip(from).take(BATCH).cloned().collect();
+        let entries: Vec<Entry> = self
+            .kept
+            .log
+            .iter()
+            .skip(from)
+            .take(BATCH)
+            .cloned()
+            .collect();
         let next = Index(progress.next.0 + entries.len() as u64);
         let (commit, sent) = (self.commit, now.0);
-        self.say(id, RaftKind::Append { previous: (epoch, before), entries, commit, sent });
+        self.say(
+            id,
+            RaftKind::Append {
+                previous: (epoch, before),
+                entries,
+                commit,
+                sent,
+            },
+        );
         if let Some(progress) = self.peers.get_mut(&id) {
             progress.next = next;
         }
@@ -322,16 +414,20 @@
     pub fn step(&mut self, message: Raft, now: Tick) {
         let Raft { from, epoch, kind } = message;
         match kind {
-            RaftKind::AskVote { trial, handover, last } => {
-                self.asked_vote(from, epoch, trial, handover, last, now)
-            }
+            RaftKind::AskVote {
+                trial,
+                handover,
+                last,
+            } => self.asked_vote(from, epoch, trial, handover, last, now),
             RaftKind::Vote { trial, granted } => {
                 if !granted && epoch > self.kept.epoch {
                     self.set_epoch(epoch);
                     return self.follow(None, now);
                 }
                 let asked_for = self.kept.epoch.0 + u64::from(trial);
-                if let Rank::Candidate { trial: mine, votes, .. } = &mut self.role
+                if let Rank::Candidate {
+                    trial: mine, votes, ..
+                } = &mut self.role
                     && *mine == trial
                     && granted
                     && epoch.0 == asked_for
@@ -340,9 +436,18 @@
                     self.count_votes(now);
                 }
             }
-            RaftKind::Append { previous, entries, commit, sent } => {
+            RaftKind::Append {
+                previous,
+                entries,
+                commit,
+                sent,
+            } => {
                 if !self.led_by(from, epoch, now) {
-                    let kind = RaftKind::Appended { upto: Index(0), ok: false, sent };
+                    let kind = RaftKind::Appended {
+                        upto: Index(0),
+                        ok: false,
+                        sent,
+                    };
                     return self.say(from, kind);
                 }
                 let (ok, upto) = self.take_entries(previous, entries);
@@ -353,7 +458,11 @@
             }
             RaftKind::Snapshot { snapshot, sent } => {
                 if !self.led_by(from, epoch, now) {
-                    let kind = RaftKind::Appended { upto: Index(0), ok: false, sent };
+                    let kind = RaftKind::Appended {
+                        upto: Index(0),
+                        ok: false,
+                        sent,
+                    };
                     return self.say(from, kind);
                 }
                 let upto = snapshot.last.1;
@@ -368,7 +477,14 @@
                     self.dirty.snapshot = true;
                     self.mark_log(Index(0));
                 }
-                self.say(from, RaftKind::Appended { upto, ok: true, sent });
+                self.say(
+                    from,
+                    RaftKind::Appended {
+                        upto,
+                        ok: true,
+                        sent,
+                    },
+                );
             }
             RaftKind::Appended { upto, ok, sent } => {
                 if epoch > self.kept.epoch {
@@ -379,7 +495,9 @@
                     return;
                 }
                 let last = self.last().1;
-                let Some(progress) = self.peers.get_mut(&from) else { return };
+                let Some(progress) = self.peers.get_mut(&from) else {
+                    return;
+                };
                 progress.acked = progress.acked.max(Tick(sent));
                 if ok {
                     progress.matched = progress.matched.max(upto);
@@ -428,15 +546,37 @@
             return;
         }
         if epoch < self.kept.epoch || (trial && epoch <= self.kept.epoch) {
-            return self.say(from, RaftKind::Vote { trial, granted: false });
+            return self.say(
+                from,
+                RaftKind::Vote {
+                    trial,
+                    granted: false,
+                },
+            );
         }
         let current = last >= self.last();
         if trial {
             if current {
-                let kind = RaftKind::Vote { trial, granted: true };
-                self.out.push((from, Raft { from: self.kept.me, epoch, kind }));
+                let kind = RaftKind::Vote {
+                    trial,
+                    granted: true,
+                };
+                self.out.push((
+                    from,
+                    Raft {
+                        from: self.kept.me,
+                        epoch,
+                        kind,
+                    },
+                ));
             } else {
-                self.say(from, RaftKind::Vote { trial, granted: false });
+                self.say(
+                    from,
+                    RaftKind::Vote {
+                        trial,
+                        granted: false,
+                    },
+                );
             }
             return;
         }
@@ -458,7 +598,9 @@
         let base = self.kept.snapshot.last.1;
         let agreed = previous.1 < base || self.epoch_at(previous.1) == Some(previous.0);
         if !agreed {
-            let hint = Index(previous.1.0.saturating_sub(1)).min(self.last().1).max(self.commit);
+            let hint = Index(previous.1.0.saturating_sub(1))
+                .min(self.last().1)
+                .max(self.commit);
             return (false, hint);
         }
         let upto = Index(previous.1.0 + entries.len() as u64);
@@ -497,7 +639,9 @@
             })
             .collect();
         reached.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(agreed) = reached.get(self.quorum() - 1).copied() else { return };
+        let Some(agreed) = reached.get(self.quorum() - 1).copied() else {
+            return;
+        };
         // Only entries of the own epoch are committed by counting.
         if agreed > self.commit && self.epoch_at(agreed) == Some(self.kept.epoch) {
             self.commit = agreed;
@@ -516,7 +660,9 @@
 
     /// Folds everything up to `applied` into a snapshot when the log has grown long.
     pub fn compact(&mut self, applied: Index, state: impl FnOnce() -> Vec<u8>) {
-        let Some(at) = self.position(applied) else { return };
+        let Some(at) = self.position(applied) else {
+            return;
+        };
         if at < COMPACT_AFTER {
             return;
         }
@@ -529,7 +675,11 @@
             })
             .unwrap_or_else(|| self.kept.snapshot.members.clone());
         let last = (self.kept.log[at].epoch, applied);
-        self.kept.snapshot = Snapshot { last, members, state: ByteBuf::from(state()) };
+        self.kept.snapshot = Snapshot {
+            last,
+            members,
+            state: ByteBuf::from(state()),
+        };
         self.kept.log.drain(..=at);
         self.dirty.snapshot = true;
         self.mark_log(Index(0));
@@ -564,19 +714,32 @@
                 continue;
             }
             // The same machine under an older id has lost its disk: the old id goes first.
-            let rest: Vec<Member> =
-                members.iter().filter(|m| m.admin != joiner.admin).cloned().collect();
+            let rest: Vec<Member> = members
+                .iter()
+                .filter(|m| m.admin != joiner.admin)
+                .cloned()
+                .collect();
             if rest.len() < members.len() {
                 return Some(rest);
             }
-            let learner = Member { voter: false, ..joiner.clone() };
+            let learner = Member {
+                voter: false,
+                ..joiner.clone()
+            };
             return Some(members.iter().cloned().chain([learner]).collect());
         }
         let ready = members.iter().find(|m| {
-            !m.voter && self.peers.get(&m.id).is_some_and(|p| p.matched >= self.commit)
+            !m.voter
+                && self
+                    .peers
+                    .get(&m.id)
+                    .is_some_and(|p| p.matched >= self.commit)
         })?;
         let id = ready.id;
-        let promote = |m: &Member| Member { voter: m.voter || m.id == id, ..m.clone() };
+        let promote = |m: &Member| Member {
+            voter: m.voter || m.id == id,
+            ..m.clone()
+        };
         Some(members.iter().map(promote).collect())
     }
 }
@@ -599,18 +762,26 @@
         std::fs::create_dir_all(folder).map_err(|e| Fatal::State(e.to_string()))?;
         let db = Connection::open(folder.join("hedge.sqlite")).map_err(state)?;
         // Exclusive before WAL: the index of the log then lives on the heap.
-        db.pragma_update(None, "locking_mode", "EXCLUSIVE").map_err(state)?;
-        let format: i64 =
-            db.query_row("PRAGMA user_version", [], |r| r.get(0)).map_err(state)?;
+        db.pragma_update(None, "locking_mode", "EXCLUSIVE")
+            .map_err(state)?;
+        let format: i64 = db
+            .query_row("PRAGMA user_version", [], |r| r.get(0))
+            .map_err(state)?;
         if format > FORMAT {
-            return Err(Fatal::State(format!("format {format} is newer than {FORMAT}, left as it is")));
+            return Err(Fatal::State(format!(
+                "format {format} is newer than {FORMAT}, left as it is"
+            )));
         }
-        db.pragma_update(None, "journal_mode", "WAL").map_err(state)?;
-        db.pragma_update(None, "synchronous", "FULL").map_err(state)?;
-        db.pragma_update(None, "temp_store", "MEMORY").map_err(state)?;
+        db.pragma_update(None, "journal_mode", "WAL")
+            .map_err(state)?;
+        db.pragma_update(None, "synchronous", "FULL")
+            .map_err(state)?;
+        db.pragma_update(None, "temp_store", "MEMORY")
+            .map_err(state)?;
         db.pragma_update(None, "cache_size", -256).map_err(state)?;
-        let check: String =
-            db.query_row("PRAGMA quick_check(1)", [], |r| r.get(0)).map_err(state)?;
+        let check: String = db
+            .query_row("PRAGMA quick_check(1)", [], |r| r.get(0))
+            .map_err(state)?;
         if check != "ok" {
             return Err(Fatal::State(format!("damaged, left as it is: {check}")));
         }
@@ -634,11 +805,17 @@
         let broken = |e: std::io::Error| Fatal::State(format!("damaged, left as it is: {e}"));
         let hard = db
             .query_row("SELECT me, epoch, voted FROM hard", [], |r| {
-                Ok((r.get::<_, i64>(0)?, r.get::<_, i64>(1)?, r.get::<_, Option<i64>>(2)?))
+                Ok((
+                    r.get::<_, i64>(0)?,
+                    r.get::<_, i64>(1)?,
+                    r.get::<_, Option<i64>>(2)?,
+                ))
             })
             .optional()
             .map_err(state)?;
-        let Some((me, epoch, voted)) = hard else { return Ok(None) };
+        let Some((me, epoch, voted)) = hard else {
+            return Ok(None);
+        };
         let snapshot = db
             .query_row("SELECT body FROM snapshot", [], |r| r.get::<_, Vec<u8>>(0))
             .optional()
@@ -648,12 +825,19 @@
             None => Snapshot::default(),
         };
         let mut log: Vec<Entry> = Vec::new();
-        let mut rows = db.prepare("SELECT body FROM log ORDER BY place").map_err(state)?;
-        for body in rows.query_map([], |r| r.get::<_, Vec<u8>>(0)).map_err(state)? {
+        let mut rows = db
+            .prepare("SELECT body FROM log ORDER BY place")
+            .map_err(state)?;
+        for body in rows
+            .query_map([], |r| r.get::<_, Vec<u8>>(0))
+            .map_err(state)?
+        {
             let entry: Entry = unpack(&body.map_err(state)?).map_err(broken)?;
             let expected = log.last().map_or(snapshot.last.1.0, |e| e.index.0) + 1;
             if entry.index.0 != expected {
-                return Err(Fatal::State(format!("damaged, left as it is: entry {expected} is missing")));
+                return Err(Fatal::State(format!(
+                    "damaged, left as it is: entry {expected} is missing"
+                )));
             }
             log.push(entry);
         }
@@ -670,17 +854,22 @@
     pub fn save(&mut self, kept: &Kept, dirty: &Dirty) -> rusqlite::Result<()> {
         let tx = self.db.transaction()?;
         if dirty.hard {
-            tx.prepare_cached("INSERT OR REPLACE INTO hard VALUES (1, ?1, ?2, ?3)")?.execute(params![
-                kept.me.0 as i64,
-                kept.epoch.0 as i64,
-                kept.voted.map(|v| v.0 as i64)
-            ])?;
+            tx.prepare_cached("INSERT OR REPLACE INTO hard VALUES (1, ?1, ?2, ?3)")?
+                .execute(params![
+                    kept.me.0 as i64,
+                    kept.epoch.0 as i64,
+                    kept.voted.map(|v| v.0 as i64)
+                ])?;
         }
         if dirty.snapshot {
-            tx.execute("INSERT OR REPLACE INTO snapshot VALUES (1, ?1)", [pack(&kept.snapshot)])?;
+            tx.execute(
+                "INSERT OR REPLACE INTO snapshot VALUES (1, ?1)",
+                [pack(&kept.snapshot)],
+            )?;
         }
         if let Some(from) = dirty.log_from {
-            tx.prepare_cached("DELETE FROM log WHERE place >= ?1")?.execute([from.0 as i64])?;
+            tx.prepare_cached("DELETE FROM log WHERE place >= ?1")?
+                .execute([from.0 as i64])?;
             let mut insert = tx.prepare_cached("INSERT INTO log VALUES (?1, ?2)")?;
             for entry in kept.log.iter().filter(|e| e.index >= from) {
                 insert.execute(params![entry.index.0 as i64, pack(entry)])?;
@@ -721,12 +910,34 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Change {
-    Configure { base: Revision, revision: Revision, body: ByteBuf },
-    Beat { id: InstanceId, instance: Instance, sequence: u64 },
-    Gone { id: InstanceId, sequence: u64 },
-    Led { service: ServiceName, term: DbTerm, primary: InstanceId },
-    Intend { service: ServiceName, term: DbTerm, target: InstanceId },
-    Abandon { service: ServiceName, target: InstanceId },
+    Configure {
+        base: Revision,
+        revision: Revision,
+        body: ByteBuf,
+    },
+    Beat {
+        id: InstanceId,
+        instance: Instance,
+        sequence: u64,
+    },
+    Gone {
+        id: InstanceId,
+        sequence: u64,
+    },
+    Led {
+        service: ServiceName,
+        term: DbTerm,
+        primary: InstanceId,
+    },
+    Intend {
+        service: ServiceName,
+        term: DbTerm,
+        target: InstanceId,
+    },
+    Abandon {
+        service: ServiceName,
+        target: InstanceId,
+    },
 }
 
 /// What became of a change.
@@ -745,9 +956,9 @@
 
 /// FNV-1a: only to tell a resend from another body under the same revision.
 fn digest(bytes: &[u8]) -> (u64, u64) {
-    let hash = bytes
-        .iter()
-        .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3));
+    let hash = bytes.iter().fold(0xcbf2_9ce4_8422_2325u64, |h, b| {
+        (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3)
+    });
     (bytes.len() as u64, hash)
 }
 
@@ -766,7 +977,11 @@
     }
     /// Whether a beat tells anything that must be kept.
     pub fn news(&self, id: &InstanceId, instance: &Instance, sequence: u64) -> bool {
-        if self.gone.iter().any(|(old, last)| old == id && sequence <= *last) {
+        if self
+            .gone
+            .iter()
+            .any(|(old, last)| old == id && sequence <= *last)
+        {
             return false;
         }
         match self.instances.get(id) {
@@ -776,7 +991,11 @@
     }
     pub fn apply(&mut self, change: &Change) -> Effect {
         match change {
-            Change::Configure { base, revision, body } => {
+            Change::Configure {
+                base,
+                revision,
+                body,
+            } => {
                 let effect = self.judge(*base, *revision, body);
                 if effect == Effect::Done {
                     self.taken.insert(*revision, digest(body));
@@ -788,28 +1007,50 @@
                 }
                 return effect;
             }
-            Change::Beat { id, instance, sequence } => {
+            Change::Beat {
+                id,
+                instance,
+                sequence,
+            } => {
                 if !self.news(id, instance, *sequence) {
                     return Effect::Nothing;
                 }
-                let record = Record { instance: instance.clone(), sequence: *sequence };
+                let record = Record {
+                    instance: instance.clone(),
+                    sequence: *sequence,
+                };
                 self.instances.insert(id.clone(), record);
             }
             Change::Gone { id, sequence } => {
-                let Some(record) = self.instances.remove(id) else { return Effect::Nothing };
-                self.gone.push_back((id.clone(), record.sequence.max(*sequence)));
+                let Some(record) = self.instances.remove(id) else {
+                    return Effect::Nothing;
+                };
+                self.gone
+                    .push_back((id.clone(), record.sequence.max(*sequence)));
                 if self.gone.len() > GONE_KEPT {
                     self.gone.pop_front();
                 }
             }
-            Change::Led { service, term, primary } => {
+            Change::Led {
+                service,
+                term,
+                primary,
+            } => {
                 if self.leads.get(service).is_some_and(|l| l.term >= *term) {
                     return Effect::Nothing;
                 }
-                let lead = Lead { term: *term, primary: primary.clone(), intent: None };
+                let lead = Lead {
+                    term: *term,
+                    primary: primary.clone(),
+                    intent: None,
+                };
                 self.leads.insert(service.clone(), lead);
             }
-            Change::Intend { service, term, target } => match self.leads.get_mut(service) {
+            Change::Intend {
+                service,
+                term,
+                target,
+            } => match self.leads.get_mut(service) {
                 Some(lead) if lead.term == *term && lead.intent.is_none() => {
                     lead.intent = Some(target.clone());
                 }
@@ -892,7 +1133,9 @@
 impl Facts {
     fn replicas(&self) -> impl Iterator<Item = &(InstanceId, Instance)> {
         let primary = self.lead.as_ref().map(|l| l.primary.clone());
-        self.databases.iter().filter(move |(id, _)| Some(id) != primary.as_ref())
+        self.databases
+            .iter()
+            .filter(move |(id, _)| Some(id) != primary.as_ref())
     }
 }
 
@@ -900,9 +1143,13 @@
 pub enum Stage {
     Steady,
     /// A first primary says so itself; its term is being asked for.
-    Founding { asked: Tick },
+    Founding {
+        asked: Tick,
+    },
     /// The primary is suspected; its own answer decides.
-    Doubting { asked: Tick },
+    Doubting {
+        asked: Tick,
+    },
     /// Replicas are paused, so that the old primary can commit no more than is seen.
     Fencing {
         /// The replica a planned change goes to; none when the primary was lost.
@@ -912,7 +1159,10 @@
         rows: BTreeMap<InstanceId, Described>,
     },
     /// The intent is on its way into the log.
-    Intending { target: InstanceId, since: Tick },
+    Intending {
+        target: InstanceId,
+        since: Tick,
+    },
     Posting {
         target: InstanceId,
         tried: Tick,
@@ -922,7 +1172,11 @@
         looked: Tick,
     },
     /// The target leads; the old term's leases are running out.
-    Taking { target: InstanceId, term: DbTerm, recorded: bool },
+    Taking {
+        target: InstanceId,
+        term: DbTerm,
+        recorded: bool,
+    },
 }
 
 const ASK_AGAIN_MS: u64 = 400;
@@ -965,7 +1219,11 @@
             stepped_down: None,
         };
         let mut deeds = Vec::new();
-        match facts.lead.as_ref().and_then(|l| l.intent.clone().map(|target| (l.term, target))) {
+        match facts
+            .lead
+            .as_ref()
+            .and_then(|l| l.intent.clone().map(|target| (l.term, target)))
+        {
             Some((term, target)) => {
                 this.revoking = true;
                 deeds.push(Deed::Revoke(term));
@@ -973,7 +1231,11 @@
                 this.post(target, now, &mut deeds);
             }
             None if facts.lead.is_some() => {
-                deeds.extend(facts.replicas().map(|(id, _)| Deed::Ask(id.clone(), Ask::Continue)));
+                deeds.extend(
+                    facts
+                        .replicas()
+                        .map(|(id, _)| Deed::Ask(id.clone(), Ask::Continue)),
+                );
             }
             None => {}
         }
@@ -982,8 +1244,13 @@
 
     fn post(&mut self, target: InstanceId, now: Tick, deeds: &mut Vec<Deed>) {
         deeds.push(Deed::Post(target.clone()));
-        self.stage =
-            Stage::Posting { target, tried: now, in_flight: true, perhaps: None, looked: now };
+        self.stage = Stage::Posting {
+            target,
+            tried: now,
+            in_flight: true,
+            perhaps: None,
+            looked: now,
+        };
     }
 
     fn settle(&mut self, now: Tick) {
@@ -1004,18 +1271,35 @@
             .collect()
     }
 
-    pub fn suspect(&mut self, facts: &Facts, who: &NodeName, of: &InstanceId, why: Doubt, now: Tick) -> Vec<Deed> {
-        let Some(lead) = &facts.lead else { return Vec::new() };
+    pub fn suspect(
+        &mut self,
+        facts: &Facts,
+        who: &NodeName,
+        of: &InstanceId,
+        why: Doubt,
+        now: Tick,
+    ) -> Vec<Deed> {
+        let Some(lead) = &facts.lead else {
+            return Vec::new();
+        };
         if lead.primary != *of || self.trusted.is_some_and(|t| now.since(t) < TRUST_MS) {
             return Vec::new();
         }
         if why == Doubt::Silent {
             self.suspects.insert(who.clone());
         }
-        let planned = matches!(self.stage, Stage::Fencing { target: Some(_), .. });
+        let planned = matches!(
+            self.stage,
+            Stage::Fencing {
+                target: Some(_),
+                ..
+            }
+        );
         match self.stage {
             // Several stiles owed answers by a database that says nothing at all are enough.
-            Stage::Steady | Stage::Doubting { .. } if self.suspects.len() >= 3 => self.fence(facts, now),
+            Stage::Steady | Stage::Doubting { .. } if self.suspects.len() >= 3 => {
+                self.fence(facts, now)
+            }
             Stage::Steady => {
                 self.stage = Stage::Doubting { asked: now };
                 vec![Deed::Ask(lead.primary.clone(), Ask::Describe)]
@@ -1026,18 +1310,31 @@
     }
 
     fn fence(&mut self, facts: &Facts, now: Tick) -> Vec<Deed> {
-        let Some(lead) = &facts.lead else { return Vec::new() };
+        let Some(lead) = &facts.lead else {
+            return Vec::new();
+        };
         self.revoking = true;
         self.suspects.clear();
-        self.stage = Stage::Fencing { target: None, since: now, asked: now, rows: BTreeMap::new() };
+        self.stage = Stage::Fencing {
+            target: None,
+            since: now,
+            asked: now,
+            rows: BTreeMap::new(),
+        };
         let mut deeds = vec![Deed::Revoke(lead.term)];
-        deeds.extend(self.pause(facts.replicas().map(|(id, _)| id.clone()).collect(), lead.term));
+        deeds.extend(self.pause(
+            facts.replicas().map(|(id, _)| id.clone()).collect(),
+            lead.term,
+        ));
         deeds
     }
 
     fn pause(&mut self, which: Vec<InstanceId>, term: DbTerm) -> Vec<Deed> {
         self.paused.extend(which.iter().cloned());
-        which.into_iter().map(|id| Deed::Ask(id, Ask::Pause(DbTerm(term.0 + 1)))).collect()
+        which
+            .into_iter()
+            .map(|id| Deed::Ask(id, Ask::Pause(DbTerm(term.0 + 1))))
+            .collect()
     }
 
     /// The replica a planned change should go to, so that one promote is enough.
@@ -1047,11 +1344,24 @@
             .filter(|(id, i)| {
                 i.lifecycle_state == Lifecycle::Available && facts.beating.contains(id)
             })
-            .max_by_key(|(id, i)| (i.revision.len(), i.revision.clone(), std::cmp::Reverse(id.clone())))
+            .max_by_key(|(id, i)| {
+                (
+                    i.revision.len(),
+                    i.revision.clone(),
+                    std::cmp::Reverse(id.clone()),
+                )
+            })
             .map(|(id, _)| id.clone())
     }
 
-    pub fn told(&mut self, facts: &Facts, of: &InstanceId, ask: Ask, told: &Told, now: Tick) -> Vec<Deed> {
+    pub fn told(
+        &mut self,
+        facts: &Facts,
+        of: &InstanceId,
+        ask: Ask,
+        told: &Told,
+        now: Tick,
+    ) -> Vec<Deed> {
         let lead = facts.lead.clone();
         match (&mut self.stage, ask, told) {
             (Stage::Founding { .. }, Ask::Describe, Told::Row(row)) if lead.is_none() => {
@@ -1060,7 +1370,11 @@
                     return Vec::new();
                 }
                 let (service, primary) = (facts.service.clone(), of.clone());
-                vec![Deed::Propose(Change::Led { service, term: row.term, primary })]
+                vec![Deed::Propose(Change::Led {
+                    service,
+                    term: row.term,
+                    primary,
+                })]
             }
             (Stage::Founding { .. }, ..) => {
                 self.stage = Stage::Steady;
@@ -1070,7 +1384,9 @@
                 if lead.as_ref().is_some_and(|l| l.primary == *of) =>
             {
                 let leads = match told {
-                    Told::Row(row) => row.primary && lead.as_ref().is_some_and(|l| l.term == row.term),
+                    Told::Row(row) => {
+                        row.primary && lead.as_ref().is_some_and(|l| l.term == row.term)
+                    }
                     Told::Alive => true,
                     Told::Lost | Told::Silent => false,
                 };
@@ -1090,9 +1406,14 @@
                 let deeds = self.choose(facts, now);
                 match &self.stage {
                     // The others are paused: now see how far the target is.
-                    Stage::Fencing { target: Some(target), rows, .. }
-                        if !rows.contains_key(target)
-                            && facts.replicas().all(|(id, _)| id == target || rows.contains_key(id)) =>
+                    Stage::Fencing {
+                        target: Some(target),
+                        rows,
+                        ..
+                    } if !rows.contains_key(target)
+                        && facts
+                            .replicas()
+                            .all(|(id, _)| id == target || rows.contains_key(id)) =>
                     {
                         vec![Deed::Ask(target.clone(), Ask::Describe)]
                     }
@@ -1100,10 +1421,16 @@
                 }
             }
             (Stage::Posting { target, .. }, Ask::Describe, Told::Row(row))
-                if of == target && row.primary && lead.as_ref().is_some_and(|l| l.term < row.term) =>
+                if of == target
+                    && row.primary
+                    && lead.as_ref().is_some_and(|l| l.term < row.term) =>
             {
                 let (target, term) = (target.clone(), row.term);
-                self.stage = Stage::Taking { target, term, recorded: false };
+                self.stage = Stage::Taking {
+                    target,
+                    term,
+                    recorded: false,
+                };
                 let mut deeds = Vec::new();
                 if let Some(lead) = lead {
                     if !self.revoking {
@@ -1121,37 +1448,56 @@
 
     /// Whether the paused replicas are enough, and which one then takes over.
     fn choose(&mut self, facts: &Facts, now: Tick) -> Vec<Deed> {
-        let Stage::Fencing { target, rows, .. } = &self.stage else { return Vec::new() };
-        let Some(lead) = &facts.lead else { return Vec::new() };
+        let Stage::Fencing { target, rows, .. } = &self.stage else {
+            return Vec::new();
+        };
+        let Some(lead) = &facts.lead else {
+            return Vec::new();
+        };
         let furthest = rows.values().map(|r| r.received).max();
         let chosen = match target {
             Some(target) => {
-                let fenced = facts.replicas().all(|(id, _)| id == target || rows.contains_key(id));
+                let fenced = facts
+                    .replicas()
+                    .all(|(id, _)| id == target || rows.contains_key(id));
                 // Commits that no paused replica can vouch for must have been given back.
                 let safe = match (fenced, &facts.given_back) {
                     (true, _) if facts.sync_replicas > 0 => true,
-                    (_, Some(highest)) => {
-                        rows.get(target).is_some_and(|r| highest.is_none_or(|h| r.received >= h))
-                    }
+                    (_, Some(highest)) => rows
+                        .get(target)
+                        .is_some_and(|r| highest.is_none_or(|h| r.received >= h)),
                     _ => false,
                 };
-                let whole = rows.get(target).is_some_and(|r| Some(r.received) >= furthest);
+                let whole = rows
+                    .get(target)
+                    .is_some_and(|r| Some(r.received) >= furthest);
                 (safe && whole).then(|| target.clone())
             }
             None => {
                 let replicas = facts.replicas().count();
-                let needed = (replicas + 1).saturating_sub(facts.sync_replicas as usize).max(1);
-                let answered = facts.replicas().filter(|(id, _)| rows.contains_key(id)).count();
+                let needed = (replicas + 1)
+                    .saturating_sub(facts.sync_replicas as usize)
+                    .max(1);
+                let answered = facts
+                    .replicas()
+                    .filter(|(id, _)| rows.contains_key(id))
+                    .count();
                 let fenced = facts.sync_replicas > 0 && answered >= needed;
-                let vouched = answered > 0
-                    && facts.given_back.is_some_and(|highest| highest <= furthest);
+                let vouched =
+                    answered > 0 && facts.given_back.is_some_and(|highest| highest <= furthest);
                 if fenced || vouched {
                     self.sealed = furthest;
                     facts
                         .replicas()
-                        .filter(|(id, _)| rows.get(id).is_some_and(|r| Some(r.received) == furthest))
+                        .filter(|(id, _)| {
+                            rows.get(id).is_some_and(|r| Some(r.received) == furthest)
+                        })
                         .max_by_key(|(_, i)| {
-                            (i.lifecycle_state == Lifecycle::Available, i.revision.len(), i.revision.clone())
+                            (
+                                i.lifecycle_state == Lifecycle::Available,
+                                i.revision.len(),
+                                i.revision.clone(),
+                            )
                         })
                         .map(|(id, _)| id.clone())
                 } else {
@@ -1159,14 +1505,36 @@
                 }
             }
         };
-        let Some(target) = chosen else { return Vec::new() };
-        self.stage = Stage::Intending { target: target.clone(), since: now };
+        let Some(target) = chosen else {
+            return Vec::new();
+        };
+        self.stage = Stage::Intending {
+            target: target.clone(),
+            since: now,
+        };
         let (service, term) = (facts.service.clone(), lead.term);
-        vec![Deed::Propose(Change::Intend { service, term, target })]
+        vec![Deed::Propose(Change::Intend {
+            service,
+            term,
+            target,
+        })]
     }
 
-    pub fn posted(&mut self, facts: &Facts, of: &InstanceId, posted: Posted, now: Tick) -> Vec<Deed> {
-        let Stage::Posting { target, in_flight, perhaps, tried, .. } = &mut self.stage else {
+    pub fn posted(
+        &mut self,
+        facts: &Facts,
+        of: &InstanceId,
+        posted: Posted,
+        now: Tick,
+    ) -> Vec<Deed> {
+        let Stage::Posting {
+            target,
+            in_flight,
+            perhaps,
+            tried,
+            ..
+        } = &mut self.stage
+        else {
             return Vec::new();
         };
         if of != target {
@@ -1245,10 +1613,14 @@
                 if facts.databases.is_empty() {
                     return Vec::new();
                 }
-                let Some((id, primary)) = listed else { return self.fence(facts, now) };
+                let Some((id, primary)) = listed else {
+                    return self.fence(facts, now);
+                };
                 let rested = self.rested.is_none_or(|t| now.since(t) > 1_000);
                 if primary.lifecycle_state == Lifecycle::Draining && rested {
-                    let Some(target) = Self::successor(facts) else { return Vec::new() };
+                    let Some(target) = Self::successor(facts) else {
+                        return Vec::new();
+                    };
                     let others: Vec<_> = facts
                         .replicas()
                         .map(|(id, _)| id.clone())
@@ -1267,8 +1639,7 @@
                     };
                     return deeds;
                 }
-                if !facts.beating.contains(id)
-                    && self.trusted.is_none_or(|t| now.since(t) > 2_000)
+                if !facts.beating.contains(id) && self.trusted.is_none_or(|t| now.since(t) > 2_000)
                 {
                     self.stage = Stage::Doubting { asked: now };
                     return vec![Deed::Ask(id.clone(), Ask::Describe)];
@@ -1278,7 +1649,12 @@
             Stage::Doubting { asked } if now.since(*asked) > 3 * ASK_AGAIN_MS => {
                 self.stage = Stage::Steady;
             }
-            Stage::Fencing { target, since, asked, rows } => {
+            Stage::Fencing {
+                target,
+                since,
+                asked,
+                rows,
+            } => {
                 let waited = now.since(*since);
                 if let Some(target) = target {
                     let target = target.clone();
@@ -1291,7 +1667,8 @@
                         .filter(|id| *id != target && !rows.contains_key(id))
                         .collect::<Vec<_>>();
                     let stuck = !others.is_empty() && waited > PAUSE_PATIENCE_MS;
-                    if (others.is_empty() || facts.given_back.is_some()) && now.since(*asked) >= 100 {
+                    if (others.is_empty() || facts.given_back.is_some()) && now.since(*asked) >= 100
+                    {
                         *asked = now;
                         return vec![Deed::Ask(target, Ask::Describe)];
                     }
@@ -1321,9 +1698,19 @@
                 // Proposed but not seen committed: the same proposal again changes nothing twice.
                 *since = now;
                 let (service, term, target) = (facts.service.clone(), lead.term, target.clone());
-                return vec![Deed::Propose(Change::Intend { service, term, target })];
-            }
-            Stage::Posting { target, tried, in_flight, looked, perhaps } => {
+                return vec![Deed::Propose(Change::Intend {
+                    service,
+                    term,
+                    target,
+                })];
+            }
+            Stage::Posting {
+                target,
+                tried,
+                in_flight,
+                looked,
+                perhaps,
+            } => {
                 let mut deeds = Vec::new();
                 if !*in_flight && now >= tried.plus(POST_AGAIN_MS) {
                     *in_flight = true;
@@ -1338,10 +1725,18 @@
                 }
                 return deeds;
             }
-            Stage::Taking { target, term, recorded } if facts.leases_gone && !*recorded => {
+            Stage::Taking {
+                target,
+                term,
+                recorded,
+            } if facts.leases_gone && !*recorded => {
                 *recorded = true;
                 let (service, term, primary) = (facts.service.clone(), *term, target.clone());
-                return vec![Deed::Propose(Change::Led { service, term, primary })];
+                return vec![Deed::Propose(Change::Led {
+                    service,
+                    term,
+                    primary,
+                })];
             }
             _ => {}
         }
@@ -1385,13 +1780,19 @@
 
 impl LeaseBook {
     pub fn new(elected: Tick) -> Self {
-        Self { seats: BTreeMap::new(), elected }
+        Self {
+            seats: BTreeMap::new(),
+            elected,
+        }
     }
     pub fn seat(&mut self, node: &NodeName, life: u64, conn: u64, now: Tick) {
         let seat = self.seats.entry(node.clone()).or_default();
         if seat.life != life {
             // The old process is gone and its connections with it; what it passed on is not known.
-            *seat = Seat { life, ..Seat::default() };
+            *seat = Seat {
+                life,
+                ..Seat::default()
+            };
         }
         seat.conn = Some(conn);
         seat.lost = None;
@@ -1409,9 +1810,16 @@
         }
     }
     pub fn forget_old(&mut self, now: Tick) {
-        self.seats.retain(|_, s| s.lost.is_none_or(|t| now.since(t) < UNTOLD_MS));
+        self.seats
+            .retain(|_, s| s.lost.is_none_or(|t| now.since(t) < UNTOLD_MS));
     }
-    pub fn give_back(&mut self, node: &NodeName, service: &ServiceName, term: DbTerm, highest: Option<Position>) {
+    pub fn give_back(
+        &mut self,
+        node: &NodeName,
+        service: &ServiceName,
+        term: DbTerm,
+        highest: Option<Position>,
+    ) {
         if let Some(seat) = self.seats.get_mut(node) {
             seat.given_back.insert(service.clone(), (term, highest));
         }
@@ -1426,12 +1834,22 @@
         let over = |from: Tick| now.since(from) > LEASE_MS + LEASE_SLACK_MS;
         over(self.elected)
             && self.seats.values().all(|seat| {
-                seat.granted.get(service).is_none_or(|(held, at)| *held > term || over(*at))
-                    || seat.given_back.get(service).is_some_and(|(t, _)| *t >= term)
+                seat.granted
+                    .get(service)
+                    .is_none_or(|(held, at)| *held > term || over(*at))
+                    || seat
+                        .given_back
+                        .get(service)
+                        .is_some_and(|(t, _)| *t >= term)
             })
     }
     /// The furthest position passed on, once every stile has said it.
-    pub fn given_back(&self, service: &ServiceName, term: DbTerm, now: Tick) -> Option<Option<Position>> {
+    pub fn given_back(
+        &self,
+        service: &ServiceName,
+        term: DbTerm,
+        now: Tick,
+    ) -> Option<Option<Position>> {
         if now.since(self.elected) < UNTOLD_MS {
             return None;
         }
@@ -1445,7 +1863,12 @@
     }
     /// Divides `total` among the live stiles; what another still holds is not given twice.
     pub fn share(&mut self, node: &NodeName, service: &ServiceName, total: u32, now: Tick) -> u32 {
-        let live = self.seats.values().filter(|s| s.conn.is_some()).count().max(1) as u32;
+        let live = self
+            .seats
+            .values()
+            .filter(|s| s.conn.is_some())
+            .count()
+            .max(1) as u32;
         let total = total.saturating_sub(RESERVE.min(total / 4));
         let target = (total / live).max(1);
         let held = |s: &Seat| {
@@ -1455,11 +1878,15 @@
         let others: u32 = self
             .seats
             .iter()
-            .filter(|(name, s)| *name != node && s.lost.is_none_or(|t| now.since(t) < SHARE_HELD_MS))
+            .filter(|(name, s)| {
+                *name != node && s.lost.is_none_or(|t| now.since(t) < SHARE_HELD_MS)
+            })
             .map(|(_, s)| held(s))
             .sum();
         let young = now.since(self.elected) < SHARE_HELD_MS;
-        let Some(seat) = self.seats.get_mut(node) else { return 0 };
+        let Some(seat) = self.seats.get_mut(node) else {
+            return 0;
+        };
         let reported = seat.reported.get(service).copied().unwrap_or(0);
         let mut share = target.min(total.saturating_sub(others));
         // A new leader does not know all who hold something; nobody gets more meanwhile.
@@ -1549,8 +1976,14 @@
         Some(kept) => kept,
         None => {
             let kept = found(&settings, admin);
-            let all = Dirty { hard: true, log_from: Some(Index(0)), snapshot: true };
-            granary.save(&kept, &all).map_err(|e| Fatal::State(e.to_string()))?;
+            let all = Dirty {
+                hard: true,
+                log_from: Some(Index(0)),
+                snapshot: true,
+            };
+            granary
+                .save(&kept, &all)
+                .map_err(|e| Fatal::State(e.to_string()))?;
             kept
         }
     };
@@ -1559,15 +1992,18 @@
     let almanac: Almanac = if kept.snapshot.state.is_empty() {
         Almanac::default()
     } else {
-        unpack(&kept.snapshot.state).map_err(|e| Fatal::State(format!("damaged, left as it is: {e}")))?
+        unpack(&kept.snapshot.state)
+            .map_err(|e| Fatal::State(format!("damaged, left as it is: {e}")))?
     };
     let applied = kept.snapshot.last.1;
     let (tx, rx) = channel();
     let peer = SocketAddr::new(settings.ip_address, settings.peer_port());
     accept_peers(peer, tx.clone())?;
     let http_tx = tx.clone();
-    http::serve(listen(admin)?, "admin", move |request| ask_core(&http_tx, request))
-        .map_err(|e| Fatal::Listen(admin.to_string(), e))?;
+    http::serve(listen(admin)?, "admin", move |request| {
+        ask_core(&http_tx, request)
+    })
+    .map_err(|e| Fatal::Listen(admin.to_string(), e))?;
     let config = Configuration::read(&almanac.body).ok();
     let mut steward = Steward {
         hedge: Hedge::new(kept, restarted, now, rand::random::<u64>),
@@ -1609,12 +2045,18 @@
             let members = seeds.iter().enumerate().map(founder).collect();
             Kept {
                 me: MemberId(place as u64 + 1),
-                snapshot: Snapshot { members, ..Snapshot::default() },
+                snapshot: Snapshot {
+                    members,
+                    ..Snapshot::default()
+                },
                 ..Kept::default()
             }
         }
         // Below i64::MAX for the disk, and far above the founders' ids.
-        _ => Kept { me: MemberId((rand::random::<u64>() >> 2) | (1 << 40)), ..Kept::default() },
+        _ => Kept {
+            me: MemberId((rand::random::<u64>() >> 2) | (1 << 40)),
+            ..Kept::default()
+        },
     }
 }
 
@@ -1750,10 +2192,26 @@
     }
 }
 
-fn post_failover(provider: SocketAddr, holder: &str, fence: Epoch, service: &ServiceName, target: &InstanceId) -> Posted {
+fn post_failover(
+    provider: SocketAddr,
+    holder: &str,
+    fence: Epoch,
+    service: &ServiceName,
+    target: &InstanceId,
+) -> Posted {
     let body = serde_json::json!({ "target_service": service, "instance_id": target }).to_string();
-    let headers = [("Duty-Holder", holder.to_owned()), ("Fence-Token", fence.to_string())];
-    match http::call(provider, "POST", "/failovers", &headers, body.as_bytes(), Duration::from_secs(1)) {
+    let headers = [
+        ("Duty-Holder", holder.to_owned()),
+        ("Fence-Token", fence.to_string()),
+    ];
+    match http::call(
+        provider,
+        "POST",
+        "/failovers",
+        &headers,
+        body.as_bytes(),
+        Duration::from_secs(1),
+    ) {
         Ok((200..=299, ..)) => Posted::Accepted,
         Ok((409, ..)) => Posted::Refused,
         Ok((429, ..)) => Posted::Busy,
@@ -1769,14 +2227,20 @@
 }
 
 impl Steward {
-    fn serve(&mut self, rx: Receiver<Input>, signals: &Signals, mut watched: Watched) -> Result<(), Fatal> {
+    fn serve(
+        &mut self,
+        rx: Receiver<Input>,
+        signals: &Signals,
+        mut watched: Watched,
+    ) -> Result<(), Fatal> {
         let mut leaving: Option<Tick> = None;
         let mut looked = Tick::now();
         loop {
             let now = Tick::now();
-            let busy = self.office.as_ref().is_some_and(|o| {
-                o.successions.values().any(|s| s.stage != Stage::Steady)
-            });
+            let busy = self
+                .office
+                .as_ref()
+                .is_some_and(|o| o.successions.values().any(|s| s.stage != Stage::Steady));
             let wait = if busy { 25 } else { 200 };
             let wait = self.hedge.due().since(now).clamp(1, wait);
             match rx.recv_timeout(Duration::from_millis(wait)) {
@@ -1838,10 +2302,19 @@
     }
 
     fn send_raft(&mut self, to: MemberId, message: Raft, now: Tick) {
-        let Some(member) = self.hedge.members().iter().find(|m| m.id == to) else { return };
+        let Some(member) = self.hedge.members().iter().find(|m| m.id == to) else {
+            return;
+        };
         let address = member.peer;
-        let link = self.links.entry(to).or_insert(Link { stream: None, dialing: false, retry: now });
-        let frame = Frame::Raft { to, message: Box::new(message) };
+        let link = self.links.entry(to).or_insert(Link {
+            stream: None,
+            dialing: false,
+            retry: now,
+        });
+        let frame = Frame::Raft {
+            to,
+            message: Box::new(message),
+        };
         if let Some(stream) = &mut link.stream {
             if send(stream, &frame).is_ok() {
                 return;
@@ -1854,7 +2327,10 @@
             let tx = self.tx.clone();
             std::thread::spawn(move || {
                 let stream = dial(address, Duration::from_millis(500), Duration::from_secs(2))
-                    .and_then(|s| s.set_write_timeout(Some(Duration::from_millis(200))).map(|()| s))
+                    .and_then(|s| {
+                        s.set_write_timeout(Some(Duration::from_millis(200)))
+                            .map(|()| s)
+                    })
                     .and_then(|mut s| send(&mut s, &frame).map(|()| s));
                 // The core may have ended meanwhile.
                 let _ = tx.send(Input::Linked(to, stream.ok()));
@@ -1897,7 +2373,9 @@
             Input::Http(request, reply) => self.answer_http(request, reply, now),
             Input::Told(service, id, ask, told) => {
                 info!(target: "failover", "{service}: {id} on {ask:?}: {told:?}");
-                self.move_on(&service, now, |s, facts| s.told(facts, &id, ask, &told, now));
+                self.move_on(&service, now, |s, facts| {
+                    s.told(facts, &id, ask, &told, now)
+                });
             }
             Input::Posted(service, id, posted) => {
                 info!(target: "failover", "{service}: promote of {id}: {posted:?}");
@@ -1928,8 +2406,10 @@
                         .map(|m| format!("{}{}", m.node, if m.voter { "" } else { " (learning)" }))
                         .collect();
                     info!(target: "hedge", "members: {}", names.join(", "));
-                    self.joining.retain(|id, _| !members.iter().any(|m| m.id == *id));
-                    self.links.retain(|id, _| members.iter().any(|m| m.id == *id));
+                    self.joining
+                        .retain(|id, _| !members.iter().any(|m| m.id == *id));
+                    self.links
+                        .retain(|id, _| members.iter().any(|m| m.id == *id));
                 }
                 Body::Change(bytes) => match unpack::<Change>(bytes) {
                     Ok(change) => self.apply_change(&change, waiter, now),
@@ -1961,7 +2441,10 @@
                 }
             }
             Change::Beat { id, instance, .. } => {
-                let listed = Listed { id: id.clone(), instance: instance.clone() };
+                let listed = Listed {
+                    id: id.clone(),
+                    instance: instance.clone(),
+                };
                 info!(target: "almanac", "{id} of {}: {:?}, {:?}", instance.target_service,
                     instance.database_role, instance.lifecycle_state);
                 self.tell_stiles(&ToStile::Upsert(listed));
@@ -1972,17 +2455,26 @@
                 info!(target: "almanac", "{id} is gone");
                 self.tell_stiles(&ToStile::Remove(id.clone()));
             }
-            Change::Led { service, term, primary } => {
+            Change::Led {
+                service,
+                term,
+                primary,
+            } => {
                 info!(target: "failover", "{service}: {primary} leads term {term}");
             }
-            Change::Intend { service, target, .. } => {
+            Change::Intend {
+                service, target, ..
+            } => {
                 info!(target: "failover", "{service}: {target} is to take over");
             }
             Change::Abandon { service, target } => {
                 info!(target: "failover", "{service}: {target} is not running, given up");
             }
         }
-        if let Change::Led { service, .. } | Change::Intend { service, .. } | Change::Abandon { service, .. } = change {
+        if let Change::Led { service, .. }
+        | Change::Intend { service, .. }
+        | Change::Abandon { service, .. } = change
+        {
             self.move_on(service, now, |s, facts| s.applied(facts, change, now));
             if matches!(change, Change::Led { .. }) {
                 self.tell_stiles(&ToStile::Renew);
@@ -1991,7 +2483,8 @@
     }
 
     fn propose(&mut self, change: &Change, now: Tick) -> Option<Index> {
-        self.hedge.propose(Body::Change(ByteBuf::from(pack(change))), now)
+        self.hedge
+            .propose(Body::Change(ByteBuf::from(pack(change))), now)
     }
 
     // -- office --------------------------------------------------------------------------------
@@ -2000,7 +2493,9 @@
         if self.known_leader != self.hedge.leader {
             self.known_leader = self.hedge.leader;
             match self.leader() {
-                Some(m) => info!(target: "hedge", "{} leads epoch {}", m.node, self.hedge.kept.epoch),
+                Some(m) => {
+                    info!(target: "hedge", "{} leads epoch {}", m.node, self.hedge.kept.epoch)
+                }
                 None => info!(target: "hedge", "no leader in epoch {}", self.hedge.kept.epoch),
             }
         }
@@ -2009,7 +2504,9 @@
                 let beats = self.almanac.instances.iter();
                 self.office = Some(Office {
                     leases: LeaseBook::new(now),
-                    beats: beats.map(|(id, r)| (id.clone(), (now, r.sequence))).collect(),
+                    beats: beats
+                        .map(|(id, r)| (id.clone(), (now, r.sequence)))
+                        .collect(),
                     successions: BTreeMap::new(),
                     opened: false,
                 });
@@ -2086,7 +2583,9 @@
             return;
         }
         self.next_join = now.plus(500);
-        let Some(admin) = self.settings.listeners.admin else { return };
+        let Some(admin) = self.settings.listeners.admin else {
+            return;
+        };
         let joiner = Member {
             id: me,
             node: self.settings.node(),
@@ -2103,7 +2602,9 @@
             let frame = frame.clone();
             std::thread::spawn(move || {
                 // Asked again soon; a seed that is down is no reason to stop.
-                if let Ok(mut stream) = dial(seed, Duration::from_millis(400), Duration::from_secs(1)) {
+                if let Ok(mut stream) =
+                    dial(seed, Duration::from_millis(400), Duration::from_secs(1))
+                {
                     drop(send(&mut stream, &frame));
                 }
             });
@@ -2156,13 +2657,18 @@
             return;
         }
         let facts = self.facts(service, now);
-        let Some(office) = &mut self.office else { return };
+        let Some(office) = &mut self.office else {
+            return;
+        };
         let mut deeds = Vec::new();
-        let succession = office.successions.entry(service.clone()).or_insert_with(|| {
-            let (begun, first) = Succession::begin(&facts, now);
-            deeds = first;
-            begun
-        });
+        let succession = office
+            .successions
+            .entry(service.clone())
+            .or_insert_with(|| {
+                let (begun, first) = Succession::begin(&facts, now);
+                deeds = first;
+                begun
+            });
         let before = std::mem::discriminant(&succession.stage);
         deeds.extend(step(succession, &facts));
         if before != std::mem::discriminant(&succession.stage) {
@@ -2179,10 +2685,15 @@
                 self.propose(&change, now);
             }
             Deed::Revoke(term) => {
-                self.tell_stiles(&ToStile::Revoke { service: service.clone(), term });
+                self.tell_stiles(&ToStile::Revoke {
+                    service: service.clone(),
+                    term,
+                });
             }
             Deed::Ask(id, ask) => {
-                let Some(record) = self.almanac.instances.get(&id) else { return };
+                let Some(record) = self.almanac.instances.get(&id) else {
+                    return;
+                };
                 if self.asks.fetch_add(1, Ordering::Relaxed) >= MAX_ASKS {
                     self.asks.fetch_sub(1, Ordering::Relaxed);
                     return;
@@ -2202,7 +2713,8 @@
                     return;
                 };
                 let (provider, holder) = (provider.address, self.settings.node_name.clone());
-                let (tx, service, fence) = (self.tx.clone(), service.clone(), self.hedge.kept.epoch);
+                let (tx, service, fence) =
+                    (self.tx.clone(), service.clone(), self.hedge.kept.epoch);
                 std::thread::spawn(move || {
                     let posted = post_failover(provider, &holder, fence, &service, &target);
                     // The core may have ended meanwhile.
@@ -2235,7 +2747,12 @@
             let leader = self.leader().map(|m| m.peer);
             return self.send_conn(conn, &Frame::Steward(ToStile::Elsewhere(leader)));
         }
-        if let ToSteward::Hello { node, life, revision } = message {
+        if let ToSteward::Hello {
+            node,
+            life,
+            revision,
+        } = message
+        {
             info!(target: "stiles", "{node} is here");
             if let Some(office) = &mut self.office {
                 office.leases.seat(&node, life, conn, now);
@@ -2250,19 +2767,34 @@
                 .almanac
                 .instances
                 .iter()
-                .map(|(id, r)| Listed { id: id.clone(), instance: r.instance.clone() })
+                .map(|(id, r)| Listed {
+                    id: id.clone(),
+                    instance: r.instance.clone(),
+                })
                 .collect();
             return self.send_conn(conn, &Frame::Steward(ToStile::Directory(listed)));
         }
-        let Some(node) = self.stiles.get(&conn).cloned() else { return };
+        let Some(node) = self.stiles.get(&conn).cloned() else {
+            return;
+        };
         match message {
             ToSteward::Hello { .. } => {}
             ToSteward::Renew { seq, shares } => self.renew(conn, &node, seq, shares, now),
-            ToSteward::Suspect { service, instance, why } => {
+            ToSteward::Suspect {
+                service,
+                instance,
+                why,
+            } => {
                 info!(target: "failover", "{service}: {node} doubts {instance} ({why:?})");
-                self.move_on(&service, now, |s, facts| s.suspect(facts, &node, &instance, why, now));
+                self.move_on(&service, now, |s, facts| {
+                    s.suspect(facts, &node, &instance, why, now)
+                });
             }
-            ToSteward::Revoked { service, term, highest } => {
+            ToSteward::Revoked {
+                service,
+                term,
+                highest,
+            } => {
                 if let Some(office) = &mut self.office {
                     office.leases.give_back(&node, &service, term, highest);
                 }
@@ -2275,11 +2807,20 @@
         }
     }
 
-    fn renew(&mut self, conn: u64, node: &NodeName, seq: u64, shares: Vec<(ServiceName, u32)>, now: Tick) {
+    fn renew(
+        &mut self,
+        conn: u64,
+        node: &NodeName,
+        seq: u64,
+        shares: Vec<(ServiceName, u32)>,
+        now: Tick,
+    ) {
         if !self.hedge.granting(now) {
             return;
         }
-        let Some(office) = &mut self.office else { return };
+        let Some(office) = &mut self.office else {
+            return;
+        };
         if let Some(seat) = office.leases.seats.get_mut(node) {
             seat.heard = now;
             seat.reported = shares.into_iter().collect();
@@ -2295,14 +2836,27 @@
                 }
                 (Some(lead), Some(_)) => {
                     office.leases.granted(node, &service.name, lead.term, now);
-                    Standing::Led { term: lead.term, primary: lead.primary.clone() }
+                    Standing::Led {
+                        term: lead.term,
+                        primary: lead.primary.clone(),
+                    }
                 }
                 _ => Standing::Unled,
             };
-            let share = office.leases.share(node, &service.name, service.max_connections, now);
-            grants.push(Grant { service: service.name.clone(), standing, share });
+            let share = office
+                .leases
+                .share(node, &service.name, service.max_connections, now);
+            grants.push(Grant {
+                service: service.name.clone(),
+                standing,
+                share,
+            });
         }
-        let granted = ToStile::Granted { seq, lease_ms: LEASE_MS, grants };
+        let granted = ToStile::Granted {
+            seq,
+            lease_ms: LEASE_MS,
+            grants,
+        };
         self.send_conn(conn, &Frame::Steward(granted));
     }
 
@@ -2311,10 +2865,17 @@
     fn answer_http(&mut self, request: Request, reply: SyncSender<Response>, now: Tick) {
         // A caller that no longer waits is none of our business.
         let say = |response: Response| drop(reply.try_send(response));
-        let path = request.path.split('?').next().unwrap_or_default().to_owned();
+        let path = request
+            .path
+            .split('?')
+            .next()
+            .unwrap_or_default()
+            .to_owned();
         let method = request.method.as_str();
         let instance = path.strip_prefix("/instances/").filter(|id| {
-            !id.is_empty() && id.len() <= 200 && id.bytes().all(|b| b.is_ascii_graphic() && b != b'/')
+            !id.is_empty()
+                && id.len() <= 200
+                && id.bytes().all(|b| b.is_ascii_graphic() && b != b'/')
         });
         let known = match (path.as_str(), instance) {
             ("/configuration", _) => ["GET", "PUT"].contains(&method),
@@ -2326,7 +2887,10 @@
             return say(Response::refusal(405, "not with this method"));
         }
         if path == "/status" {
-            return say(Response::json(200, self.status(now).to_string().into_bytes()));
+            return say(Response::json(
+                200,
+                self.status(now).to_string().into_bytes(),
+            ));
         }
         // What can't be read is refused by any steward.
         let parsed = match (method, instance) {
@@ -2343,9 +2907,10 @@
                 Ok(_) => return say(Response::refusal(400, "target_service is no word")),
                 Err(e) => return say(Response::refusal(400, &format!("cannot be read: {e}"))),
             },
-            ("DELETE", Some(id)) => {
-                Some(Change::Gone { id: InstanceId(id.to_owned()), sequence: 0 })
-            }
+            ("DELETE", Some(id)) => Some(Change::Gone {
+                id: InstanceId(id.to_owned()),
+                sequence: 0,
+            }),
             _ => None,
         };
         if !self.hedge.is_leader() {
@@ -2363,12 +2928,20 @@
                 say(Response::refusal(404, "no configuration yet"));
             }
             None => say(Response::json(200, self.almanac.body.to_vec())),
-            Some(Change::Configure { base, revision, body }) => {
+            Some(Change::Configure {
+                base,
+                revision,
+                body,
+            }) => {
                 let effect = self.almanac.judge(base, revision, &body);
                 if effect != Effect::Done {
                     return say(judged(&effect));
                 }
-                let change = Change::Configure { base, revision, body };
+                let change = Change::Configure {
+                    base,
+                    revision,
+                    body,
+                };
                 match self.propose(&change, now) {
                     Some(index) => {
                         self.waiting.insert(index, Waiter::Configured(reply));
@@ -2376,7 +2949,11 @@
                     None => say(Response::refusal(503, "no leader")),
                 }
             }
-            Some(Change::Beat { id, instance, sequence }) => {
+            Some(Change::Beat {
+                id,
+                instance,
+                sequence,
+            }) => {
                 self.take_beat(id, instance, sequence, reply, now);
             }
             Some(change) => {
@@ -2398,7 +2975,14 @@
         }
     }
 
-    fn take_beat(&mut self, id: InstanceId, instance: Instance, sequence: u64, reply: SyncSender<Response>, now: Tick) {
+    fn take_beat(
+        &mut self,
+        id: InstanceId,
+        instance: Instance,
+        sequence: u64,
+        reply: SyncSender<Response>,
+        now: Tick,
+    ) {
         let (service, role) = (instance.target_service.clone(), instance.database_role);
         if let Some(office) = &mut self.office {
             let beat = office.beats.entry(id.clone()).or_insert((now, 0));
@@ -2411,7 +2995,11 @@
             }
         }
         if self.almanac.news(&id, &instance, sequence) {
-            let change = Change::Beat { id, instance, sequence };
+            let change = Change::Beat {
+                id,
+                instance,
+                sequence,
+            };
             match self.propose(&change, now) {
                 Some(index) => {
                     self.waiting.insert(index, Waiter::Beaten(reply));
@@ -2452,13 +3040,21 @@
                 })).collect::<Vec<_>>(),
             })
         }).collect();
-        let services: Vec<_> = self.almanac.leads.iter().map(|(service, lead)| {
-            let stage = self.office.as_ref().and_then(|o| o.successions.get(service));
-            serde_json::json!({
-                "service": service, "term": lead.term, "primary": lead.primary,
-                "intent": lead.intent, "stage": stage.map(|s| stage_name(&s.stage)),
+        let services: Vec<_> = self
+            .almanac
+            .leads
+            .iter()
+            .map(|(service, lead)| {
+                let stage = self
+                    .office
+                    .as_ref()
+                    .and_then(|o| o.successions.get(service));
+                serde_json::json!({
+                    "service": service, "term": lead.term, "primary": lead.primary,
+                    "intent": lead.intent, "stage": stage.map(|s| stage_name(&s.stage)),
+                })
             })
-        }).collect();
+            .collect();
         serde_json::json!({
             "node": self.settings.node_name,
             "role": "steward",
@@ -2483,7 +3079,9 @@
         Stage::Steady => "steady",
         Stage::Founding { .. } => "asking the first primary",
         Stage::Doubting { .. } => "doubting the primary",
-        Stage::Fencing { target: Some(_), .. } => "fencing for a planned change",
+        Stage::Fencing {
+            target: Some(_), ..
+        } => "fencing for a planned change",
         Stage::Fencing { target: None, .. } => "fencing a lost primary",
         Stage::Intending { .. } => "writing down the intent",
         Stage::Posting { .. } => "promoting",
@@ -2492,7 +3090,9 @@
 }
 
 fn is_word(text: &str) -> bool {
-    !text.is_empty() && text.len() <= 200 && !text.contains(|c: char| c.is_whitespace() || c.is_control())
+    !text.is_empty()
+        && text.len() <= 200
+        && !text.contains(|c: char| c.is_whitespace() || c.is_control())
 }
 
 fn judged(effect: &Effect) -> Response {
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -23,7 +23,9 @@
 /// A poisoned lock means that another thread died half way; going on with its data is the best
 /// that is left, since every value behind a lock here is whole between two statements.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -81,7 +83,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Phase {
     Idle,
-    Open { read_only: bool, began: Tick, shown: bool, wrote: bool },
+    Open {
+        read_only: bool,
+        began: Tick,
+        shown: bool,
+        wrote: bool,
+    },
     Failed,
 }
 
@@ -98,7 +105,12 @@
 
 impl Default for Graft {
     fn default() -> Self {
-        Self { phase: Phase::Idle, values: BTreeMap::new(), names: BTreeMap::new(), version: 0 }
+        Self {
+            phase: Phase::Idle,
+            values: BTreeMap::new(),
+            names: BTreeMap::new(),
+            version: 0,
+        }
     }
 }
 
@@ -165,10 +177,17 @@
                 if self.phase != Phase::Idle {
                     return Verdict::Refused(ErrorKind::Malformed);
                 }
-                self.phase = Phase::Open { read_only, began: now, shown: false, wrote: false };
+                self.phase = Phase::Open {
+                    read_only,
+                    began: now,
+                    shown: false,
+                    wrote: false,
+                };
                 Verdict::Settled
             }
-            Statement::Commit if self.phase == Phase::Idle => Verdict::Refused(ErrorKind::Malformed),
+            Statement::Commit if self.phase == Phase::Idle => {
+                Verdict::Refused(ErrorKind::Malformed)
+            }
             Statement::Commit => self.run(Kind::Commit, None),
             Statement::Abort => {
                 self.phase = Phase::Idle;
@@ -182,7 +201,10 @@
                 Verdict::Settled
             }
             Statement::Prepare { name, verb, shape } => {
-                let shape = Shape { verb, text: shape.to_owned() };
+                let shape = Shape {
+                    verb,
+                    text: shape.to_owned(),
+                };
                 self.names.insert(name.to_owned(), shape);
                 self.version += 1;
                 Verdict::Settled
@@ -206,14 +228,31 @@
 
     fn run(&mut self, kind: Kind, shape: Option<Shape>) -> Verdict {
         let task = match &mut self.phase {
-            Phase::Open { read_only, shown, wrote, .. } => {
+            Phase::Open {
+                read_only,
+                shown,
+                wrote,
+                ..
+            } => {
                 if kind == Kind::Write {
                     // From here on the end of the transaction matters, sent or not.
                     *wrote = true;
                 }
-                Task { kind, alone: false, first: !*shown, read_only: *read_only, shape }
+                Task {
+                    kind,
+                    alone: false,
+                    first: !*shown,
+                    read_only: *read_only,
+                    shape,
+                }
             }
-            _ => Task { kind, alone: true, first: true, read_only: kind == Kind::Read, shape },
+            _ => Task {
+                kind,
+                alone: true,
+                first: true,
+                read_only: kind == Kind::Read,
+                shape,
+            },
         };
         Verdict::Run(task)
     }
@@ -253,9 +292,20 @@
     /// A database's answer is passed on to the client.
     pub fn answered(&mut self, state: State) {
         self.phase = match (std::mem::replace(&mut self.phase, Phase::Idle), state) {
-            (Phase::Open { read_only, began, wrote, .. }, State::Open) => {
-                Phase::Open { read_only, began, shown: true, wrote }
-            }
+            (
+                Phase::Open {
+                    read_only,
+                    began,
+                    wrote,
+                    ..
+                },
+                State::Open,
+            ) => Phase::Open {
+                read_only,
+                began,
+                shown: true,
+                wrote,
+            },
             (Phase::Open { .. } | Phase::Failed, State::Failed) => Phase::Failed,
             _ => Phase::Idle,
         };
@@ -282,7 +332,11 @@
             return;
         }
         self.newest = Some((sent, position));
-        if self.kept.back().is_none_or(|(s, _)| sent.since(*s) >= FLOOR_STEP_MS) {
+        if self
+            .kept
+            .back()
+            .is_none_or(|(s, _)| sent.since(*s) >= FLOOR_STEP_MS)
+        {
             if self.kept.len() == FLOORS_KEPT {
                 self.kept.pop_front();
             }
@@ -294,7 +348,9 @@
         // Times are cut to whole milliseconds, so one is kept in hand.
         let fresh = |s: Tick| s.plus(stale_ms) > began.plus(1);
         let old_enough = self.kept.iter().find(|(s, _)| fresh(*s));
-        old_enough.or(self.newest.as_ref().filter(|(s, _)| fresh(*s))).map(|(_, p)| *p)
+        old_enough
+            .or(self.newest.as_ref().filter(|(s, _)| fresh(*s)))
+            .map(|(_, p)| *p)
     }
 }
 
@@ -352,7 +408,9 @@
             if !self.inbox.is_empty() {
                 match wire::reply(self.inbox.pending()) {
                     Ok(Some(reply)) => return Ok(reply),
-                    Ok(None) if self.inbox.pending().len() > MAX_ANSWER => return Err(Loss::Broken),
+                    Ok(None) if self.inbox.pending().len() > MAX_ANSWER => {
+                        return Err(Loss::Broken);
+                    }
                     Ok(None) => {}
                     Err(wire::Garbled) => {
                         warn!(target: "pool", "garbled answer");
@@ -363,7 +421,12 @@
             match self.inbox.fill(&mut self.stream) {
                 Ok(0) => return Err(Loss::Broken),
                 Ok(_) => {}
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                Err(e)
+                    if matches!(
+                        e.kind(),
+                        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                    ) =>
+                {
                     if let Some(loss) = look() {
                         return Err(loss);
                     }
@@ -458,7 +521,9 @@
         if self.seen < PACE_TRUSTED {
             return most;
         }
-        ((self.mean + 6.0 * self.stray) as u64).max(PATIENCE_MIN_MS).min(most)
+        ((self.mean + 6.0 * self.stray) as u64)
+            .max(PATIENCE_MIN_MS)
+            .min(most)
     }
 }
 
@@ -506,7 +571,8 @@
     }
     fn failed(&self, now: Tick) {
         let failures = self.failures.fetch_add(1, Ordering::Relaxed).min(4);
-        self.down_until.store(now.0 + (100 << failures), Ordering::Relaxed);
+        self.down_until
+            .store(now.0 + (100 << failures), Ordering::Relaxed);
     }
     fn heard(&self, now: Tick) {
         self.heard.store(now.0, Ordering::Relaxed);
@@ -515,7 +581,10 @@
     fn load(&self) -> (usize, bool) {
         let inner = lock(&self.inner);
         let busy = (inner.admission.open as usize).saturating_sub(inner.idle.len());
-        (busy + inner.admission.waiting(), inner.draining || inner.gone || inner.admission.cap == 0)
+        (
+            busy + inner.admission.waiting(),
+            inner.draining || inner.gone || inner.admission.cap == 0,
+        )
     }
     fn set_cap(&self, cap: u32) {
         let mut inner = lock(&self.inner);
@@ -545,7 +614,13 @@
     }
 
     /// Borrows a connection, the one that needs the least to be laid on; opens one if it may.
-    fn borrow(&self, graft: &Graft, session: u64, priority: u8, until: Tick) -> Result<Rootstock, NoRoom> {
+    fn borrow(
+        &self,
+        graft: &Graft,
+        session: u64,
+        priority: u8,
+        until: Tick,
+    ) -> Result<Rootstock, NoRoom> {
         let mut inner = lock(&self.inner);
         let mut turn: Option<Turn> = None;
         loop {
@@ -598,7 +673,11 @@
 
     fn open(&self, now: Tick, until: Tick) -> Result<Rootstock, NoRoom> {
         let connect = || -> io::Result<Result<Rootstock, ErrorKind>> {
-            let stream = dial(self.address, Duration::from_millis(CONNECT_MS), Duration::from_secs(3))?;
+            let stream = dial(
+                self.address,
+                Duration::from_millis(CONNECT_MS),
+                Duration::from_secs(3),
+            )?;
             stream.set_read_timeout(Some(Duration::from_millis(LOOK_MS)))?;
             stream.set_write_timeout(Some(Duration::from_secs(1)))?;
             let mut stock = Rootstock {
@@ -630,7 +709,12 @@
                 match stock.inbox.fill(&mut stock.stream) {
                     Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                     Ok(_) => {}
-                    Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                    Err(e)
+                        if matches!(
+                            e.kind(),
+                            io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                        ) =>
+                    {
                         if Tick::now() >= limit {
                             return Err(io::ErrorKind::TimedOut.into());
                         }
@@ -693,7 +777,10 @@
             } else if stock.inside || stock.values.keys().any(|k| !values.contains_key(k)) {
                 100
             } else {
-                1 + values.iter().filter(|(k, v)| stock.values.get(*k) != Some(v)).count()
+                1 + values
+                    .iter()
+                    .filter(|(k, v)| stock.values.get(*k) != Some(v))
+                    .count()
             }
         })
         .map(|(at, _)| at)
@@ -706,7 +793,11 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Held {
     None,
-    Led { term: DbTerm, primary: InstanceId, until: Tick },
+    Led {
+        term: DbTerm,
+        primary: InstanceId,
+        until: Tick,
+    },
 }
 
 #[derive(Debug)]
@@ -738,7 +829,11 @@
 impl ServiceView {
     fn lease(&self, now: Tick) -> Option<(DbTerm, &InstanceId)> {
         match &self.held {
-            Held::Led { term, primary, until } if *until > now => Some((*term, primary)),
+            Held::Led {
+                term,
+                primary,
+                until,
+            } if *until > now => Some((*term, primary)),
             _ => None,
         }
     }
@@ -808,7 +903,10 @@
     /// Whether the lease on this term is still held.
     fn still(&self, service: &ServiceName, term: DbTerm, now: Tick) -> bool {
         let view = lock(&self.view);
-        view.services.get(service).and_then(|s| s.lease(now)).is_some_and(|(t, _)| t == term)
+        view.services
+            .get(service)
+            .and_then(|s| s.lease(now))
+            .is_some_and(|(t, _)| t == term)
     }
     /// An answer of the primary came under a lease that still holds.
     fn learn(&self, service: &ServiceName, sent: Tick, position: Position) {
@@ -819,7 +917,11 @@
         }
     }
     fn floor(&self, service: &ServiceName, began: Tick, stale_ms: u64) -> Option<Position> {
-        lock(&self.view).services.get(service)?.floors.needed(began, stale_ms)
+        lock(&self.view)
+            .services
+            .get(service)?
+            .floors
+            .needed(began, stale_ms)
     }
     /// Replicas to read from, the best first. The zone's own costs nothing between zones, so it is
     /// taken until it has clearly more to do.
@@ -860,7 +962,11 @@
             doubted.insert(pool.id.clone(), now);
         }
         let (service, instance) = (pool.service.clone(), pool.id.clone());
-        self.tell(ToSteward::Suspect { service, instance, why });
+        self.tell(ToSteward::Suspect {
+            service,
+            instance,
+            why,
+        });
     }
     fn renew_when_due(&self) {
         let last = lock(&self.sent).back().map(|(_, t)| *t);
@@ -872,7 +978,10 @@
     fn renew(&self) {
         let shares = {
             let view = lock(&self.view);
-            view.services.iter().map(|(name, s)| (name.clone(), s.share)).collect()
+            view.services
+                .iter()
+                .map(|(name, s)| (name.clone(), s.share))
+                .collect()
         };
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
         {
@@ -892,7 +1001,11 @@
             ToStile::Elsewhere(_) | ToStile::Welcome { .. } => {}
             ToStile::Configured(config) => {
                 let mut view = lock(&self.view);
-                if view.config.as_ref().is_some_and(|c| c.revision >= config.revision) {
+                if view
+                    .config
+                    .as_ref()
+                    .is_some_and(|c| c.revision >= config.revision)
+                {
                     return;
                 }
                 info!(target: "stile", "configuration {} is in force", config.revision);
@@ -919,7 +1032,11 @@
             }
             ToStile::Upsert(listed) => Self::upsert(&mut lock(&self.view), listed),
             ToStile::Remove(id) => Self::remove(&mut lock(&self.view), &id),
-            ToStile::Granted { seq, lease_ms, grants } => self.granted(seq, lease_ms, grants),
+            ToStile::Granted {
+                seq,
+                lease_ms,
+                grants,
+            } => self.granted(seq, lease_ms, grants),
             ToStile::Revoke { service, term } => {
                 let highest = {
                     let mut view = lock(&self.view);
@@ -933,15 +1050,23 @@
                 };
                 info!(target: "lease", "{service}: term {term} was taken back");
                 self.changed.notify_all();
-                self.tell(ToSteward::Revoked { service, term, highest });
+                self.tell(ToSteward::Revoked {
+                    service,
+                    term,
+                    highest,
+                });
             }
             ToStile::Renew => self.renew(),
         }
     }
 
     fn upsert(view: &mut View, listed: Listed) {
-        let share = view.services.get(&listed.instance.target_service).map_or(0, |s| s.share);
-        let fits = |p: &Arc<Pool>| p.address == listed.instance.address && p.zone == listed.instance.zone;
+        let share = view
+            .services
+            .get(&listed.instance.target_service)
+            .map_or(0, |s| s.share);
+        let fits =
+            |p: &Arc<Pool>| p.address == listed.instance.address && p.zone == listed.instance.zone;
         let pool = match view.pools.get(&listed.id).filter(|p| fits(p)) {
             Some(pool) => Arc::clone(pool),
             None => {
@@ -954,7 +1079,10 @@
         };
         // News of a database: whatever kept it from being tried may be over.
         pool.down_until.store(0, Ordering::Relaxed);
-        pool.retire(listed.instance.lifecycle_state == Lifecycle::Draining, false);
+        pool.retire(
+            listed.instance.lifecycle_state == Lifecycle::Draining,
+            false,
+        );
     }
     fn remove(view: &mut View, id: &InstanceId) {
         if let Some(pool) = view.pools.remove(id) {
@@ -980,7 +1108,11 @@
                         if !matches!(&seen.held, Held::Led { term: t, .. } if *t == term) {
                             info!(target: "lease", "{}: {primary} leads term {term}", grant.service);
                         }
-                        seen.held = Held::Led { term, primary, until: asked.plus(lease_ms) };
+                        seen.held = Held::Led {
+                            term,
+                            primary,
+                            until: asked.plus(lease_ms),
+                        };
                         seen.unled_since = None;
                     }
                 }
@@ -1074,7 +1206,9 @@
 /// What goes back to the client.
 enum Say {
     /// The database's own bytes, up to `end` in the inbox of the bound connection.
-    Passed { reply: Reply },
+    Passed {
+        reply: Reply,
+    },
     Complete,
     Error(ErrorKind, String),
 }
@@ -1095,7 +1229,9 @@
         Err(NoLine::TooLarge) => return refuse(ErrorKind::TooLarge, "over 1 MiB"),
         Err(_) => return Ok(()),
     };
-    let found = stile.config().and_then(|c| c.route(&database).cloned().map(|r| (c, r)));
+    let found = stile
+        .config()
+        .and_then(|c| c.route(&database).cloned().map(|r| (c, r)));
     let Some((config, route)) = found else {
         return refuse(ErrorKind::NoDatabase, "no such database");
     };
@@ -1123,7 +1259,9 @@
         let mut client = &seen.stream;
         loop {
             let state = self.graft.state();
-            if state == State::Idle && inbox.is_empty() && self.stile.draining.load(Ordering::Relaxed)
+            if state == State::Idle
+                && inbox.is_empty()
+                && self.stile.draining.load(Ordering::Relaxed)
                 && self.stile.closing_idle()
             {
                 return Ok(());
@@ -1143,7 +1281,11 @@
             let arrived = Tick::now();
             let say = match wire::parse(line) {
                 Ok(Line::Close) => return Ok(()),
-                Ok(Line::Query { id, text, statement }) => {
+                Ok(Line::Query {
+                    id,
+                    text,
+                    statement,
+                }) => {
                     if state == State::Idle && !self.rebind_route() {
                         return client.write_all(b"ERROR NODATABASE no such database any more\r\n");
                     }
@@ -1176,9 +1318,13 @@
 
     /// A changed route binds from the next transaction on. False when it is no longer there.
     fn rebind_route(&mut self) -> bool {
-        let Some(config) = self.stile.config() else { return false };
+        let Some(config) = self.stile.config() else {
+            return false;
+        };
         if !Arc::ptr_eq(&config, &self.config) {
-            let Some(route) = config.route(&self.database) else { return false };
+            let Some(route) = config.route(&self.database) else {
+                return false;
+            };
             self.route = route.clone();
             self.config = config;
         }
@@ -1196,11 +1342,15 @@
             Say::Error(kind, text) => {
                 let state = self.graft.state().letter();
                 let position = position(self.last_position);
-                client.write_all(format!("ERROR {kind} {text}\r\nREADY {state} {position}\r\n").as_bytes())
+                client.write_all(
+                    format!("ERROR {kind} {text}\r\nREADY {state} {position}\r\n").as_bytes(),
+                )
             }
             Say::Passed { reply } => {
                 self.last_position = reply.position.or(self.last_position);
-                let Some(bound) = &mut self.bound else { return Ok(()) };
+                let Some(bound) = &mut self.bound else {
+                    return Ok(());
+                };
                 let sent = client.write_all(&bound.stock.inbox.pending()[..reply.end]);
                 bound.stock.inbox.use_up(reply.end);
                 match self.graft.state() {
@@ -1214,14 +1364,19 @@
 
     /// Lets go of the connection; what it has open is rolled back first.
     fn unbind(&mut self) {
-        let Some(Bound { mut stock, pool, .. }) = self.bound.take() else { return };
+        let Some(Bound {
+            mut stock, pool, ..
+        }) = self.bound.take()
+        else {
+            return;
+        };
         if !stock.open {
             return pool.give_back(stock, Tick::now());
         }
         let limit = Tick::now().plus(300);
-        let ended = stock.write(b"QUERY - ABORT\r\n").and_then(|()| {
-            stock.answer(|| (Tick::now() >= limit).then_some(Loss::Overdue))
-        });
+        let ended = stock
+            .write(b"QUERY - ABORT\r\n")
+            .and_then(|()| stock.answer(|| (Tick::now() >= limit).then_some(Loss::Overdue)));
         match ended {
             Ok(reply) if reply.state == State::Idle => {
                 stock.inbox.use_up(reply.end);
@@ -1243,7 +1398,14 @@
     }
 
     /// Has a database run the statement, on as many connections as the reroute rules allow.
-    fn run(&mut self, id: &str, text: &str, statement: &Statement<'_>, task: &Task, arrived: Tick) -> Say {
+    fn run(
+        &mut self,
+        id: &str,
+        text: &str,
+        statement: &Statement<'_>,
+        task: &Task,
+        arrived: Tick,
+    ) -> Say {
         let limit = arrived.plus(self.route.timeout_ms);
         // Waiting for a connection longer than this rarely ends well; the client is better off
         // coming back, and has the time to.
@@ -1262,22 +1424,23 @@
                     Err(kind) => return self.refuse(kind),
                 }
             }
-            let (loss, sent) = match self.exchange(id, text, statement, task, arrived, limit, patient) {
-                Ok(reply) => match reply.outcome {
-                    Outcome::Complete => return self.passed(task, reply),
-                    Outcome::Error(kind) => match self.denied(task, kind, &reply, &mut avoid) {
-                        Some(say) => return say,
-                        None => (None, false),
+            let (loss, sent) =
+                match self.exchange(id, text, statement, task, arrived, limit, patient) {
+                    Ok(reply) => match reply.outcome {
+                        Outcome::Complete => return self.passed(task, reply),
+                        Outcome::Error(kind) => match self.denied(task, kind, &reply, &mut avoid) {
+                            Some(say) => return say,
+                            None => (None, false),
+                        },
                     },
-                },
-                Err((loss, sent)) => {
-                    if let Some(bound) = &self.bound {
-                        avoid.push(bound.pool.id.clone());
+                    Err((loss, sent)) => {
+                        if let Some(bound) = &self.bound {
+                            avoid.push(bound.pool.id.clone());
+                        }
+                        self.cut();
+                        (Some(loss), sent)
                     }
-                    self.cut();
-                    (Some(loss), sent)
-                }
-            };
+                };
             if let Some(loss) = loss {
                 if let Fate::Tell(kind) = self.graft.lost(task, sent) {
                     return Say::Error(kind, "connection lost".to_owned());
@@ -1316,22 +1479,35 @@
     }
 
     /// Picks a database and borrows a connection to it.
-    fn bind(&self, task: &Task, arrived: Tick, hold: Tick, avoid: &[InstanceId]) -> Result<Bound, ErrorKind> {
+    fn bind(
+        &self,
+        task: &Task,
+        arrived: Tick,
+        hold: Tick,
+        avoid: &[InstanceId],
+    ) -> Result<Bound, ErrorKind> {
         let stile = &self.stile;
         let service = &self.route.target_service;
         let began = self.graft.began(arrived);
         loop {
             let now = Tick::now();
-            if task.read_only && self.route.route_type != RouteType::Primary {
-                if self.need(began).is_some() {
-                    for pool in stile.replicas(service, now) {
-                        if avoid.contains(&pool.id) {
-                            continue;
-                        }
-                        match pool.borrow(&self.graft, self.id, self.route.priority, hold) {
-                            Ok(stock) => return Ok(Bound { stock, pool, term: None }),
-                            Err(NoRoom::Full | NoRoom::Down) => {}
+            if task.read_only
+                && self.route.route_type != RouteType::Primary
+                && self.need(began).is_some()
+            {
+                for pool in stile.replicas(service, now) {
+                    if avoid.contains(&pool.id) {
+                        continue;
+                    }
+                    match pool.borrow(&self.graft, self.id, self.route.priority, hold) {
+                        Ok(stock) => {
+                            return Ok(Bound {
+                                stock,
+                                pool,
+                                term: None,
+                            });
                         }
+                        Err(NoRoom::Full | NoRoom::Down) => {}
                     }
                 }
             }
@@ -1339,7 +1515,11 @@
                 match pool.borrow(&self.graft, self.id, self.route.priority, hold) {
                     // The lease may have run out while waiting.
                     Ok(stock) if stile.still(service, term, Tick::now()) => {
-                        return Ok(Bound { stock, pool, term: Some(term) });
+                        return Ok(Bound {
+                            stock,
+                            pool,
+                            term: Some(term),
+                        });
                     }
                     Ok(stock) => pool.give_back(stock, Tick::now()),
                     Err(NoRoom::Full) => {}
@@ -1356,7 +1536,9 @@
 
     /// The position a replica must have for a read that began at `began`.
     fn need(&self, began: Tick) -> Option<Position> {
-        let floor = self.stile.floor(&self.route.target_service, began, self.route.stale_ms)?;
+        let floor = self
+            .stile
+            .floor(&self.route.target_service, began, self.route.stale_ms)?;
         Some(match self.route.route_type {
             RouteType::ReadYourWrites => self.own.map_or(floor, |own| own.max(floor)),
             _ => floor,
@@ -1386,13 +1568,16 @@
         };
         let stile = Arc::clone(&self.stile);
         let service = self.route.target_service.clone();
-        let Some(bound) = &mut self.bound else { return Err((Loss::Broken, false)) };
+        let Some(bound) = &mut self.bound else {
+            return Err((Loss::Broken, false));
+        };
         let pool = Arc::clone(&bound.pool);
         let term = bound.term;
         // Given up early only where nothing can have been kept: a first read is run again, a
         // transaction under way is rolled back and may be tried again in time.
         let rerun = task.kind == Kind::Read && task.first;
-        let early = !patient && !(task.alone && task.kind == Kind::Write) && task.kind != Kind::Commit;
+        let early =
+            !patient && !(task.alone && task.kind == Kind::Write) && task.kind != Kind::Commit;
         let most = self.route.timeout_ms / if rerun { 4 } else { 3 };
         let kind = self.route.route_type as usize;
         let patience = lock(&pool.paces)[kind].patience(most) * if rerun { 1 } else { 2 };
@@ -1430,14 +1615,30 @@
             }
             (loss, sent)
         };
-        lay_on(&mut bound.stock, &self.graft, self.id, &stile.hasher, look(Tick::now()))
-            .map_err(|loss| broken(loss, false))?;
+        lay_on(
+            &mut bound.stock,
+            &self.graft,
+            self.id,
+            &stile.hasher,
+            look(Tick::now()),
+        )
+        .map_err(|loss| broken(loss, false))?;
         let mut waits = waits;
         if !task.alone && !bound.stock.open {
-            let begin = if task.read_only { "BEGIN FETCH" } else { "BEGIN" };
+            let begin = if task.read_only {
+                "BEGIN FETCH"
+            } else {
+                "BEGIN"
+            };
             let line = format!("QUERY - {waits}{begin}\r\n");
-            bound.stock.write(line.as_bytes()).map_err(|l| broken(l, false))?;
-            let reply = bound.stock.answer(look(Tick::now())).map_err(|l| broken(l, false))?;
+            bound
+                .stock
+                .write(line.as_bytes())
+                .map_err(|l| broken(l, false))?;
+            let reply = bound
+                .stock
+                .answer(look(Tick::now()))
+                .map_err(|l| broken(l, false))?;
             pool.heard(Tick::now());
             if reply.outcome != Outcome::Complete {
                 return Ok(reply);
@@ -1460,8 +1661,14 @@
         if term.is_some_and(|term| !stile.still(&service, term, sent)) {
             return Err((Loss::Overdue, false));
         }
-        bound.stock.write(line.as_bytes()).map_err(|l| broken(l, true))?;
-        let reply = bound.stock.answer(look(sent)).map_err(|l| broken(l, true))?;
+        bound
+            .stock
+            .write(line.as_bytes())
+            .map_err(|l| broken(l, true))?;
+        let reply = bound
+            .stock
+            .answer(look(sent))
+            .map_err(|l| broken(l, true))?;
         let now = Tick::now();
         pool.heard(now);
         if reply.outcome == Outcome::Complete {
@@ -1509,8 +1716,17 @@
     }
 
     /// A database answered with an error. `None`: to be run again.
-    fn denied(&mut self, task: &Task, kind: ErrorKind, reply: &Reply, avoid: &mut Vec<InstanceId>) -> Option<Say> {
-        let ran = matches!(kind, ErrorKind::Failed | ErrorKind::TimedOut | ErrorKind::Unknown);
+    fn denied(
+        &mut self,
+        task: &Task,
+        kind: ErrorKind,
+        reply: &Reply,
+        avoid: &mut Vec<InstanceId>,
+    ) -> Option<Say> {
+        let ran = matches!(
+            kind,
+            ErrorKind::Failed | ErrorKind::TimedOut | ErrorKind::Unknown
+        );
         let again = if ran {
             task.alone && task.kind == Kind::Read && avoid.is_empty()
         } else {
@@ -1540,7 +1756,11 @@
             return None;
         }
         if ran || task.alone {
-            let state = if task.alone { State::Idle } else { State::Failed };
+            let state = if task.alone {
+                State::Idle
+            } else {
+                State::Failed
+            };
             let (state, same) = match reply.state {
                 State::Open => (State::Failed, false),
                 other => (other, other == state),
@@ -1548,7 +1768,9 @@
             bound.stock.open = reply.state != State::Idle;
             self.graft.answered(state);
             if same {
-                return Some(Say::Passed { reply: reply.clone() });
+                return Some(Say::Passed {
+                    reply: reply.clone(),
+                });
             }
             bound.stock.inbox.use_up(reply.end);
             self.unbind();
@@ -1559,7 +1781,10 @@
         bound.stock.open = reply.state != State::Idle;
         self.unbind();
         self.graft.give_up();
-        Some(Say::Error(ErrorKind::RolledBack, format!("{kind} at the database")))
+        Some(Say::Error(
+            ErrorKind::RolledBack,
+            format!("{kind} at the database"),
+        ))
     }
 }
 
@@ -1599,7 +1824,10 @@
     };
     let foreign = stock.values.keys().any(|k| !values.contains_key(k));
     let wanted: Vec<(u64, &Shape)> = shapes.map(|s| (shape_id(hasher, s), s)).collect();
-    let missing = wanted.iter().filter(|(id, _)| !stock.prepared.contains(id)).count();
+    let missing = wanted
+        .iter()
+        .filter(|(id, _)| !stock.prepared.contains(id))
+        .count();
     if !stock.open && (foreign || stock.inside || stock.prepared.len() + missing > MAX_PREPARED) {
         say(format_args!("DISCARD"));
         stock.values.clear();
@@ -1614,7 +1842,11 @@
     }
     for (id, shape) in wanted {
         if stock.prepared.insert(id) {
-            say(format_args!("PREPARE p{id:x} {} {}", shape.verb.word(), shape.text));
+            say(format_args!(
+                "PREPARE p{id:x} {} {}",
+                shape.verb.word(),
+                shape.text
+            ));
         }
     }
     if count > 0 {
@@ -1654,9 +1886,10 @@
         match view.services.get(service) {
             Some(seen) if seen.lease(now).is_some() => 100,
             // A change of primary takes about a second; less of it is left the longer it lasts.
-            Some(ServiceView { unled_since: Some(since), .. }) => {
-                1_000u64.saturating_sub(now.since(*since)).max(150)
-            }
+            Some(ServiceView {
+                unled_since: Some(since),
+                ..
+            }) => 1_000u64.saturating_sub(now.since(*since)).max(150),
             _ => 500,
         }
     }
@@ -1675,7 +1908,7 @@
                 Some(to) => to,
                 None => {
                     next += 1;
-                    if next % known.len().max(1) == 0 {
+                    if next.is_multiple_of(known.len().max(1)) {
                         std::thread::sleep(Duration::from_millis(80));
                     }
                     known[next % known.len().max(1)]
@@ -1694,13 +1927,21 @@
     }
 
     /// Follows one steward for as long as it leads; tells who leads otherwise.
-    fn follow(self: &Arc<Self>, to: SocketAddr, known: &mut Vec<SocketAddr>) -> io::Result<Option<SocketAddr>> {
+    fn follow(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        known: &mut Vec<SocketAddr>,
+    ) -> io::Result<Option<SocketAddr>> {
         let mut stream = dial(to, Duration::from_millis(300), Duration::from_secs(2))?;
         stream.set_write_timeout(Some(Duration::from_millis(500)))?;
         // Renewals are answered far more often than this; silence means another leader.
         stream.set_read_timeout(Some(Duration::from_millis(1_200)))?;
         let revision = self.config().map_or(Revision(0), |c| c.revision);
-        let hello = ToSteward::Hello { node: self.node.clone(), life: self.life, revision };
+        let hello = ToSteward::Hello {
+            node: self.node.clone(),
+            life: self.life,
+            revision,
+        };
         send(&mut stream, &Frame::Stile(hello))?;
         let mut reader = io::BufReader::with_capacity(4096, stream.try_clone()?);
         match receive(&mut reader)? {
@@ -1749,13 +1990,15 @@
         });
         lock(&self.sessions).insert(id, Arc::clone(&seen));
         let stile = Arc::clone(self);
-        let started = std::thread::Builder::new().stack_size(STACK).spawn(move || {
-            let _gone = Leaves { stile: &stile, id };
-            // How a client's connection ends is not worth a line each.
-            if let Err(e) = session(&stile, seen, id) {
-                log::debug!(target: "session", "{id}: {e}");
-            }
-        });
+        let started = std::thread::Builder::new()
+            .stack_size(STACK)
+            .spawn(move || {
+                let _gone = Leaves { stile: &stile, id };
+                // How a client's connection ends is not worth a line each.
+                if let Err(e) = session(&stile, seen, id) {
+                    log::debug!(target: "session", "{id}: {e}");
+                }
+            });
         if started.is_err() {
             lock(&self.sessions).remove(&id);
         }
@@ -1771,7 +2014,11 @@
             }
         }
         let view = lock(&self.view);
-        for seen in view.services.iter().filter(|(_, s)| s.share > 0 && s.share_until <= now) {
+        for seen in view
+            .services
+            .iter()
+            .filter(|(_, s)| s.share > 0 && s.share_until <= now)
+        {
             for pool in view.pools.values().filter(|p| p.service == *seen.0) {
                 pool.set_cap(0);
             }
@@ -1813,11 +2060,17 @@
         next_session: AtomicU64::new(1),
         doubted: Mutex::default(),
         hasher: std::hash::RandomState::new(),
-        max_sessions: settings.limits.max_open_files.saturating_sub(SPARE_FILES).max(16) as usize,
+        max_sessions: settings
+            .limits
+            .max_open_files
+            .saturating_sub(SPARE_FILES)
+            .max(16) as usize,
     });
     let asked = Arc::clone(&stile);
-    http::serve(listen(readiness)?, "readiness", move |request| answer(&asked, &request))
-        .map_err(|e| Fatal::Listen(readiness.to_string(), e))?;
+    http::serve(listen(readiness)?, "readiness", move |request| {
+        answer(&asked, &request)
+    })
+    .map_err(|e| Fatal::Listen(readiness.to_string(), e))?;
     let linking = Arc::clone(&stile);
     let seeds = settings.seed_peers();
     std::thread::spawn(move || linking.keep_link(seeds));
@@ -1859,11 +2112,20 @@
 const NOTICED_MS: u64 = 2_300;
 
 /// The loop that renews leases, tends sessions and ends the program in order.
-fn tend(stile: &Arc<Stile>, signals: &Signals, mut watched: Watched, mut settings: Settings) -> Result<(), Fatal> {
+fn tend(
+    stile: &Arc<Stile>,
+    signals: &Signals,
+    mut watched: Watched,
+    mut settings: Settings,
+) -> Result<(), Fatal> {
     let mut tended = Tick(0);
     let mut leaving: Option<Tick> = None;
     loop {
-        std::thread::sleep(Duration::from_millis(if leaving.is_some() { 50 } else { 150 }));
+        std::thread::sleep(Duration::from_millis(if leaving.is_some() {
+            50
+        } else {
+            150
+        }));
         let now = Tick::now();
         stile.renew_when_due();
         if now.since(tended) >= 500 {
--- /dev/null
+++ b/tests/graft.rs
@@ -0,0 +1,326 @@
+//! The reroute design as a table: what was said and answered, what was lost, and what follows.
+use silvertack::common::errors::{ANSWERS, ErrorKind};
+use silvertack::common::ids::{DbTerm, Position, Tick};
+use silvertack::common::wire::{self, Line, State};
+use silvertack::stile::{Admission, Fate, Floors, Graft, Kind, Pace, Task, Verdict};
+
+const NOW: Tick = Tick(10_000);
+
+fn hear(graft: &mut Graft, text: &str) -> Verdict {
+    let line = format!("QUERY q1 {text}");
+    match wire::parse(line.as_bytes()) {
+        Ok(Line::Query { statement, .. }) => graft.hear(&statement, NOW),
+        other => panic!("{text}: {other:?}"),
+    }
+}
+
+/// Says each text; one that a database has to run is answered with success.
+fn after(texts: &[&str]) -> Graft {
+    let mut graft = Graft::default();
+    for text in texts {
+        if let Verdict::Run(task) = hear(&mut graft, text) {
+            let idle = task.alone || task.kind == Kind::Commit;
+            graft.answered(if idle { State::Idle } else { State::Open });
+        }
+    }
+    graft
+}
+
+fn task(graft: &mut Graft, text: &str) -> Task {
+    match hear(graft, text) {
+        Verdict::Run(task) => task,
+        other => panic!("{text}: {other:?}"),
+    }
+}
+
+#[test]
+fn what_a_loss_means() {
+    use ErrorKind::{RolledBack, Unknown};
+    use Fate::{Rerun, Tell};
+    // before, the statement that is lost, whether it was sent, its fate, the state afterwards
+    let table: &[(&[&str], &str, bool, Fate, State)] = &[
+        // Silent rerun: nothing can have been kept.
+        (&[], "FETCH a", true, Rerun, State::Idle),
+        (&[], "STORE a 1", false, Rerun, State::Idle),
+        (&["BEGIN"], "FETCH a", true, Rerun, State::Open),
+        (&["BEGIN"], "STORE a 1", true, Rerun, State::Open),
+        (&["BEGIN"], "COMMIT", true, Rerun, State::Open),
+        (&["BEGIN FETCH"], "FETCH a", true, Rerun, State::Open),
+        (
+            &["PREPARE p FETCH x"],
+            "EXECUTE p a",
+            true,
+            Rerun,
+            State::Idle,
+        ),
+        // An outcome that can't be known, and no second run.
+        (&[], "STORE a 1", true, Tell(Unknown), State::Idle),
+        (
+            &["PREPARE p STORE x"],
+            "EXECUTE p a 1",
+            true,
+            Tell(Unknown),
+            State::Idle,
+        ),
+        (
+            &["BEGIN", "STORE a 1"],
+            "COMMIT",
+            true,
+            Tell(Unknown),
+            State::Idle,
+        ),
+        (
+            &["PREPARE p STORE x", "BEGIN", "EXECUTE p a 1"],
+            "COMMIT",
+            true,
+            Tell(Unknown),
+            State::Idle,
+        ),
+        // In mid-transaction: rolled back, with a signal to try again; never seamless.
+        (
+            &["BEGIN", "FETCH a"],
+            "FETCH b",
+            true,
+            Tell(RolledBack),
+            State::Idle,
+        ),
+        (
+            &["BEGIN", "FETCH a"],
+            "FETCH b",
+            false,
+            Tell(RolledBack),
+            State::Idle,
+        ),
+        (
+            &["BEGIN", "FETCH a"],
+            "STORE b 1",
+            true,
+            Tell(RolledBack),
+            State::Idle,
+        ),
+        (
+            &["BEGIN", "STORE a 1"],
+            "COMMIT",
+            false,
+            Tell(RolledBack),
+            State::Idle,
+        ),
+        // It only read, but the stamp of its commit can be had nowhere else.
+        (
+            &["BEGIN", "FETCH a"],
+            "COMMIT",
+            true,
+            Tell(RolledBack),
+            State::Idle,
+        ),
+        (
+            &["BEGIN FETCH", "FETCH a"],
+            "COMMIT",
+            true,
+            Tell(RolledBack),
+            State::Idle,
+        ),
+    ];
+    for (before, text, sent, fate, state) in table {
+        let mut graft = after(before);
+        let task = task(&mut graft, text);
+        assert_eq!(
+            graft.lost(&task, *sent),
+            *fate,
+            "{before:?} {text} sent={sent}"
+        );
+        assert_eq!(graft.state(), *state, "{before:?} {text} sent={sent}");
+    }
+}
+
+#[test]
+fn a_rerun_first_write_still_counts_at_the_commit() {
+    let mut graft = after(&["BEGIN"]);
+    let first = task(&mut graft, "STORE a 1");
+    assert_eq!(graft.lost(&first, true), Fate::Rerun);
+    graft.answered(State::Open);
+    let commit = task(&mut graft, "COMMIT");
+    assert_eq!(graft.lost(&commit, true), Fate::Tell(ErrorKind::Unknown));
+}
+
+#[test]
+fn the_flag_and_the_replay_set_follow_the_session() {
+    let mut graft = after(&[
+        "CONFIGURE tenant a",
+        "CONFIGURE tenant b",
+        "PREPARE s FETCH x",
+        "PREPARE t STORE y",
+    ]);
+    assert!(graft.reusable());
+    let version = graft.version();
+    hear(&mut graft, "BEGIN");
+    assert!(
+        !graft.reusable(),
+        "a transaction ties the session to its connection"
+    );
+    hear(&mut graft, "CONFIGURE tenant c");
+    assert!(
+        graft.version() > version,
+        "what was acknowledged inside holds too"
+    );
+    // A loss keeps the session's values and names.
+    let lost = task(&mut graft, "FETCH a");
+    graft.answered(State::Open);
+    let second = task(&mut graft, "FETCH b");
+    assert_eq!(graft.lost(&second, true), Fate::Tell(ErrorKind::RolledBack));
+    assert!(lost.first && !second.first);
+    assert!(graft.reusable());
+    let (values, names) = graft.replay();
+    assert_eq!(values.get("tenant").map(String::as_str), Some("c"));
+    assert_eq!(names.count(), 2);
+    assert_eq!(hear(&mut graft, "DEALLOCATE s"), Verdict::Settled);
+    assert_eq!(graft.replay().1.count(), 1);
+}
+
+#[test]
+fn what_is_answered_here() {
+    use ErrorKind::{Malformed, NotFound, RolledBack};
+    let table: &[(&[&str], &str, Verdict, State)] = &[
+        (&[], "BEGIN", Verdict::Settled, State::Open),
+        (&[], "COMMIT", Verdict::Refused(Malformed), State::Idle),
+        (&[], "ABORT", Verdict::RolledBack, State::Idle),
+        (
+            &["BEGIN", "FETCH a"],
+            "ABORT",
+            Verdict::RolledBack,
+            State::Idle,
+        ),
+        (
+            &["BEGIN"],
+            "BEGIN",
+            Verdict::Refused(Malformed),
+            State::Failed,
+        ),
+        (
+            &["BEGIN", "BEGIN"],
+            "FETCH a",
+            Verdict::Refused(Malformed),
+            State::Failed,
+        ),
+        (
+            &["BEGIN", "BEGIN"],
+            "COMMIT",
+            Verdict::Refused(RolledBack),
+            State::Idle,
+        ),
+        (
+            &["BEGIN", "BEGIN"],
+            "ABORT",
+            Verdict::RolledBack,
+            State::Idle,
+        ),
+        (&[], "EXECUTE p a", Verdict::Refused(NotFound), State::Idle),
+        (
+            &["BEGIN"],
+            "EXECUTE p a",
+            Verdict::Refused(NotFound),
+            State::Failed,
+        ),
+        (
+            &["PREPARE p FETCH x", "DEALLOCATE p"],
+            "EXECUTE p a",
+            Verdict::Refused(NotFound),
+            State::Idle,
+        ),
+        (&[], "DEALLOCATE p", Verdict::Refused(NotFound), State::Idle),
+        (
+            &["PREPARE p FETCH x"],
+            "DEALLOCATE p",
+            Verdict::Settled,
+            State::Idle,
+        ),
+    ];
+    for (before, text, verdict, state) in table {
+        let mut graft = after(before);
+        assert_eq!(hear(&mut graft, text), *verdict, "{before:?} {text}");
+        assert_eq!(graft.state(), *state, "{before:?} {text}");
+    }
+}
+
+#[test]
+fn promises_are_given_only_where_nothing_can_be_kept() {
+    for row in &ANSWERS {
+        assert_eq!(
+            row.kind.answer().word,
+            row.word,
+            "each stands in its own place"
+        );
+        assert_eq!(ErrorKind::from_word(row.word), Some(row.kind));
+    }
+    for kind in [ErrorKind::Unknown, ErrorKind::TimedOut, ErrorKind::Failed] {
+        assert!(!kind.answer().promise, "{kind}");
+    }
+}
+
+#[test]
+fn floors_are_never_older_than_they_say() {
+    let at = |number| Position {
+        term: DbTerm(3),
+        number,
+    };
+    let mut floors = Floors::default();
+    for step in 0..40 {
+        floors.learn(Tick(1_000 + step * 100), at(step));
+    }
+    // An answer that was overtaken by a newer one changes nothing.
+    floors.learn(Tick(1_500), at(1));
+    let table = [
+        // begun, may be old by, the position a replica needs
+        (5_000, 1_500, Some(at(26))),
+        (5_000, 200, Some(at(39))),
+        (5_000, 50, None),
+        (60_000, 1_500, None),
+        (4_900, 3_000, Some(at(10))),
+    ];
+    for (began, stale, needed) in table {
+        assert_eq!(
+            floors.needed(Tick(began), stale),
+            needed,
+            "begun {began}, stale {stale}"
+        );
+    }
+    let mut one = Floors::default();
+    one.learn(Tick(1_000), at(5));
+    assert_eq!(
+        one.needed(Tick(1_000), 0),
+        None,
+        "a commit of the same millisecond may be missing"
+    );
+}
+
+#[test]
+fn waiters_go_by_priority_then_deadline() {
+    let mut admission = Admission::default();
+    admission.cap = 1;
+    assert!(admission.grow());
+    assert!(!admission.grow(), "never more than the share");
+    let late = admission.queue(2, Tick(50));
+    let low = admission.queue(2, Tick(10));
+    let high = admission.queue(1, Tick(90));
+    assert!(admission.turn(&high, 1) && !admission.turn(&low, 1) && !admission.turn(&late, 1));
+    admission.leave(&high);
+    assert!(admission.turn(&low, 1) && !admission.turn(&late, 1));
+    admission.cap = 0;
+    assert!(admission.over(), "a smaller share takes back what is open");
+    admission.shrink();
+    assert!(!admission.over() && !admission.turn(&low, 0));
+}
+
+#[test]
+fn patience_follows_the_pace() {
+    let mut pace = Pace::default();
+    assert_eq!(pace.patience(250), 250, "nothing is known yet");
+    for took in [8, 9, 8, 10, 8, 9, 12, 8, 9, 8] {
+        pace.learn(took);
+    }
+    assert_eq!(pace.patience(250), 40, "quick answers, short patience");
+    for _ in 0..200 {
+        pace.learn(400);
+    }
+    assert_eq!(pace.patience(250), 250, "a slow database is not lost");
+}
--- /dev/null
+++ b/tests/hedge.rs
@@ -0,0 +1,388 @@
+//! Stewards in a box: time and the network are the test's.
+use serde_bytes::ByteBuf;
+use silvertack::common::ids::*;
+use silvertack::common::peer::*;
+use silvertack::steward::{Dirty, ELECTION_MIN_MS, Granary, Hedge, Kept};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+fn member(id: u64, voter: bool) -> Member {
+    Member {
+        id: MemberId(id),
+        node: NodeName(format!("n{id}")),
+        peer: format!("10.0.0.{}:1", id % 200).parse().expect("address"),
+        admin: format!("10.0.0.{}:2", id % 200).parse().expect("address"),
+        voter,
+    }
+}
+fn founder(id: u64, of: u64) -> Kept {
+    let members = (1..=of).map(|i| member(i, true)).collect();
+    Kept {
+        me: MemberId(id),
+        snapshot: Snapshot {
+            members,
+            ..Snapshot::default()
+        },
+        ..Kept::default()
+    }
+}
+fn change(n: u8) -> Body {
+    Body::Change(ByteBuf::from(vec![n]))
+}
+
+/// Different spreads, so that elections do not tie.
+const SPREADS: [fn() -> u64; 4] = [|| 10, || 130, || 250, || 370];
+
+/// Stewards, what is under way between them, and who can't be reached.
+struct Orchard {
+    now: Tick,
+    hedges: BTreeMap<u64, Hedge>,
+    /// What each has on disk; a message leaves only after it.
+    disks: BTreeMap<u64, Kept>,
+    wire: VecDeque<(MemberId, Raft)>,
+    cut: BTreeSet<u64>,
+}
+impl Orchard {
+    fn new(count: u64) -> Self {
+        let now = Tick(1_000);
+        let hedges = (1..=count)
+            .map(|i| {
+                (
+                    i,
+                    Hedge::new(founder(i, count), false, now, SPREADS[i as usize - 1]),
+                )
+            })
+            .collect();
+        let mut this = Self {
+            now,
+            hedges,
+            disks: BTreeMap::new(),
+            wire: VecDeque::new(),
+            cut: BTreeSet::new(),
+        };
+        this.settle();
+        this
+    }
+    fn settle(&mut self) {
+        for _ in 0..10_000 {
+            for (id, hedge) in &mut self.hedges {
+                if std::mem::take(&mut hedge.dirty) != Dirty::default()
+                    || !self.disks.contains_key(id)
+                {
+                    self.disks.insert(*id, hedge.kept.clone());
+                    hedge.advance();
+                }
+                let from_cut = self.cut.contains(id);
+                self.wire.extend(hedge.out.drain(..).filter(|_| !from_cut));
+            }
+            let Some((to, message)) = self.wire.pop_front() else {
+                return;
+            };
+            if let Some(hedge) = self.hedges.get_mut(&to.0)
+                && !self.cut.contains(&to.0)
+            {
+                hedge.step(message, self.now);
+            }
+        }
+        panic!("the stewards never come to rest");
+    }
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms / 10 {
+            self.now = self.now.plus(10);
+            for hedge in self.hedges.values_mut() {
+                hedge.tick(self.now);
+            }
+            self.settle();
+        }
+    }
+    fn leaders(&self) -> Vec<u64> {
+        let now = self.now;
+        self.hedges
+            .iter()
+            .filter(|(_, h)| h.granting(now))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+    fn lead(&mut self) -> u64 {
+        self.run(3_000);
+        let leaders = self.leaders();
+        assert_eq!(leaders.len(), 1, "one leader: {leaders:?}");
+        leaders[0]
+    }
+    fn propose(&mut self, id: u64, body: Body) -> Option<Index> {
+        let now = self.now;
+        let index = self.hedges.get_mut(&id).and_then(|h| h.propose(body, now));
+        self.settle();
+        index
+    }
+    fn restart(&mut self, id: u64) {
+        let kept = self.disks[&id].clone();
+        self.hedges.insert(
+            id,
+            Hedge::new(kept, true, self.now, SPREADS[id as usize - 1]),
+        );
+    }
+    fn changes(&self, id: u64) -> Vec<u8> {
+        self.hedges[&id]
+            .committed(Index(0))
+            .iter()
+            .filter_map(|e| match &e.body {
+                Body::Change(bytes) => bytes.first().copied(),
+                _ => None,
+            })
+            .collect()
+    }
+}
+
+#[test]
+fn one_leads_and_all_hold_what_it_committed() {
+    for count in [1, 3, 4] {
+        let mut stewards = Orchard::new(count);
+        let leader = stewards.lead();
+        for n in 0..5 {
+            assert!(stewards.propose(leader, change(n)).is_some());
+        }
+        stewards.run(500);
+        for id in 1..=count {
+            assert_eq!(
+                stewards.changes(id),
+                [0, 1, 2, 3, 4],
+                "{count} stewards, {id}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_leader_that_is_cut_off_stops_before_another_starts() {
+    let mut stewards = Orchard::new(4);
+    let old = stewards.lead();
+    stewards.cut.insert(old);
+    for _ in 0..400 {
+        stewards.run(10);
+        assert!(
+            stewards.leaders().len() <= 1,
+            "two at once: {:?}",
+            stewards.leaders()
+        );
+    }
+    let new = stewards.leaders();
+    assert!(new.len() == 1 && new != [old]);
+    // What the old one took alone is lost, and what the new one committed stays.
+    stewards.propose(old, change(66));
+    stewards.propose(new[0], change(7));
+    stewards.cut.clear();
+    stewards.run(3_000);
+    for id in 1..=4 {
+        assert_eq!(stewards.changes(id), [7], "{id}");
+    }
+}
+
+#[test]
+fn without_more_than_half_nothing_is_committed() {
+    let mut stewards = Orchard::new(4);
+    let leader = stewards.lead();
+    let others: Vec<u64> = (1..=4).filter(|i| *i != leader).take(2).collect();
+    stewards.cut.extend(others);
+    stewards.propose(leader, change(1));
+    stewards.run(3_000);
+    assert!(stewards.changes(leader).is_empty());
+    assert!(stewards.leaders().is_empty());
+    stewards.cut.clear();
+    stewards.lead();
+}
+
+#[test]
+fn all_restart_from_their_disks() {
+    let mut stewards = Orchard::new(3);
+    let leader = stewards.lead();
+    stewards.propose(leader, change(9));
+    stewards.run(400);
+    for id in 1..=3 {
+        stewards.restart(id);
+    }
+    stewards.wire.clear();
+    let leader = stewards.lead();
+    stewards.propose(leader, change(10));
+    stewards.run(400);
+    for id in 1..=3 {
+        assert_eq!(stewards.changes(id), [9, 10]);
+    }
+}
+
+#[test]
+fn a_voter_that_just_started_elects_nobody_while_a_leader_may_act() {
+    let mut stewards = Orchard::new(3);
+    let leader = stewards.lead();
+    let (voter, other) = if leader == 1 {
+        (2, 3)
+    } else {
+        (1, if leader == 2 { 3 } else { 2 })
+    };
+    stewards.restart(voter);
+    let last = stewards.hedges[&other].last();
+    let ask = |epoch| Raft {
+        from: MemberId(other),
+        epoch: Epoch(epoch),
+        kind: RaftKind::AskVote {
+            trial: false,
+            handover: false,
+            last,
+        },
+    };
+    let now = stewards.now;
+    let hedge = stewards.hedges.get_mut(&voter).expect("voter");
+    hedge.step(ask(50), now);
+    assert!(hedge.out.is_empty(), "silent at first");
+    hedge.step(ask(50), now.plus(ELECTION_MIN_MS + 1));
+    assert!(matches!(
+        hedge.out[0].1.kind,
+        RaftKind::Vote { granted: true, .. }
+    ));
+}
+
+#[test]
+fn a_leader_hands_over_without_a_gap_in_certainty() {
+    let mut stewards = Orchard::new(4);
+    let old = stewards.lead();
+    let now = stewards.now;
+    let hedge = stewards.hedges.get_mut(&old).expect("leader");
+    hedge.hand_over();
+    assert!(!hedge.granting(now), "no lease from the moment it asks");
+    stewards.settle();
+    stewards.run(300);
+    let new = stewards.leaders();
+    assert!(new.len() == 1 && new != [old], "{new:?}");
+}
+
+#[test]
+fn a_new_member_learns_first_and_a_lost_disk_gets_a_new_id() {
+    let mut stewards = Orchard::new(3);
+    let leader = stewards.lead();
+    stewards.propose(leader, change(1));
+    let lost = (1..=3).find(|i| *i != leader).expect("another");
+    // The machine of `lost` comes back with an empty disk under a fresh id.
+    stewards.hedges.remove(&lost);
+    stewards.disks.remove(&lost);
+    let fresh = Member {
+        id: MemberId(900),
+        voter: false,
+        ..member(lost, false)
+    };
+    let kept = Kept {
+        me: fresh.id,
+        ..Kept::default()
+    };
+    let now = stewards.now;
+    stewards
+        .hedges
+        .insert(900, Hedge::new(kept, false, now, || 20));
+    let joining = BTreeMap::from([(fresh.id, fresh)]);
+    let mut seen = Vec::new();
+    for _ in 0..6 {
+        if let Some(wanted) = stewards.hedges[&leader].wanted_members(&joining) {
+            seen.push(wanted.iter().map(|m| (m.id.0, m.voter)).collect::<Vec<_>>());
+            stewards.propose(leader, Body::Members(wanted));
+        }
+        stewards.run(300);
+    }
+    assert_eq!(seen.len(), 3, "out, in to learn, in to vote: {seen:?}");
+    assert!(
+        seen.iter()
+            .all(|m| !m.contains(&(900, true)) || m.len() == 3)
+    );
+    assert!(!seen[2].iter().any(|(id, _)| *id == lost) && seen[2].contains(&(900, true)));
+    assert_eq!(stewards.changes(900), [1]);
+}
+
+#[test]
+fn a_long_log_is_folded_and_a_late_member_gets_the_fold() {
+    let mut stewards = Orchard::new(3);
+    let leader = stewards.lead();
+    let late = (1..=3).find(|i| *i != leader).expect("another");
+    stewards.cut.insert(late);
+    for n in 0..=255 {
+        stewards.propose(leader, change(n));
+    }
+    stewards.propose(leader, change(1));
+    stewards.run(300);
+    let hedge = stewards.hedges.get_mut(&leader).expect("leader");
+    let commit = hedge.commit;
+    hedge.compact(commit, || vec![42]);
+    assert!(hedge.kept.log.is_empty());
+    stewards.cut.clear();
+    stewards.run(2_000);
+    assert_eq!(stewards.hedges[&late].kept.snapshot.state.as_ref(), [42]);
+    assert!(stewards.hedges[&late].commit >= commit);
+}
+
+#[test]
+fn the_disk_gives_back_what_was_saved_and_refuses_what_it_can_not_read() {
+    let folder = std::env::temp_dir().join(format!("silvertack-granary-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let (mut granary, kept) = Granary::open(&folder).expect("a new file");
+    assert!(kept.is_none());
+    let entry = |index, epoch, n| Entry {
+        epoch: Epoch(epoch),
+        index: Index(index),
+        body: change(n),
+    };
+    let mut kept = Kept {
+        epoch: Epoch(3),
+        voted: Some(MemberId(2)),
+        ..founder(1, 3)
+    };
+    kept.log = vec![entry(1, 1, 1), entry(2, 1, 2), entry(3, 1, 3)];
+    let all = Dirty {
+        hard: true,
+        log_from: Some(Index(0)),
+        snapshot: true,
+    };
+    granary.save(&kept, &all).expect("saved");
+    // A conflicting tail is replaced.
+    kept.log.truncate(1);
+    kept.log.push(entry(2, 3, 9));
+    granary
+        .save(
+            &kept,
+            &Dirty {
+                log_from: Some(Index(2)),
+                ..Dirty::default()
+            },
+        )
+        .expect("saved");
+    drop(granary);
+    let (granary, found) = Granary::open(&folder).expect("again");
+    let found = found.expect("kept");
+    assert_eq!(
+        (found.me, found.epoch, found.voted),
+        (MemberId(1), Epoch(3), Some(MemberId(2)))
+    );
+    assert_eq!(found.log, kept.log);
+    assert_eq!(found.snapshot, kept.snapshot);
+    drop(granary);
+    let file = folder.join("hedge.sqlite");
+    let newer = rusqlite::Connection::open(&file).expect("file");
+    newer
+        .execute_batch("PRAGMA user_version = 99")
+        .expect("set");
+    drop(newer);
+    let before = std::fs::read(&file).expect("bytes");
+    let refused = Granary::open(&folder)
+        .err()
+        .expect("a newer format is refused")
+        .to_string();
+    assert!(refused.contains("newer"), "{refused}");
+    assert_eq!(
+        std::fs::read(&file).expect("bytes"),
+        before,
+        "and left as it is"
+    );
+    std::fs::write(&file, vec![7u8; 8192]).expect("damage");
+    assert!(Granary::open(&folder).is_err(), "a damaged file is refused");
+    assert_eq!(
+        std::fs::read(&file).expect("bytes"),
+        vec![7u8; 8192],
+        "and left as it is"
+    );
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- /dev/null
+++ b/tests/succession.rs
@@ -0,0 +1,486 @@
+//! Who leads a service: each case is a story of events with the deeds that must follow.
+use silvertack::common::config::{Instance, Lifecycle, Role};
+use silvertack::common::ids::*;
+use silvertack::common::peer::Doubt;
+use silvertack::common::wire::Described;
+use silvertack::steward::{
+    Ask, Change, Deed, Facts, LEASE_MS, Lead, LeaseBook, Posted, Stage, Succession, Told,
+};
+use std::collections::BTreeSet;
+
+fn at(number: u64) -> Position {
+    Position {
+        term: DbTerm(1),
+        number,
+    }
+}
+fn database(state: Lifecycle, role: Role, revision: &str) -> Instance {
+    Instance {
+        target_service: "s".into(),
+        address: "10.0.0.9:80".parse().expect("address"),
+        zone: "z".into(),
+        revision: revision.into(),
+        capacity: 7,
+        lifecycle_state: state,
+        database_role: role,
+    }
+}
+/// A service with primary `a` in term 1 and replicas `b` and `c`.
+fn facts() -> Facts {
+    let replica = database(Lifecycle::Available, Role::Replica, "v1");
+    Facts {
+        service: "s".into(),
+        lead: Some(Lead {
+            term: DbTerm(1),
+            primary: "a".into(),
+            intent: None,
+        }),
+        databases: vec![
+            (
+                "a".into(),
+                database(Lifecycle::Available, Role::Primary, "v1"),
+            ),
+            ("b".into(), replica.clone()),
+            ("c".into(), replica),
+        ],
+        beating: BTreeSet::from(["a".into(), "b".into(), "c".into()]),
+        sync_replicas: 1,
+        leases_gone: false,
+        given_back: None,
+    }
+}
+fn row(primary: bool, term: u64, received: Position) -> Told {
+    Told::Row(Described {
+        primary,
+        term: DbTerm(term),
+        received,
+    })
+}
+fn ask(id: &str, ask: Ask) -> Deed {
+    Deed::Ask(id.into(), ask)
+}
+fn intend(target: &str) -> Deed {
+    Deed::Propose(Change::Intend {
+        service: "s".into(),
+        term: DbTerm(1),
+        target: target.into(),
+    })
+}
+fn led(target: &str, term: u64) -> Deed {
+    Deed::Propose(Change::Led {
+        service: "s".into(),
+        term: DbTerm(term),
+        primary: target.into(),
+    })
+}
+const PAUSE: Ask = Ask::Pause(DbTerm(2));
+
+/// A primary that is doubted and does not answer: both replicas are being paused.
+fn fencing(facts: &Facts, now: Tick) -> Succession {
+    let (mut s, first) = Succession::begin(facts, now);
+    assert_eq!(
+        first,
+        [ask("b", Ask::Continue), ask("c", Ask::Continue)],
+        "earlier pauses are let go"
+    );
+    let deeds = s.suspect(facts, &"n1".into(), &"a".into(), Doubt::Broken, now);
+    assert_eq!(deeds, [ask("a", Ask::Describe)], "it is asked itself first");
+    let deeds = s.told(facts, &"a".into(), Ask::Describe, &Told::Lost, now);
+    assert_eq!(
+        deeds,
+        [Deed::Revoke(DbTerm(1)), ask("b", PAUSE), ask("c", PAUSE)]
+    );
+    s
+}
+/// As far as a call that may be under way.
+fn posting(facts: &Facts, now: Tick) -> Succession {
+    let mut s = fencing(facts, now);
+    assert!(
+        s.told(facts, &"b".into(), PAUSE, &row(false, 1, at(7)), now)
+            .is_empty()
+    );
+    assert_eq!(
+        s.told(facts, &"c".into(), PAUSE, &row(false, 1, at(9)), now),
+        [intend("c")]
+    );
+    let Deed::Propose(change) = intend("c") else {
+        unreachable!()
+    };
+    assert_eq!(
+        s.applied(facts, &change, now),
+        [Deed::Post("c".into())],
+        "only once it is committed"
+    );
+    s
+}
+
+#[test]
+fn a_lost_primary_is_followed_by_the_furthest_replica() {
+    let (mut facts, now) = (facts(), Tick(50_000));
+    let mut s = posting(&facts, now);
+    assert_eq!(s.sealed, Some(at(9)), "reads may go on up to there");
+    assert!(
+        s.posted(&facts, &"c".into(), Posted::Accepted, now)
+            .is_empty()
+    );
+    assert_eq!(
+        s.beat(&facts, &"c".into(), Role::Primary, now.plus(300)),
+        [ask("c", Ask::Describe)]
+    );
+    let deeds = s.told(
+        &facts,
+        &"c".into(),
+        Ask::Describe,
+        &row(true, 2, at(9)),
+        now.plus(310),
+    );
+    assert_eq!(deeds, [ask("a", Ask::StepDown(DbTerm(2)))]);
+    assert!(
+        s.tick(&facts, now.plus(400)).is_empty(),
+        "old leases may still be used"
+    );
+    facts.leases_gone = true;
+    assert_eq!(s.tick(&facts, now.plus(500)), [led("c", 2)]);
+    assert!(s.tick(&facts, now.plus(510)).is_empty(), "once is enough");
+    facts.lead = Some(Lead {
+        term: DbTerm(2),
+        primary: "c".into(),
+        intent: None,
+    });
+    let Deed::Propose(change) = led("c", 2) else {
+        unreachable!()
+    };
+    assert_eq!(
+        s.applied(&facts, &change, now.plus(520)),
+        [ask("b", Ask::Continue)]
+    );
+    assert!(s.stage == Stage::Steady && !s.revoking && s.sealed.is_none());
+}
+
+#[test]
+fn a_false_alarm_changes_nothing() {
+    let (facts, now) = (facts(), Tick(50_000));
+    for told in [row(true, 1, at(9)), Told::Alive] {
+        let (mut s, _) = Succession::begin(&facts, now);
+        s.suspect(&facts, &"n1".into(), &"a".into(), Doubt::Silent, now);
+        assert!(
+            s.told(&facts, &"a".into(), Ask::Describe, &told, now)
+                .is_empty()
+        );
+        assert_eq!(s.stage, Stage::Steady);
+    }
+    // Also after the pause, as long as nothing was posted.
+    let mut s = fencing(&facts, now);
+    let deeds = s.told(
+        &facts,
+        &"a".into(),
+        Ask::Describe,
+        &row(true, 1, at(9)),
+        now,
+    );
+    assert_eq!(deeds, [ask("b", Ask::Continue), ask("c", Ask::Continue)]);
+    assert!(!s.revoking);
+    // Once posted it is too late for that.
+    let mut s = posting(&facts, now);
+    assert!(
+        s.told(
+            &facts,
+            &"a".into(),
+            Ask::Describe,
+            &row(true, 1, at(9)),
+            now
+        )
+        .is_empty()
+    );
+    assert!(matches!(s.stage, Stage::Posting { .. }));
+}
+
+#[test]
+fn three_stiles_that_hear_nothing_need_no_fourth_opinion() {
+    let (facts, now) = (facts(), Tick(50_000));
+    let (mut s, _) = Succession::begin(&facts, now);
+    for (who, deeds) in [("n1", 1), ("n1", 0), ("n2", 0), ("n3", 3)] {
+        let done = s.suspect(&facts, &who.into(), &"a".into(), Doubt::Silent, now);
+        assert_eq!(done.len(), deeds, "{who}");
+    }
+    assert!(matches!(s.stage, Stage::Fencing { target: None, .. }));
+}
+
+#[test]
+fn with_too_few_answers_nobody_is_promoted_unless_the_stiles_vouch() {
+    let now = Tick(50_000);
+    // given back by the stiles, synchronous replicas, whether `b` alone may take over at 7
+    let table = [
+        (None, 1, false),
+        (Some(Some(at(8))), 1, false),
+        (Some(Some(at(7))), 1, true),
+        (Some(None), 1, true),
+        (None, 2, true),
+        (None, 0, false),
+        (Some(Some(at(7))), 0, true),
+    ];
+    for (given_back, sync_replicas, may) in table {
+        let facts = Facts {
+            sync_replicas,
+            ..facts()
+        };
+        let mut s = fencing(&facts, now);
+        let mut deeds = s.told(&facts, &"b".into(), PAUSE, &row(false, 1, at(7)), now);
+        let facts = Facts {
+            given_back,
+            ..facts
+        };
+        if deeds.is_empty() {
+            deeds = s.tick(&facts, now.plus(20));
+        }
+        let expected = if may { vec![intend("b")] } else { Vec::new() };
+        assert_eq!(deeds, expected, "{given_back:?}, sync {sync_replicas}");
+        if !may {
+            let again = s.tick(&facts, now.plus(500));
+            assert!(
+                again.contains(&ask("c", PAUSE)),
+                "the missing one is asked again"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_second_promote_never_starts_while_a_first_may_take_effect() {
+    let (facts, now) = (facts(), Tick(50_000));
+    let abandon = Deed::Propose(Change::Abandon {
+        service: "s".into(),
+        target: "c".into(),
+    });
+    // what came of the calls, and whether the refusal after them settles it
+    let table: [(&[Posted], u64, bool); 5] = [
+        (&[], 10, true),
+        (&[Posted::Busy], 10, true),
+        (&[Posted::Accepted], 10, false),
+        (&[Posted::Unclear], 10, false),
+        (&[Posted::Unclear], 10_000, true),
+    ];
+    for (before, later, settled) in table {
+        let mut s = posting(&facts, now);
+        for posted in before {
+            assert!(s.posted(&facts, &"c".into(), *posted, now).is_empty());
+        }
+        let deeds = s.posted(&facts, &"c".into(), Posted::Refused, now.plus(later));
+        assert_eq!(
+            deeds.as_slice(),
+            if settled {
+                std::slice::from_ref(&abandon)
+            } else {
+                &[]
+            },
+            "{before:?}"
+        );
+    }
+    // An unclear call is made again, with the same target.
+    let mut s = posting(&facts, now);
+    s.posted(&facts, &"c".into(), Posted::Unclear, now);
+    let deeds = s.tick(&facts, now.plus(400));
+    assert!(deeds.contains(&Deed::Post("c".into())), "{deeds:?}");
+}
+
+#[test]
+fn a_new_leader_finishes_the_intent_it_finds() {
+    let now = Tick(50_000);
+    let mut facts = facts();
+    facts.lead = Some(Lead {
+        term: DbTerm(1),
+        primary: "a".into(),
+        intent: Some("b".into()),
+    });
+    let (mut s, deeds) = Succession::begin(&facts, now);
+    assert_eq!(deeds, [Deed::Revoke(DbTerm(1)), Deed::Post("b".into())]);
+    assert!(s.revoking, "nobody uses the old term meanwhile");
+    assert!(
+        s.suspect(&facts, &"n1".into(), &"a".into(), Doubt::Broken, now)
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_draining_primary_is_replaced_while_it_serves() {
+    let now = Tick(50_000);
+    let mut facts = facts();
+    facts.databases[0].1.lifecycle_state = Lifecycle::Draining;
+    facts.databases.push((
+        "d".into(),
+        database(Lifecycle::Available, Role::Replica, "v2"),
+    ));
+    facts.beating.insert("d".into());
+    let (mut s, _) = Succession::begin(&facts, now);
+    let deeds = s.tick(&facts, now);
+    assert_eq!(
+        deeds,
+        [ask("b", PAUSE), ask("c", PAUSE)],
+        "the newest revision is left to receive"
+    );
+    assert!(
+        !s.revoking,
+        "leases go on: every further commit is on the target"
+    );
+    assert!(
+        s.told(&facts, &"b".into(), PAUSE, &row(false, 1, at(7)), now)
+            .is_empty()
+    );
+    let deeds = s.told(&facts, &"c".into(), PAUSE, &row(false, 1, at(9)), now);
+    assert_eq!(deeds, [ask("d", Ask::Describe)]);
+    assert!(
+        s.told(
+            &facts,
+            &"d".into(),
+            Ask::Describe,
+            &row(false, 1, at(8)),
+            now
+        )
+        .is_empty(),
+        "not there yet"
+    );
+    assert_eq!(s.tick(&facts, now.plus(120)), [ask("d", Ask::Describe)]);
+    let deeds = s.told(
+        &facts,
+        &"d".into(),
+        Ask::Describe,
+        &row(false, 1, at(11)),
+        now.plus(130),
+    );
+    assert_eq!(deeds, [intend("d")]);
+    let Deed::Propose(change) = intend("d") else {
+        unreachable!()
+    };
+    s.applied(&facts, &change, now.plus(140));
+    let deeds = s.told(
+        &facts,
+        &"d".into(),
+        Ask::Describe,
+        &row(true, 2, at(11)),
+        now.plus(500),
+    );
+    assert_eq!(
+        deeds,
+        [Deed::Revoke(DbTerm(1)), ask("a", Ask::StepDown(DbTerm(2)))]
+    );
+    // A target that never catches up: everything is let go.
+    let (mut s, _) = Succession::begin(&facts, now);
+    s.tick(&facts, now);
+    assert_eq!(
+        s.tick(&facts, now.plus(3_100)),
+        [ask("b", Ask::Continue), ask("c", Ask::Continue)]
+    );
+}
+
+#[test]
+fn the_first_primary_is_believed_once_it_says_its_term() {
+    let now = Tick(50_000);
+    let facts = Facts {
+        lead: None,
+        ..facts()
+    };
+    let (mut s, deeds) = Succession::begin(&facts, now);
+    assert!(deeds.is_empty());
+    assert!(s.beat(&facts, &"b".into(), Role::Replica, now).is_empty());
+    assert_eq!(
+        s.beat(&facts, &"a".into(), Role::Primary, now),
+        [ask("a", Ask::Describe)]
+    );
+    assert_eq!(
+        s.told(
+            &facts,
+            &"a".into(),
+            Ask::Describe,
+            &row(true, 4, at(2)),
+            now
+        ),
+        [led("a", 4)]
+    );
+}
+
+#[test]
+fn an_old_primary_that_returns_is_told_to_step_down() {
+    let (facts, now) = (facts(), Tick(50_000));
+    let (mut s, _) = Succession::begin(&facts, now);
+    assert_eq!(
+        s.beat(&facts, &"b".into(), Role::Primary, now),
+        [ask("b", Ask::StepDown(DbTerm(1)))]
+    );
+    assert!(
+        s.beat(&facts, &"b".into(), Role::Primary, now.plus(10))
+            .is_empty(),
+        "not at every beat"
+    );
+}
+
+#[test]
+fn leases_are_gone_only_when_no_stile_can_use_one() {
+    let (n1, n2, s) = (
+        NodeName::from("n1"),
+        NodeName::from("n2"),
+        ServiceName::from("s"),
+    );
+    let start = Tick(100_000);
+    let mut book = LeaseBook::new(start);
+    assert!(
+        !book.gone(&s, DbTerm(1), start.plus(LEASE_MS)),
+        "another leader may have granted before"
+    );
+    let now = start.plus(20_000);
+    assert!(book.gone(&s, DbTerm(1), now));
+    book.seat(&n1, 1, 10, now);
+    book.seat(&n2, 1, 11, now);
+    book.granted(&n1, &s, DbTerm(1), now);
+    book.granted(&n2, &s, DbTerm(1), now);
+    book.give_back(&n1, &s, DbTerm(1), Some(at(5)));
+    assert!(!book.gone(&s, DbTerm(1), now.plus(10)));
+    assert_eq!(
+        book.given_back(&s, DbTerm(1), now),
+        None,
+        "one has not said"
+    );
+    // A stile that is lost keeps its lease until it runs out, and what it passed on is not known.
+    book.lose(11, now.plus(20));
+    assert!(!book.gone(&s, DbTerm(1), now.plus(LEASE_MS)));
+    assert!(book.gone(&s, DbTerm(1), now.plus(LEASE_MS + 100)));
+    assert_eq!(
+        book.given_back(&s, DbTerm(1), now.plus(LEASE_MS + 100)),
+        None
+    );
+    book.give_back(&n2, &s, DbTerm(1), Some(at(8)));
+    assert_eq!(book.given_back(&s, DbTerm(1), now), Some(Some(at(8))));
+    assert!(
+        book.gone(&s, DbTerm(1), now.plus(30)),
+        "given back is gone at once"
+    );
+}
+
+#[test]
+fn shares_never_add_up_to_more_than_the_total() {
+    let s = ServiceName::from("s");
+    let mut book = LeaseBook::new(Tick(0));
+    let nodes: Vec<NodeName> = (0..12).map(|i| NodeName(format!("n{i}"))).collect();
+    let mut now = Tick(100_000);
+    let mut held: Vec<u32> = vec![0; nodes.len()];
+    // Stiles come one after the other, some leave, and each asks in turn.
+    for round in 0..60u64 {
+        now = now.plus(450);
+        for (i, node) in nodes.iter().enumerate() {
+            let here = (i as u64) < round / 2 + 1 && !(round > 40 && i % 3 == 0);
+            if here {
+                book.seat(node, 1, i as u64, now);
+                held[i] = book.share(node, &s, 92, now);
+            } else if held[i] > 0 {
+                book.lose(i as u64, now);
+                // Its connections end within three seconds of its loss.
+                held[i] = if round > 48 { 0 } else { held[i] };
+            }
+            assert!(held.iter().sum::<u32>() <= 88, "round {round}: {held:?}");
+        }
+    }
+    let live = held.iter().filter(|h| **h > 0).count();
+    assert!(
+        live == 8 && held.iter().all(|h| *h == 0 || *h == 11),
+        "{held:?}"
+    );
+}
