--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,332 @@
+//! A stand-in for the databases of one service and for the platform, in one process.
+//!
+//! All databases share one store, so a replica is never behind. What a test wants to go wrong is
+//! set in `Faults`; everything that reached a database is kept in `ran`.
+use std::collections::{BTreeMap, HashMap};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+pub struct Ran {
+    pub database: usize,
+    pub id: String,
+    pub text: String,
+}
+
+/// Each is spent once when it is set.
+#[derive(Default)]
+pub struct Faults {
+    /// Break the connection after running the next statement with a client's id.
+    pub break_next: AtomicBool,
+    /// Answer it with something that is no answer.
+    pub garble_next: AtomicBool,
+}
+
+#[derive(Default)]
+struct Store {
+    things: HashMap<String, String>,
+    term: u64,
+    number: u64,
+    primary: usize,
+}
+
+pub struct StandIn {
+    pub service: String,
+    pub addresses: Vec<SocketAddr>,
+    pub platform: SocketAddr,
+    pub faults: Faults,
+    pub open: AtomicUsize,
+    pub most_open: AtomicUsize,
+    ran: Mutex<Vec<Ran>>,
+    store: Mutex<Store>,
+    stamps: AtomicU64,
+}
+
+fn hold<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+impl StandIn {
+    /// Starts `count` databases on ports of the loopback address, the first of them primary.
+    pub fn start(service: &str, count: usize) -> std::io::Result<Arc<Self>> {
+        let listeners = (0..count)
+            .map(|_| TcpListener::bind("127.0.0.1:0"))
+            .collect::<Result<Vec<_>, _>>()?;
+        let platform = TcpListener::bind("127.0.0.1:0")?;
+        let this = Arc::new(Self {
+            service: service.to_owned(),
+            addresses: listeners
+                .iter()
+                .map(TcpListener::local_addr)
+                .collect::<Result<_, _>>()?,
+            platform: platform.local_addr()?,
+            faults: Faults::default(),
+            open: AtomicUsize::new(0),
+            most_open: AtomicUsize::new(0),
+            ran: Mutex::default(),
+            store: Mutex::new(Store {
+                term: 1,
+                ..Store::default()
+            }),
+            stamps: AtomicU64::new(1),
+        });
+        for (database, listener) in listeners.into_iter().enumerate() {
+            let this = Arc::clone(&this);
+            std::thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let this = Arc::clone(&this);
+                    std::thread::spawn(move || {
+                        let open = this.open.fetch_add(1, Ordering::SeqCst) + 1;
+                        this.most_open.fetch_max(open, Ordering::SeqCst);
+                        // A caller that breaks off is part of the tests.
+                        let _ = this.serve(database, stream);
+                        this.open.fetch_sub(1, Ordering::SeqCst);
+                    });
+                }
+            });
+        }
+        let promoting = Arc::clone(&this);
+        std::thread::spawn(move || {
+            for stream in platform.incoming().flatten() {
+                let _ = promoting.promote(stream);
+            }
+        });
+        Ok(this)
+    }
+
+    pub fn id(&self, database: usize) -> String {
+        format!("i-{}-{database}", self.service)
+    }
+    /// What ran with a client's id, in order.
+    pub fn clients_ran(&self) -> Vec<(String, String)> {
+        hold(&self.ran)
+            .iter()
+            .filter(|r| r.id != "-")
+            .map(|r| (r.id.clone(), r.text.clone()))
+            .collect()
+    }
+    pub fn last_database(&self, id: &str) -> Option<usize> {
+        hold(&self.ran)
+            .iter()
+            .rev()
+            .find(|r| r.id == id)
+            .map(|r| r.database)
+    }
+    /// The body of a beat of this database.
+    pub fn beat(&self, database: usize, sequence: u64) -> String {
+        let role = if hold(&self.store).primary == database {
+            "primary"
+        } else {
+            "replica"
+        };
+        serde_json::json!({
+            "target_service": self.service, "address": self.addresses[database], "zone": "here",
+            "revision": "v1", "capacity": 7, "lifecycle_state": "available", "warmup_left_ms": 0,
+            "database_role": role, "sequence": sequence,
+        })
+        .to_string()
+    }
+    /// Beats for all databases to a steward's admin address, for as long as the process lives.
+    pub fn keep_beating(self: &Arc<Self>, admin: SocketAddr, every: Duration) {
+        let this = Arc::clone(self);
+        std::thread::spawn(move || {
+            for sequence in 1.. {
+                for database in 0..this.addresses.len() {
+                    let path = format!("/instances/{}", this.id(database));
+                    let _ = http(admin, "PUT", &path, &[], &this.beat(database, sequence));
+                }
+                std::thread::sleep(every);
+            }
+        });
+    }
+
+    fn promote(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        let mut bytes = Vec::new();
+        let mut chunk = [0; 1024];
+        let body = loop {
+            let got = stream.read(&mut chunk)?;
+            bytes.extend_from_slice(&chunk[..got]);
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            if let Some((_, body)) = text.split_once("\r\n\r\n")
+                && (body.ends_with('}') || got == 0)
+            {
+                break body.to_owned();
+            }
+        };
+        let body: serde_json::Value = serde_json::from_str(&body).unwrap_or_default();
+        let named = (0..self.addresses.len()).find(|d| body["instance_id"] == self.id(*d).as_str());
+        let status = match named {
+            Some(database) => {
+                let mut store = hold(&self.store);
+                if store.primary != database {
+                    store.primary = database;
+                    store.term += 1;
+                }
+                "200 OK"
+            }
+            None => "409 Conflict",
+        };
+        stream.write_all(format!("HTTP/1.1 {status}\r\nContent-Length: 2\r\n\r\n{{}}").as_bytes())
+    }
+
+    fn serve(&self, database: usize, stream: TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut reader = BufReader::new(stream.try_clone()?);
+        let mut out = stream;
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let mut words = line.split_whitespace();
+        let (_, service, _, id) = (words.next(), words.next(), words.next(), words.next());
+        if service != Some(&self.service) || id.is_some_and(|id| id != self.id(database)) {
+            return out.write_all(b"ERROR WRONGNODE other\r\n");
+        }
+        out.write_all(format!("READY I {}\r\n", self.position()).as_bytes())?;
+        let mut names: BTreeMap<String, String> = BTreeMap::new();
+        let mut open: Option<Vec<(String, String)>> = None;
+        loop {
+            line.clear();
+            if reader.read_line(&mut line)? == 0 {
+                return Ok(());
+            }
+            let Some((id, text)) = line
+                .trim_end()
+                .strip_prefix("QUERY ")
+                .and_then(|rest| rest.split_once(' '))
+            else {
+                return Ok(());
+            };
+            hold(&self.ran).push(Ran {
+                database,
+                id: id.to_owned(),
+                text: text.to_owned(),
+            });
+            let answer = self.answer(database, text, &mut names, &mut open);
+            if id != "-" && self.faults.break_next.swap(false, Ordering::SeqCst) {
+                return Ok(());
+            }
+            if id != "-" && self.faults.garble_next.swap(false, Ordering::SeqCst) {
+                out.write_all(b"COMPLETE 1\r\nNONSENSE\r\n")?;
+                continue;
+            }
+            let state = if open.is_some() { 'T' } else { 'I' };
+            out.write_all(format!("{answer}READY {state} {}\r\n", self.position()).as_bytes())?;
+        }
+    }
+
+    fn position(&self) -> String {
+        let store = hold(&self.store);
+        format!("{}.{}", store.term, store.number)
+    }
+
+    fn answer(
+        &self,
+        database: usize,
+        text: &str,
+        names: &mut BTreeMap<String, String>,
+        open: &mut Option<Vec<(String, String)>>,
+    ) -> String {
+        let text = match text.strip_prefix("WAITFOR ") {
+            Some(rest) => rest.split_once(' ').map_or("", |(_, text)| text),
+            None => text,
+        };
+        let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
+        let stamp = format!("stamp.{}", self.stamps.fetch_add(1, Ordering::SeqCst));
+        let primary = hold(&self.store).primary == database;
+        let done = "COMPLETE -\r\n".to_owned();
+        match word {
+            "BEGIN" if rest.is_empty() && !primary => "ERROR READONLY here\r\n".to_owned(),
+            "BEGIN" => {
+                *open = Some(Vec::new());
+                done
+            }
+            "COMMIT" => {
+                let writes = open.take().unwrap_or_default();
+                let mut store = hold(&self.store);
+                store.number += u64::from(!writes.is_empty());
+                store.things.extend(writes);
+                format!("COMPLETE {stamp}\r\n")
+            }
+            "ABORT" => {
+                *open = None;
+                done
+            }
+            "FETCH" => {
+                let value = hold(&self.store)
+                    .things
+                    .get(rest)
+                    .cloned()
+                    .unwrap_or_default();
+                format!("ROW {value}\r\nCOMPLETE {stamp}\r\n")
+            }
+            "STORE" if !primary => "ERROR READONLY here\r\n".to_owned(),
+            "STORE" => {
+                let (thing, data) = rest.split_once(' ').unwrap_or((rest, ""));
+                let write = (thing.to_owned(), data.to_owned());
+                match open {
+                    Some(writes) => writes.push(write),
+                    None => {
+                        let mut store = hold(&self.store);
+                        store.number += 1;
+                        store.things.extend([write]);
+                    }
+                }
+                format!("COMPLETE {stamp}\r\n")
+            }
+            "PREPARE" => {
+                let (name, shape) = rest.split_once(' ').unwrap_or((rest, ""));
+                names.insert(name.to_owned(), shape.to_owned());
+                done
+            }
+            "EXECUTE" => {
+                let (name, rest) = rest.split_once(' ').unwrap_or((rest, ""));
+                match names.get(name).and_then(|shape| shape.split(' ').next()) {
+                    Some(verb) => {
+                        let text = format!("{verb} {rest}");
+                        self.answer(database, &text, &mut BTreeMap::new(), open)
+                    }
+                    None => "ERROR NOTFOUND name\r\n".to_owned(),
+                }
+            }
+            "DISCARD" => {
+                names.clear();
+                done
+            }
+            "CONFIGURE" => done,
+            "DESCRIBE" | "PAUSE" | "CONTINUE" | "STEPDOWN" => {
+                let store = hold(&self.store);
+                let role = if primary { "primary" } else { "replica" };
+                let position = format!("{}.{}", store.term, store.number);
+                format!(
+                    "ROW {role} {} {position} 0 0 0 1\r\nCOMPLETE -\r\n",
+                    store.term
+                )
+            }
+            _ => "ERROR MALFORMED what\r\n".to_owned(),
+        }
+    }
+}
+
+/// One HTTP call on a connection of its own: the status and the body.
+pub fn http(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> std::io::Result<(u16, String)> {
+    let headers: Vec<(&str, String)> = headers.iter().map(|(n, v)| (*n, (*v).to_owned())).collect();
+    let (status, _, body) = silvertack::common::http::call(
+        to,
+        method,
+        path,
+        &headers,
+        body.as_bytes(),
+        Duration::from_secs(5),
+    )?;
+    Ok((status, String::from_utf8_lossy(&body).into_owned()))
+}
