--- a/src/common/config.rs
+++ b/src/common/config.rs
@@ -78,11 +78,7 @@
     1
 }
 fn above_zero(revision: &Revision) -> Result<(), ValidationError> {
-    if revision.0 == 0 {
-        Err(ValidationError::new("above_zero"))
-    } else {
-        Ok(())
-    }
+    if revision.0 == 0 { Err(ValidationError::new("above_zero")) } else { Ok(()) }
 }
 fn named(name: &ServiceName) -> Result<(), ValidationError> {
     if name.0.is_empty() || name.0.contains(char::is_whitespace) {
@@ -112,9 +108,7 @@
     pub fn read(body: &[u8]) -> Result<Self, String> {
         let config: Configuration =
             serde_json::from_slice(body).map_err(|e| format!("cannot be read: {e}"))?;
-        config
-            .validate()
-            .map_err(|e| e.to_string().replace('\n', "; "))?;
+        config.validate().map_err(|e| e.to_string().replace('\n', "; "))?;
         Ok(config)
     }
     /// The route of a database name as clients know it.
--- a/src/common/errors.rs
+++ b/src/common/errors.rs
@@ -29,12 +29,7 @@
 }
 
 const fn row(kind: ErrorKind, word: &'static str, promise: bool, closes: bool) -> Answer {
-    Answer {
-        kind,
-        word,
-        promise,
-        closes,
-    }
+    Answer { kind, word, promise, closes }
 }
 
 /// The table from kind to answer, in the order of the enum.
@@ -59,10 +54,7 @@
         &ANSWERS[self as usize]
     }
     pub fn from_word(word: &str) -> Option<Self> {
-        ANSWERS
-            .iter()
-            .find(|row| row.word == word)
-            .map(|row| row.kind)
+        ANSWERS.iter().find(|row| row.word == word).map(|row| row.kind)
     }
 }
 impl fmt::Display for ErrorKind {
--- a/src/common/http.rs
+++ b/src/common/http.rs
@@ -26,30 +26,17 @@
 }
 impl Response {
     pub fn json(status: u16, body: Vec<u8>) -> Self {
-        Self {
-            status,
-            location: None,
-            body,
-        }
+        Self { status, location: None, body }
     }
     pub fn ok() -> Self {
         Self::json(200, b"{}".to_vec())
     }
     /// A refusal with its reason, as every error of the admin address has it.
     pub fn refusal(status: u16, message: &str) -> Self {
-        Self::json(
-            status,
-            serde_json::json!({ "message": message })
-                .to_string()
-                .into_bytes(),
-        )
+        Self::json(status, serde_json::json!({ "message": message }).to_string().into_bytes())
     }
     pub fn elsewhere(location: String) -> Self {
-        Self {
-            status: 307,
-            location: Some(location),
-            body: b"{}".to_vec(),
-        }
+        Self { status: 307, location: Some(location), body: b"{}".to_vec() }
     }
 }
 
@@ -77,32 +64,28 @@
 {
     let handle = Arc::new(handle);
     let open = Arc::new(AtomicUsize::new(0));
-    std::thread::Builder::new()
-        .name(name.to_owned())
-        .spawn(move || {
-            for stream in listener.incoming() {
-                let Ok(stream) = stream else {
-                    std::thread::sleep(Duration::from_millis(50));
-                    continue;
-                };
-                if open.fetch_add(1, Ordering::Relaxed) >= MAX_CONNECTIONS {
-                    open.fetch_sub(1, Ordering::Relaxed);
-                    continue;
-                }
-                let handle = Arc::clone(&handle);
-                let counted = Arc::clone(&open);
-                let started = std::thread::Builder::new()
-                    .stack_size(128 << 10)
-                    .spawn(move || {
-                        // A caller that breaks off is no event of ours.
-                        let _ = converse(stream, &*handle);
-                        counted.fetch_sub(1, Ordering::Relaxed);
-                    });
-                if started.is_err() {
-                    open.fetch_sub(1, Ordering::Relaxed);
-                }
+    std::thread::Builder::new().name(name.to_owned()).spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(stream) = stream else {
+                std::thread::sleep(Duration::from_millis(50));
+                continue;
+            };
+            if open.fetch_add(1, Ordering::Relaxed) >= MAX_CONNECTIONS {
+                open.fetch_sub(1, Ordering::Relaxed);
+                continue;
+            }
+            let handle = Arc::clone(&handle);
+            let counted = Arc::clone(&open);
+            let started = std::thread::Builder::new().stack_size(128 << 10).spawn(move || {
+                // A caller that breaks off is no event of ours.
+                let _ = converse(stream, &*handle);
+                counted.fetch_sub(1, Ordering::Relaxed);
+            });
+            if started.is_err() {
+                open.fetch_sub(1, Ordering::Relaxed);
             }
-        })?;
+        }
+    })?;
     Ok(())
 }
 
@@ -262,10 +245,7 @@
                 }
             }
             _ => {
-                return Err(io::Error::new(
-                    io::ErrorKind::InvalidData,
-                    "not an HTTP answer",
-                ));
+                return Err(io::Error::new(io::ErrorKind::InvalidData, "not an HTTP answer"));
             }
         }
     };
--- a/src/common/peer.rs
+++ b/src/common/peer.rs
@@ -196,10 +196,7 @@
     from.read_exact(&mut length)?;
     let length = u32::from_be_bytes(length) as usize;
     if length > MAX_FRAME {
-        return Err(io::Error::new(
-            io::ErrorKind::InvalidData,
-            format!("frame of {length} bytes"),
-        ));
+        return Err(io::Error::new(io::ErrorKind::InvalidData, format!("frame of {length} bytes")));
     }
     // Grown as bytes come: a lying length reserves nothing.
     let mut bytes = Vec::with_capacity(length.min(64 << 10));
--- a/src/common/settings.rs
+++ b/src/common/settings.rs
@@ -58,10 +58,7 @@
 }
 impl Default for Limits {
     fn default() -> Self {
-        Self {
-            memory_mb: 256,
-            max_open_files: 1024,
-        }
+        Self { memory_mb: 256, max_open_files: 1024 }
     }
 }
 
@@ -77,11 +74,7 @@
 }
 impl Default for TimingBounds {
     fn default() -> Self {
-        Self {
-            grace_s: 6,
-            drain_ms: 7000,
-            contact_ms: 4000,
-        }
+        Self { grace_s: 6, drain_ms: 7000, contact_ms: 4000 }
     }
 }
 
@@ -105,9 +98,7 @@
     pub fn parse(text: &str) -> Result<Self, Fatal> {
         let settings: Settings =
             toml::from_str(text).map_err(|e| Fatal::Settings(one_line(&e.to_string())))?;
-        settings
-            .validate()
-            .map_err(|e| Fatal::Settings(one_line(&e.to_string())))?;
+        settings.validate().map_err(|e| Fatal::Settings(one_line(&e.to_string())))?;
         Ok(settings)
     }
     pub fn read(path: &Path) -> Result<Self, Fatal> {
@@ -131,10 +122,7 @@
         self.port_range.0
     }
     pub fn seed_peers(&self) -> Vec<SocketAddr> {
-        self.seed_nodes
-            .iter()
-            .map(|s| SocketAddr::new(s.ip(), self.peer_port()))
-            .collect()
+        self.seed_nodes.iter().map(|s| SocketAddr::new(s.ip(), self.peer_port())).collect()
     }
 }
 
--- a/src/common/wire.rs
+++ b/src/common/wire.rs
@@ -23,42 +23,22 @@
 /// What a client may ask, told apart as far as the pool needs it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Statement<'a> {
-    Begin {
-        read_only: bool,
-    },
+    Begin { read_only: bool },
     Commit,
     Abort,
     Fetch,
     Store,
-    Configure {
-        name: &'a str,
-        value: &'a str,
-    },
-    Prepare {
-        name: &'a str,
-        verb: Verb,
-        shape: &'a str,
-    },
-    Execute {
-        name: &'a str,
-        rest: &'a str,
-    },
-    Deallocate {
-        name: &'a str,
-    },
+    Configure { name: &'a str, value: &'a str },
+    Prepare { name: &'a str, verb: Verb, shape: &'a str },
+    Execute { name: &'a str, rest: &'a str },
+    Deallocate { name: &'a str },
 }
 
 /// A line from a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Line<'a> {
-    Connect {
-        database: &'a str,
-    },
-    Query {
-        id: &'a str,
-        text: &'a str,
-        statement: Statement<'a>,
-    },
+    Connect { database: &'a str },
+    Query { id: &'a str, text: &'a str, statement: Statement<'a> },
     Close,
 }
 
@@ -86,11 +66,7 @@
             if id.is_empty() || id == "-" {
                 return Err(ErrorKind::Malformed);
             }
-            Ok(Line::Query {
-                id,
-                text,
-                statement: statement(text)?,
-            })
+            Ok(Line::Query { id, text, statement: statement(text)? })
         }
         _ => Err(ErrorKind::Malformed),
     }
@@ -215,10 +191,7 @@
         let mut words = line.split(' ');
         match (words.next(), &outcome) {
             (Some("COMPLETE"), None) => {
-                words
-                    .next()
-                    .filter(|stamp| !stamp.is_empty())
-                    .ok_or(Garbled)?;
+                words.next().filter(|stamp| !stamp.is_empty()).ok_or(Garbled)?;
                 outcome = Some(Outcome::Complete);
             }
             (Some("ERROR"), None) => {
@@ -242,13 +215,7 @@
                 }
                 // The answer to CONNECT is a READY alone.
                 let outcome = outcome.unwrap_or(Outcome::Complete);
-                return Ok(Some(Reply {
-                    outcome,
-                    state,
-                    position,
-                    end: at,
-                    row,
-                }));
+                return Ok(Some(Reply { outcome, state, position, end: at, row }));
             }
             _ => return Err(Garbled),
         }
@@ -278,11 +245,7 @@
     };
     let term = super::ids::DbTerm(words.next()?.parse().ok()?);
     let received = words.next()?.parse().ok()?;
-    Some(Described {
-        primary,
-        term,
-        received,
-    })
+    Some(Described { primary, term, received })
 }
 
 /// Why no line could be had.
@@ -312,11 +275,8 @@
                     return Err(NoLine::TooLarge);
                 }
                 // A line that ends in a bare LF is handed out with it, so that it can't be read.
-                let end = if end > start && self.bytes[end - 1] == b'\r' {
-                    end - 1
-                } else {
-                    end + 1
-                };
+                let end =
+                    if end > start && self.bytes[end - 1] == b'\r' { end - 1 } else { end + 1 };
                 return Ok(&self.bytes[start..end]);
             }
             looked = self.bytes.len();
--- a/src/main.rs
+++ b/src/main.rs
@@ -101,22 +101,14 @@
             let settings = Settings::read(&path)?;
             steward::run(path, settings)
         }
-        Command::Check {
-            what: Check::Settings { file },
-        } => {
+        Command::Check { what: Check::Settings { file } } => {
             let settings = Settings::read(&file)?;
             println!("{}: ok", settings.node_name);
             Ok(())
         }
-        Command::Check {
-            what: Check::Configuration { file },
-        } => {
+        Command::Check { what: Check::Configuration { file } } => {
             let config = Configuration::read(&read(&file)?).map_err(Fatal::Configuration)?;
-            println!(
-                "revision {}: ok, {} routes",
-                config.revision,
-                config.route_rules.len()
-            );
+            println!("revision {}: ok, {} routes", config.revision, config.route_rules.len());
             Ok(())
         }
         Command::Status { address, leader } => {
@@ -134,29 +126,14 @@
             }
             print_json(address, &body)
         }
-        Command::Configuration {
-            what: ConfigurationCall::Get { address },
-        } => {
+        Command::Configuration { what: ConfigurationCall::Get { address } } => {
             let body = call(address, "GET", "/configuration", &[], &[])?;
             print_json(address, &body)
         }
-        Command::Configuration {
-            what:
-                ConfigurationCall::Put {
-                    address,
-                    file,
-                    base,
-                },
-        } => {
+        Command::Configuration { what: ConfigurationCall::Put { address, file, base } } => {
             let body = read(&file)?;
             Configuration::read(&body).map_err(Fatal::Configuration)?;
-            call(
-                address,
-                "PUT",
-                "/configuration",
-                &[("If-Match", base.to_string())],
-                &body,
-            )?;
+            call(address, "PUT", "/configuration", &[("If-Match", base.to_string())], &body)?;
             println!("taken");
             Ok(())
         }
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -42,15 +42,8 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Rank {
     Follower,
-    Candidate {
-        trial: bool,
-        handover: bool,
-        votes: BTreeSet<MemberId>,
-    },
-    Leader {
-        opened: Index,
-        since: Tick,
-    },
+    Candidate { trial: bool, handover: bool, votes: BTreeSet<MemberId> },
+    Leader { opened: Index, since: Tick },
 }
 
 #[derive(Clone, Debug)]
@@ -109,11 +102,7 @@
             heard: None,
             deadline: now,
             next_beat: now,
-            quiet_until: if restarted {
-                now.plus(ELECTION_MIN_MS)
-            } else {
-                now
-            },
+            quiet_until: if restarted { now.plus(ELECTION_MIN_MS) } else { now },
             peers: BTreeMap::new(),
             leaving: false,
             dirty: Dirty::default(),
@@ -125,10 +114,7 @@
     }
 
     pub fn last(&self) -> (Epoch, Index) {
-        self.kept
-            .log
-            .last()
-            .map_or(self.kept.snapshot.last, |e| (e.epoch, e.index))
+        self.kept.log.last().map_or(self.kept.snapshot.last, |e| (e.epoch, e.index))
     }
     fn epoch_at(&self, index: Index) -> Option<Epoch> {
         let base = self.kept.snapshot.last;
@@ -154,17 +140,10 @@
             .unwrap_or(&self.kept.snapshot.members)
     }
     fn members_pending(&self) -> bool {
-        self.kept
-            .log
-            .iter()
-            .any(|e| e.index > self.commit && matches!(e.body, Body::Members(_)))
+        self.kept.log.iter().any(|e| e.index > self.commit && matches!(e.body, Body::Members(_)))
     }
     fn voters(&self) -> Vec<MemberId> {
-        self.members()
-            .iter()
-            .filter(|m| m.voter)
-            .map(|m| m.id)
-            .collect()
+        self.members().iter().filter(|m| m.voter).map(|m| m.id).collect()
     }
     fn is_voter(&self) -> bool {
         self.voters().contains(&self.kept.me)
@@ -193,29 +172,18 @@
             .iter()
             .filter(|id| {
                 **id == self.kept.me
-                    || self
-                        .peers
-                        .get(id)
-                        .is_some_and(|p| now.since(p.acked) < within)
+                    || self.peers.get(id).is_some_and(|p| now.since(p.acked) < within)
             })
             .count();
         count >= self.quorum()
     }
 
     fn say(&mut self, to: MemberId, kind: RaftKind) {
-        let message = Raft {
-            from: self.kept.me,
-            epoch: self.kept.epoch,
-            kind,
-        };
+        let message = Raft { from: self.kept.me, epoch: self.kept.epoch, kind };
         self.out.push((to, message));
     }
     fn others(&self) -> Vec<MemberId> {
-        self.members()
-            .iter()
-            .map(|m| m.id)
-            .filter(|id| *id != self.kept.me)
-            .collect()
+        self.members().iter().map(|m| m.id).filter(|id| *id != self.kept.me).collect()
     }
     fn set_epoch(&mut self, epoch: Epoch) {
         if epoch > self.kept.epoch {
@@ -256,11 +224,7 @@
     }
     /// When `tick` next has something to do.
     pub fn due(&self) -> Tick {
-        if self.is_leader() {
-            self.next_beat
-        } else {
-            self.deadline
-        }
+        if self.is_leader() { self.next_beat } else { self.deadline }
     }
 
     fn campaign(&mut self, trial: bool, handover: bool, now: Tick) {
@@ -271,39 +235,19 @@
             self.dirty.hard = true;
         }
         let votes = BTreeSet::from([self.kept.me]);
-        self.role = Rank::Candidate {
-            trial,
-            handover,
-            votes,
-        };
+        self.role = Rank::Candidate { trial, handover, votes };
         self.rest(now);
         let last = self.last();
         for id in self.voters() {
             if id != self.kept.me {
-                let kind = RaftKind::AskVote {
-                    trial,
-                    handover,
-                    last,
-                };
-                self.out.push((
-                    id,
-                    Raft {
-                        from: self.kept.me,
-                        epoch,
-                        kind,
-                    },
-                ));
+                let kind = RaftKind::AskVote { trial, handover, last };
+                self.out.push((id, Raft { from: self.kept.me, epoch, kind }));
             }
         }
         self.count_votes(now);
     }
     fn count_votes(&mut self, now: Tick) {
-        let Rank::Candidate {
-            trial,
-            handover,
-            votes,
-        } = &self.role
-        else {
+        let Rank::Candidate { trial, handover, votes } = &self.role else {
             return;
         };
         let (trial, handover) = (*trial, *handover);
@@ -321,16 +265,7 @@
         self.peers = self
             .others()
             .into_iter()
-            .map(|id| {
-                (
-                    id,
-                    Progress {
-                        next: opened,
-                        matched: Index(0),
-                        acked: Tick(0),
-                    },
-                )
-            })
+            .map(|id| (id, Progress { next: opened, matched: Index(0), acked: Tick(0) }))
             .collect();
         self.push(Body::Opened, now);
     }
@@ -344,11 +279,7 @@
     }
     fn push(&mut self, body: Body, now: Tick) -> Index {
         let index = Index(self.last().1.0 + 1);
-        self.kept.log.push(Entry {
-            epoch: self.kept.epoch,
-            index,
-            body,
-        });
+        self.kept.log.push(Entry { epoch: self.kept.epoch, index, body });
         self.mark_log(index);
         let others = self.others();
         self.peers.retain(|id, _| others.contains(id));
@@ -372,10 +303,7 @@
         };
         let base = self.kept.snapshot.last;
         if progress.next <= base.1 {
-            let kind = RaftKind::Snapshot {
-                snapshot: self.kept.snapshot.clone(),
-                sent: now.0,
-            };
+            let kind = RaftKind::Snapshot { snapshot: self.kept.snapshot.clone(), sent: now.0 };
             self.say(id, kind);
             if let Some(progress) = self.peers.get_mut(&id) {
                 progress.next = Index(base.1.0 + 1);
@@ -387,25 +315,10 @@
             return;
         };
         let from = (before.0 - base.1.0) as usize;
-        let entries: Vec<Entry> = self
-            .kept
-            .log
-            .iter()
-            .skip(from)
-            .take(BATCH)
-            .cloned()
-            .collect();
+        let entries: Vec<Entry> = self.kept.log.iter().skip(from).take(BATCH).cloned().collect();
         let next = Index(progress.next.0 + entries.len() as u64);
         let (commit, sent) = (self.commit, now.0);
-        self.say(
-            id,
-            RaftKind::Append {
-                previous: (epoch, before),
-                entries,
-                commit,
-                sent,
-            },
-        );
+        self.say(id, RaftKind::Append { previous: (epoch, before), entries, commit, sent });
         if let Some(progress) = self.peers.get_mut(&id) {
             progress.next = next;
         }
@@ -414,20 +327,16 @@
     pub fn step(&mut self, message: Raft, now: Tick) {
         let Raft { from, epoch, kind } = message;
         match kind {
-            RaftKind::AskVote {
-                trial,
-                handover,
-                last,
-            } => self.asked_vote(from, epoch, trial, handover, last, now),
+            RaftKind::AskVote { trial, handover, last } => {
+                self.asked_vote(from, epoch, trial, handover, last, now)
+            }
             RaftKind::Vote { trial, granted } => {
                 if !granted && epoch > self.kept.epoch {
                     self.set_epoch(epoch);
                     return self.follow(None, now);
                 }
                 let asked_for = self.kept.epoch.0 + u64::from(trial);
-                if let Rank::Candidate {
-                    trial: mine, votes, ..
-                } = &mut self.role
+                if let Rank::Candidate { trial: mine, votes, .. } = &mut self.role
                     && *mine == trial
                     && granted
                     && epoch.0 == asked_for
@@ -436,18 +345,9 @@
                     self.count_votes(now);
                 }
             }
-            RaftKind::Append {
-                previous,
-                entries,
-                commit,
-                sent,
-            } => {
+            RaftKind::Append { previous, entries, commit, sent } => {
                 if !self.led_by(from, epoch, now) {
-                    let kind = RaftKind::Appended {
-                        upto: Index(0),
-                        ok: false,
-                        sent,
-                    };
+                    let kind = RaftKind::Appended { upto: Index(0), ok: false, sent };
                     return self.say(from, kind);
                 }
                 let (ok, upto) = self.take_entries(previous, entries);
@@ -458,11 +358,7 @@
             }
             RaftKind::Snapshot { snapshot, sent } => {
                 if !self.led_by(from, epoch, now) {
-                    let kind = RaftKind::Appended {
-                        upto: Index(0),
-                        ok: false,
-                        sent,
-                    };
+                    let kind = RaftKind::Appended { upto: Index(0), ok: false, sent };
                     return self.say(from, kind);
                 }
                 let upto = snapshot.last.1;
@@ -477,14 +373,7 @@
                     self.dirty.snapshot = true;
                     self.mark_log(Index(0));
                 }
-                self.say(
-                    from,
-                    RaftKind::Appended {
-                        upto,
-                        ok: true,
-                        sent,
-                    },
-                );
+                self.say(from, RaftKind::Appended { upto, ok: true, sent });
             }
             RaftKind::Appended { upto, ok, sent } => {
                 if epoch > self.kept.epoch {
@@ -546,37 +435,15 @@
             return;
         }
         if epoch < self.kept.epoch || (trial && epoch <= self.kept.epoch) {
-            return self.say(
-                from,
-                RaftKind::Vote {
-                    trial,
-                    granted: false,
-                },
-            );
+            return self.say(from, RaftKind::Vote { trial, granted: false });
         }
         let current = last >= self.last();
         if trial {
             if current {
-                let kind = RaftKind::Vote {
-                    trial,
-                    granted: true,
-                };
-                self.out.push((
-                    from,
-                    Raft {
-                        from: self.kept.me,
-                        epoch,
-                        kind,
-                    },
-                ));
+                let kind = RaftKind::Vote { trial, granted: true };
+                self.out.push((from, Raft { from: self.kept.me, epoch, kind }));
             } else {
-                self.say(
-                    from,
-                    RaftKind::Vote {
-                        trial,
-                        granted: false,
-                    },
-                );
+                self.say(from, RaftKind::Vote { trial, granted: false });
             }
             return;
         }
@@ -598,9 +465,7 @@
         let base = self.kept.snapshot.last.1;
         let agreed = previous.1 < base || self.epoch_at(previous.1) == Some(previous.0);
         if !agreed {
-            let hint = Index(previous.1.0.saturating_sub(1))
-                .min(self.last().1)
-                .max(self.commit);
+            let hint = Index(previous.1.0.saturating_sub(1)).min(self.last().1).max(self.commit);
             return (false, hint);
         }
         let upto = Index(previous.1.0 + entries.len() as u64);
@@ -675,11 +540,7 @@
             })
             .unwrap_or_else(|| self.kept.snapshot.members.clone());
         let last = (self.kept.log[at].epoch, applied);
-        self.kept.snapshot = Snapshot {
-            last,
-            members,
-            state: ByteBuf::from(state()),
-        };
+        self.kept.snapshot = Snapshot { last, members, state: ByteBuf::from(state()) };
         self.kept.log.drain(..=at);
         self.dirty.snapshot = true;
         self.mark_log(Index(0));
@@ -714,32 +575,19 @@
                 continue;
             }
             // The same machine under an older id has lost its disk: the old id goes first.
-            let rest: Vec<Member> = members
-                .iter()
-                .filter(|m| m.admin != joiner.admin)
-                .cloned()
-                .collect();
+            let rest: Vec<Member> =
+                members.iter().filter(|m| m.admin != joiner.admin).cloned().collect();
             if rest.len() < members.len() {
                 return Some(rest);
             }
-            let learner = Member {
-                voter: false,
-                ..joiner.clone()
-            };
+            let learner = Member { voter: false, ..joiner.clone() };
             return Some(members.iter().cloned().chain([learner]).collect());
         }
         let ready = members.iter().find(|m| {
-            !m.voter
-                && self
-                    .peers
-                    .get(&m.id)
-                    .is_some_and(|p| p.matched >= self.commit)
+            !m.voter && self.peers.get(&m.id).is_some_and(|p| p.matched >= self.commit)
         })?;
         let id = ready.id;
-        let promote = |m: &Member| Member {
-            voter: m.voter || m.id == id,
-            ..m.clone()
-        };
+        let promote = |m: &Member| Member { voter: m.voter || m.id == id, ..m.clone() };
         Some(members.iter().map(promote).collect())
     }
 }
@@ -762,26 +610,19 @@
         std::fs::create_dir_all(folder).map_err(|e| Fatal::State(e.to_string()))?;
         let db = Connection::open(folder.join("hedge.sqlite")).map_err(state)?;
         // Exclusive before WAL: the index of the log then lives on the heap.
-        db.pragma_update(None, "locking_mode", "EXCLUSIVE")
-            .map_err(state)?;
-        let format: i64 = db
-            .query_row("PRAGMA user_version", [], |r| r.get(0))
-            .map_err(state)?;
+        db.pragma_update(None, "locking_mode", "EXCLUSIVE").map_err(state)?;
+        let format: i64 = db.query_row("PRAGMA user_version", [], |r| r.get(0)).map_err(state)?;
         if format > FORMAT {
             return Err(Fatal::State(format!(
                 "format {format} is newer than {FORMAT}, left as it is"
             )));
         }
-        db.pragma_update(None, "journal_mode", "WAL")
-            .map_err(state)?;
-        db.pragma_update(None, "synchronous", "FULL")
-            .map_err(state)?;
-        db.pragma_update(None, "temp_store", "MEMORY")
-            .map_err(state)?;
+        db.pragma_update(None, "journal_mode", "WAL").map_err(state)?;
+        db.pragma_update(None, "synchronous", "FULL").map_err(state)?;
+        db.pragma_update(None, "temp_store", "MEMORY").map_err(state)?;
         db.pragma_update(None, "cache_size", -256).map_err(state)?;
-        let check: String = db
-            .query_row("PRAGMA quick_check(1)", [], |r| r.get(0))
-            .map_err(state)?;
+        let check: String =
+            db.query_row("PRAGMA quick_check(1)", [], |r| r.get(0)).map_err(state)?;
         if check != "ok" {
             return Err(Fatal::State(format!("damaged, left as it is: {check}")));
         }
@@ -805,11 +646,7 @@
         let broken = |e: std::io::Error| Fatal::State(format!("damaged, left as it is: {e}"));
         let hard = db
             .query_row("SELECT me, epoch, voted FROM hard", [], |r| {
-                Ok((
-                    r.get::<_, i64>(0)?,
-                    r.get::<_, i64>(1)?,
-                    r.get::<_, Option<i64>>(2)?,
-                ))
+                Ok((r.get::<_, i64>(0)?, r.get::<_, i64>(1)?, r.get::<_, Option<i64>>(2)?))
             })
             .optional()
             .map_err(state)?;
@@ -825,13 +662,8 @@
             None => Snapshot::default(),
         };
         let mut log: Vec<Entry> = Vec::new();
-        let mut rows = db
-            .prepare("SELECT body FROM log ORDER BY place")
-            .map_err(state)?;
-        for body in rows
-            .query_map([], |r| r.get::<_, Vec<u8>>(0))
-            .map_err(state)?
-        {
+        let mut rows = db.prepare("SELECT body FROM log ORDER BY place").map_err(state)?;
+        for body in rows.query_map([], |r| r.get::<_, Vec<u8>>(0)).map_err(state)? {
             let entry: Entry = unpack(&body.map_err(state)?).map_err(broken)?;
             let expected = log.last().map_or(snapshot.last.1.0, |e| e.index.0) + 1;
             if entry.index.0 != expected {
@@ -854,22 +686,15 @@
     pub fn save(&mut self, kept: &Kept, dirty: &Dirty) -> rusqlite::Result<()> {
         let tx = self.db.transaction()?;
         if dirty.hard {
-            tx.prepare_cached("INSERT OR REPLACE INTO hard VALUES (1, ?1, ?2, ?3)")?
-                .execute(params![
-                    kept.me.0 as i64,
-                    kept.epoch.0 as i64,
-                    kept.voted.map(|v| v.0 as i64)
-                ])?;
+            tx.prepare_cached("INSERT OR REPLACE INTO hard VALUES (1, ?1, ?2, ?3)")?.execute(
+                params![kept.me.0 as i64, kept.epoch.0 as i64, kept.voted.map(|v| v.0 as i64)],
+            )?;
         }
         if dirty.snapshot {
-            tx.execute(
-                "INSERT OR REPLACE INTO snapshot VALUES (1, ?1)",
-                [pack(&kept.snapshot)],
-            )?;
+            tx.execute("INSERT OR REPLACE INTO snapshot VALUES (1, ?1)", [pack(&kept.snapshot)])?;
         }
         if let Some(from) = dirty.log_from {
-            tx.prepare_cached("DELETE FROM log WHERE place >= ?1")?
-                .execute([from.0 as i64])?;
+            tx.prepare_cached("DELETE FROM log WHERE place >= ?1")?.execute([from.0 as i64])?;
             let mut insert = tx.prepare_cached("INSERT INTO log VALUES (?1, ?2)")?;
             for entry in kept.log.iter().filter(|e| e.index >= from) {
                 insert.execute(params![entry.index.0 as i64, pack(entry)])?;
@@ -910,34 +735,12 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Change {
-    Configure {
-        base: Revision,
-        revision: Revision,
-        body: ByteBuf,
-    },
-    Beat {
-        id: InstanceId,
-        instance: Instance,
-        sequence: u64,
-    },
-    Gone {
-        id: InstanceId,
-        sequence: u64,
-    },
-    Led {
-        service: ServiceName,
-        term: DbTerm,
-        primary: InstanceId,
-    },
-    Intend {
-        service: ServiceName,
-        term: DbTerm,
-        target: InstanceId,
-    },
-    Abandon {
-        service: ServiceName,
-        target: InstanceId,
-    },
+    Configure { base: Revision, revision: Revision, body: ByteBuf },
+    Beat { id: InstanceId, instance: Instance, sequence: u64 },
+    Gone { id: InstanceId, sequence: u64 },
+    Led { service: ServiceName, term: DbTerm, primary: InstanceId },
+    Intend { service: ServiceName, term: DbTerm, target: InstanceId },
+    Abandon { service: ServiceName, target: InstanceId },
 }
 
 /// What became of a change.
@@ -956,9 +759,9 @@
 
 /// FNV-1a: only to tell a resend from another body under the same revision.
 fn digest(bytes: &[u8]) -> (u64, u64) {
-    let hash = bytes.iter().fold(0xcbf2_9ce4_8422_2325u64, |h, b| {
-        (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3)
-    });
+    let hash = bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3));
     (bytes.len() as u64, hash)
 }
 
@@ -977,11 +780,7 @@
     }
     /// Whether a beat tells anything that must be kept.
     pub fn news(&self, id: &InstanceId, instance: &Instance, sequence: u64) -> bool {
-        if self
-            .gone
-            .iter()
-            .any(|(old, last)| old == id && sequence <= *last)
-        {
+        if self.gone.iter().any(|(old, last)| old == id && sequence <= *last) {
             return false;
         }
         match self.instances.get(id) {
@@ -991,11 +790,7 @@
     }
     pub fn apply(&mut self, change: &Change) -> Effect {
         match change {
-            Change::Configure {
-                base,
-                revision,
-                body,
-            } => {
+            Change::Configure { base, revision, body } => {
                 let effect = self.judge(*base, *revision, body);
                 if effect == Effect::Done {
                     self.taken.insert(*revision, digest(body));
@@ -1007,50 +802,30 @@
                 }
                 return effect;
             }
-            Change::Beat {
-                id,
-                instance,
-                sequence,
-            } => {
+            Change::Beat { id, instance, sequence } => {
                 if !self.news(id, instance, *sequence) {
                     return Effect::Nothing;
                 }
-                let record = Record {
-                    instance: instance.clone(),
-                    sequence: *sequence,
-                };
+                let record = Record { instance: instance.clone(), sequence: *sequence };
                 self.instances.insert(id.clone(), record);
             }
             Change::Gone { id, sequence } => {
                 let Some(record) = self.instances.remove(id) else {
                     return Effect::Nothing;
                 };
-                self.gone
-                    .push_back((id.clone(), record.sequence.max(*sequence)));
+                self.gone.push_back((id.clone(), record.sequence.max(*sequence)));
                 if self.gone.len() > GONE_KEPT {
                     self.gone.pop_front();
                 }
             }
-            Change::Led {
-                service,
-                term,
-                primary,
-            } => {
+            Change::Led { service, term, primary } => {
                 if self.leads.get(service).is_some_and(|l| l.term >= *term) {
                     return Effect::Nothing;
                 }
-                let lead = Lead {
-                    term: *term,
-                    primary: primary.clone(),
-                    intent: None,
-                };
+                let lead = Lead { term: *term, primary: primary.clone(), intent: None };
                 self.leads.insert(service.clone(), lead);
             }
-            Change::Intend {
-                service,
-                term,
-                target,
-            } => match self.leads.get_mut(service) {
+            Change::Intend { service, term, target } => match self.leads.get_mut(service) {
                 Some(lead) if lead.term == *term && lead.intent.is_none() => {
                     lead.intent = Some(target.clone());
                 }
@@ -1089,6 +864,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Told {
     Row(Described),
+    /// Its machine took the connection; the answer may follow.
+    Reached,
     /// It answered, so it lives, but not with its state.
     Alive,
     /// Refused, closed, or another database lives there.
@@ -1133,9 +910,7 @@
 impl Facts {
     fn replicas(&self) -> impl Iterator<Item = &(InstanceId, Instance)> {
         let primary = self.lead.as_ref().map(|l| l.primary.clone());
-        self.databases
-            .iter()
-            .filter(move |(id, _)| Some(id) != primary.as_ref())
+        self.databases.iter().filter(move |(id, _)| Some(id) != primary.as_ref())
     }
 }
 
@@ -1149,11 +924,15 @@
     /// The primary is suspected; its own answer decides.
     Doubting {
         asked: Tick,
+        /// Its machine took the connection, so it is not dark, only slow perhaps.
+        reached: bool,
     },
     /// Replicas are paused, so that the old primary can commit no more than is seen.
     Fencing {
         /// The replica a planned change goes to; none when the primary was lost.
         target: Option<InstanceId>,
+        /// Planned only because the primary is slow: given up at the first obstacle.
+        slow: bool,
         since: Tick,
         asked: Tick,
         rows: BTreeMap<InstanceId, Described>,
@@ -1179,11 +958,15 @@
     },
 }
 
+/// A machine in reach takes a connection well within this.
+const DARK_MS: u64 = 25;
 const ASK_AGAIN_MS: u64 = 400;
 const POST_AGAIN_MS: u64 = 300;
 /// A call that got an answer or none at all is not under way any more after this.
 const POST_SETTLED_MS: u64 = 3_000;
 const LOOK_AGAIN_MS: u64 = 500;
+/// A slow primary is replaced at most this often.
+const SLOW_AGAIN_MS: u64 = 5_000;
 const PLANNED_PATIENCE_MS: u64 = 3_000;
 const PAUSE_PATIENCE_MS: u64 = 600;
 /// A primary that just proved itself is not doubted again for this long.
@@ -1202,6 +985,7 @@
     rested: Option<Tick>,
     paused: BTreeSet<InstanceId>,
     stepped_down: Option<Tick>,
+    slow_tried: Option<Tick>,
 }
 
 impl Succession {
@@ -1217,13 +1001,10 @@
             rested: None,
             paused: BTreeSet::new(),
             stepped_down: None,
+            slow_tried: None,
         };
         let mut deeds = Vec::new();
-        match facts
-            .lead
-            .as_ref()
-            .and_then(|l| l.intent.clone().map(|target| (l.term, target)))
-        {
+        match facts.lead.as_ref().and_then(|l| l.intent.clone().map(|target| (l.term, target))) {
             Some((term, target)) => {
                 this.revoking = true;
                 deeds.push(Deed::Revoke(term));
@@ -1231,11 +1012,7 @@
                 this.post(target, now, &mut deeds);
             }
             None if facts.lead.is_some() => {
-                deeds.extend(
-                    facts
-                        .replicas()
-                        .map(|(id, _)| Deed::Ask(id.clone(), Ask::Continue)),
-                );
+                deeds.extend(facts.replicas().map(|(id, _)| Deed::Ask(id.clone(), Ask::Continue)));
             }
             None => {}
         }
@@ -1244,13 +1021,8 @@
 
     fn post(&mut self, target: InstanceId, now: Tick, deeds: &mut Vec<Deed>) {
         deeds.push(Deed::Post(target.clone()));
-        self.stage = Stage::Posting {
-            target,
-            tried: now,
-            in_flight: true,
-            perhaps: None,
-            looked: now,
-        };
+        self.stage =
+            Stage::Posting { target, tried: now, in_flight: true, perhaps: None, looked: now };
     }
 
     fn settle(&mut self, now: Tick) {
@@ -1288,20 +1060,11 @@
         if why == Doubt::Silent {
             self.suspects.insert(who.clone());
         }
-        let planned = matches!(
-            self.stage,
-            Stage::Fencing {
-                target: Some(_),
-                ..
-            }
-        );
+        let planned = matches!(self.stage, Stage::Fencing { target: Some(_), .. });
         match self.stage {
-            // Several stiles owed answers by a database that says nothing at all are enough.
-            Stage::Steady | Stage::Doubting { .. } if self.suspects.len() >= 3 => {
-                self.fence(facts, now)
-            }
+            Stage::Doubting { .. } => self.tick(facts, now),
             Stage::Steady => {
-                self.stage = Stage::Doubting { asked: now };
+                self.stage = Stage::Doubting { asked: now, reached: false };
                 vec![Deed::Ask(lead.primary.clone(), Ask::Describe)]
             }
             _ if planned => vec![Deed::Ask(lead.primary.clone(), Ask::Describe)],
@@ -1317,24 +1080,40 @@
         self.suspects.clear();
         self.stage = Stage::Fencing {
             target: None,
+            slow: false,
             since: now,
             asked: now,
             rows: BTreeMap::new(),
         };
         let mut deeds = vec![Deed::Revoke(lead.term)];
-        deeds.extend(self.pause(
-            facts.replicas().map(|(id, _)| id.clone()).collect(),
-            lead.term,
-        ));
+        deeds.extend(self.pause(facts.replicas().map(|(id, _)| id.clone()).collect(), lead.term));
         deeds
     }
 
     fn pause(&mut self, which: Vec<InstanceId>, term: DbTerm) -> Vec<Deed> {
         self.paused.extend(which.iter().cloned());
-        which
-            .into_iter()
-            .map(|id| Deed::Ask(id, Ask::Pause(DbTerm(term.0 + 1))))
-            .collect()
+        which.into_iter().map(|id| Deed::Ask(id, Ask::Pause(DbTerm(term.0 + 1)))).collect()
+    }
+
+    /// Begins a planned change: all replicas but the target are paused, so that from then on every
+    /// acknowledged commit is on the target, and the primary serves until the promote.
+    fn plan(&mut self, facts: &Facts, term: DbTerm, slow: bool, now: Tick) -> Vec<Deed> {
+        let Some(target) = Self::successor(facts) else { return Vec::new() };
+        let others: Vec<_> =
+            facts.replicas().map(|(id, _)| id.clone()).filter(|id| *id != target).collect();
+        let mut deeds = Vec::new();
+        if others.is_empty() {
+            deeds.push(Deed::Ask(target.clone(), Ask::Describe));
+        }
+        deeds.extend(self.pause(others, term));
+        self.stage = Stage::Fencing {
+            target: Some(target),
+            slow,
+            since: now,
+            asked: now,
+            rows: BTreeMap::new(),
+        };
+        deeds
     }
 
     /// The replica a planned change should go to, so that one promote is enough.
@@ -1345,11 +1124,7 @@
                 i.lifecycle_state == Lifecycle::Available && facts.beating.contains(id)
             })
             .max_by_key(|(id, i)| {
-                (
-                    i.revision.len(),
-                    i.revision.clone(),
-                    std::cmp::Reverse(id.clone()),
-                )
+                (i.revision.len(), i.revision.clone(), std::cmp::Reverse(id.clone()))
             })
             .map(|(id, _)| id.clone())
     }
@@ -1364,17 +1139,18 @@
     ) -> Vec<Deed> {
         let lead = facts.lead.clone();
         match (&mut self.stage, ask, told) {
+            (Stage::Doubting { reached, .. }, Ask::Describe, Told::Reached) => {
+                *reached = true;
+                Vec::new()
+            }
+            (_, _, Told::Reached) => Vec::new(),
             (Stage::Founding { .. }, Ask::Describe, Told::Row(row)) if lead.is_none() => {
                 self.stage = Stage::Steady;
                 if !row.primary {
                     return Vec::new();
                 }
                 let (service, primary) = (facts.service.clone(), of.clone());
-                vec![Deed::Propose(Change::Led {
-                    service,
-                    term: row.term,
-                    primary,
-                })]
+                vec![Deed::Propose(Change::Led { service, term: row.term, primary })]
             }
             (Stage::Founding { .. }, ..) => {
                 self.stage = Stage::Steady;
@@ -1387,7 +1163,7 @@
                     Told::Row(row) => {
                         row.primary && lead.as_ref().is_some_and(|l| l.term == row.term)
                     }
-                    Told::Alive => true,
+                    Told::Alive | Told::Reached => true,
                     Told::Lost | Told::Silent => false,
                 };
                 match (&self.stage, leads) {
@@ -1406,14 +1182,11 @@
                 let deeds = self.choose(facts, now);
                 match &self.stage {
                     // The others are paused: now see how far the target is.
-                    Stage::Fencing {
-                        target: Some(target),
-                        rows,
-                        ..
-                    } if !rows.contains_key(target)
-                        && facts
-                            .replicas()
-                            .all(|(id, _)| id == target || rows.contains_key(id)) =>
+                    Stage::Fencing { target: Some(target), rows, .. }
+                        if !rows.contains_key(target)
+                            && facts
+                                .replicas()
+                                .all(|(id, _)| id == target || rows.contains_key(id)) =>
                     {
                         vec![Deed::Ask(target.clone(), Ask::Describe)]
                     }
@@ -1426,11 +1199,7 @@
                     && lead.as_ref().is_some_and(|l| l.term < row.term) =>
             {
                 let (target, term) = (target.clone(), row.term);
-                self.stage = Stage::Taking {
-                    target,
-                    term,
-                    recorded: false,
-                };
+                self.stage = Stage::Taking { target, term, recorded: false };
                 let mut deeds = Vec::new();
                 if let Some(lead) = lead {
                     if !self.revoking {
@@ -1457,31 +1226,22 @@
         let furthest = rows.values().map(|r| r.received).max();
         let chosen = match target {
             Some(target) => {
-                let fenced = facts
-                    .replicas()
-                    .all(|(id, _)| id == target || rows.contains_key(id));
+                let fenced = facts.replicas().all(|(id, _)| id == target || rows.contains_key(id));
                 // Commits that no paused replica can vouch for must have been given back.
                 let safe = match (fenced, &facts.given_back) {
                     (true, _) if facts.sync_replicas > 0 => true,
-                    (_, Some(highest)) => rows
-                        .get(target)
-                        .is_some_and(|r| highest.is_none_or(|h| r.received >= h)),
+                    (_, Some(highest)) => {
+                        rows.get(target).is_some_and(|r| highest.is_none_or(|h| r.received >= h))
+                    }
                     _ => false,
                 };
-                let whole = rows
-                    .get(target)
-                    .is_some_and(|r| Some(r.received) >= furthest);
+                let whole = rows.get(target).is_some_and(|r| Some(r.received) >= furthest);
                 (safe && whole).then(|| target.clone())
             }
             None => {
                 let replicas = facts.replicas().count();
-                let needed = (replicas + 1)
-                    .saturating_sub(facts.sync_replicas as usize)
-                    .max(1);
-                let answered = facts
-                    .replicas()
-                    .filter(|(id, _)| rows.contains_key(id))
-                    .count();
+                let needed = (replicas + 1).saturating_sub(facts.sync_replicas as usize).max(1);
+                let answered = facts.replicas().filter(|(id, _)| rows.contains_key(id)).count();
                 let fenced = facts.sync_replicas > 0 && answered >= needed;
                 let vouched =
                     answered > 0 && facts.given_back.is_some_and(|highest| highest <= furthest);
@@ -1508,16 +1268,9 @@
         let Some(target) = chosen else {
             return Vec::new();
         };
-        self.stage = Stage::Intending {
-            target: target.clone(),
-            since: now,
-        };
+        self.stage = Stage::Intending { target: target.clone(), since: now };
         let (service, term) = (facts.service.clone(), lead.term);
-        vec![Deed::Propose(Change::Intend {
-            service,
-            term,
-            target,
-        })]
+        vec![Deed::Propose(Change::Intend { service, term, target })]
     }
 
     pub fn posted(
@@ -1527,14 +1280,7 @@
         posted: Posted,
         now: Tick,
     ) -> Vec<Deed> {
-        let Stage::Posting {
-            target,
-            in_flight,
-            perhaps,
-            tried,
-            ..
-        } = &mut self.stage
-        else {
+        let Stage::Posting { target, in_flight, perhaps, tried, .. } = &mut self.stage else {
             return Vec::new();
         };
         if of != target {
@@ -1618,47 +1364,36 @@
                 };
                 let rested = self.rested.is_none_or(|t| now.since(t) > 1_000);
                 if primary.lifecycle_state == Lifecycle::Draining && rested {
-                    let Some(target) = Self::successor(facts) else {
-                        return Vec::new();
-                    };
-                    let others: Vec<_> = facts
-                        .replicas()
-                        .map(|(id, _)| id.clone())
-                        .filter(|id| *id != target)
-                        .collect();
-                    let alone = others.is_empty();
-                    let mut deeds = self.pause(others, lead.term);
-                    if alone {
-                        deeds.push(Deed::Ask(target.clone(), Ask::Describe));
-                    }
-                    self.stage = Stage::Fencing {
-                        target: Some(target),
-                        since: now,
-                        asked: now,
-                        rows: BTreeMap::new(),
-                    };
-                    return deeds;
+                    return self.plan(facts, lead.term, false, now);
                 }
                 if !facts.beating.contains(id) && self.trusted.is_none_or(|t| now.since(t) > 2_000)
                 {
-                    self.stage = Stage::Doubting { asked: now };
+                    self.stage = Stage::Doubting { asked: now, reached: false };
                     return vec![Deed::Ask(id.clone(), Ask::Describe)];
                 }
             }
             Stage::Founding { .. } => self.stage = Stage::Steady,
-            Stage::Doubting { asked } if now.since(*asked) > 3 * ASK_AGAIN_MS => {
+            // Several stiles are owed answers. If its machine does not even take a connection, it
+            // is lost; if it does, it is slow, and a replica may do better while it still serves.
+            Stage::Doubting { asked, reached }
+                if self.suspects.len() >= 3 && now.since(*asked) >= DARK_MS =>
+            {
+                if !*reached {
+                    return self.fence(facts, now);
+                }
+                if self.slow_tried.is_none_or(|t| now.since(t) > SLOW_AGAIN_MS) {
+                    self.slow_tried = Some(now);
+                    return self.plan(facts, lead.term, true, now);
+                }
+            }
+            Stage::Doubting { asked, .. } if now.since(*asked) > 4 * ASK_AGAIN_MS => {
                 self.stage = Stage::Steady;
             }
-            Stage::Fencing {
-                target,
-                since,
-                asked,
-                rows,
-            } => {
+            Stage::Fencing { target, slow, since, asked, rows } => {
                 let waited = now.since(*since);
                 if let Some(target) = target {
                     let target = target.clone();
-                    if waited > PLANNED_PATIENCE_MS {
+                    if waited > if *slow { PAUSE_PATIENCE_MS } else { PLANNED_PATIENCE_MS } {
                         return self.call_off(now);
                     }
                     let others = facts
@@ -1672,7 +1407,7 @@
                         *asked = now;
                         return vec![Deed::Ask(target, Ask::Describe)];
                     }
-                    if stuck && !self.revoking {
+                    if stuck && !*slow && !self.revoking {
                         self.revoking = true;
                         return vec![Deed::Revoke(lead.term)];
                     }
@@ -1698,19 +1433,9 @@
                 // Proposed but not seen committed: the same proposal again changes nothing twice.
                 *since = now;
                 let (service, term, target) = (facts.service.clone(), lead.term, target.clone());
-                return vec![Deed::Propose(Change::Intend {
-                    service,
-                    term,
-                    target,
-                })];
-            }
-            Stage::Posting {
-                target,
-                tried,
-                in_flight,
-                looked,
-                perhaps,
-            } => {
+                return vec![Deed::Propose(Change::Intend { service, term, target })];
+            }
+            Stage::Posting { target, tried, in_flight, looked, perhaps } => {
                 let mut deeds = Vec::new();
                 if !*in_flight && now >= tried.plus(POST_AGAIN_MS) {
                     *in_flight = true;
@@ -1725,18 +1450,10 @@
                 }
                 return deeds;
             }
-            Stage::Taking {
-                target,
-                term,
-                recorded,
-            } if facts.leases_gone && !*recorded => {
+            Stage::Taking { target, term, recorded } if facts.leases_gone && !*recorded => {
                 *recorded = true;
                 let (service, term, primary) = (facts.service.clone(), *term, target.clone());
-                return vec![Deed::Propose(Change::Led {
-                    service,
-                    term,
-                    primary,
-                })];
+                return vec![Deed::Propose(Change::Led { service, term, primary })];
             }
             _ => {}
         }
@@ -1780,19 +1497,13 @@
 
 impl LeaseBook {
     pub fn new(elected: Tick) -> Self {
-        Self {
-            seats: BTreeMap::new(),
-            elected,
-        }
+        Self { seats: BTreeMap::new(), elected }
     }
     pub fn seat(&mut self, node: &NodeName, life: u64, conn: u64, now: Tick) {
         let seat = self.seats.entry(node.clone()).or_default();
         if seat.life != life {
             // The old process is gone and its connections with it; what it passed on is not known.
-            *seat = Seat {
-                life,
-                ..Seat::default()
-            };
+            *seat = Seat { life, ..Seat::default() };
         }
         seat.conn = Some(conn);
         seat.lost = None;
@@ -1810,8 +1521,7 @@
         }
     }
     pub fn forget_old(&mut self, now: Tick) {
-        self.seats
-            .retain(|_, s| s.lost.is_none_or(|t| now.since(t) < UNTOLD_MS));
+        self.seats.retain(|_, s| s.lost.is_none_or(|t| now.since(t) < UNTOLD_MS));
     }
     pub fn give_back(
         &mut self,
@@ -1827,6 +1537,8 @@
     pub fn granted(&mut self, node: &NodeName, service: &ServiceName, term: DbTerm, now: Tick) {
         if let Some(seat) = self.seats.get_mut(node) {
             seat.granted.insert(service.clone(), (term, now));
+            // A false alarm brings the same term again; what was given back before is old news.
+            seat.given_back.remove(service);
         }
     }
     /// No lease on `term` or an earlier one can still be in use.
@@ -1834,13 +1546,8 @@
         let over = |from: Tick| now.since(from) > LEASE_MS + LEASE_SLACK_MS;
         over(self.elected)
             && self.seats.values().all(|seat| {
-                seat.granted
-                    .get(service)
-                    .is_none_or(|(held, at)| *held > term || over(*at))
-                    || seat
-                        .given_back
-                        .get(service)
-                        .is_some_and(|(t, _)| *t >= term)
+                seat.granted.get(service).is_none_or(|(held, at)| *held > term || over(*at))
+                    || seat.given_back.get(service).is_some_and(|(t, _)| *t >= term)
             })
     }
     /// The furthest position passed on, once every stile has said it.
@@ -1863,12 +1570,7 @@
     }
     /// Divides `total` among the live stiles; what another still holds is not given twice.
     pub fn share(&mut self, node: &NodeName, service: &ServiceName, total: u32, now: Tick) -> u32 {
-        let live = self
-            .seats
-            .values()
-            .filter(|s| s.conn.is_some())
-            .count()
-            .max(1) as u32;
+        let live = self.seats.values().filter(|s| s.conn.is_some()).count().max(1) as u32;
         let total = total.saturating_sub(RESERVE.min(total / 4));
         let target = (total / live).max(1);
         let held = |s: &Seat| {
@@ -1976,14 +1678,8 @@
         Some(kept) => kept,
         None => {
             let kept = found(&settings, admin);
-            let all = Dirty {
-                hard: true,
-                log_from: Some(Index(0)),
-                snapshot: true,
-            };
-            granary
-                .save(&kept, &all)
-                .map_err(|e| Fatal::State(e.to_string()))?;
+            let all = Dirty { hard: true, log_from: Some(Index(0)), snapshot: true };
+            granary.save(&kept, &all).map_err(|e| Fatal::State(e.to_string()))?;
             kept
         }
     };
@@ -2000,10 +1696,8 @@
     let peer = SocketAddr::new(settings.ip_address, settings.peer_port());
     accept_peers(peer, tx.clone())?;
     let http_tx = tx.clone();
-    http::serve(listen(admin)?, "admin", move |request| {
-        ask_core(&http_tx, request)
-    })
-    .map_err(|e| Fatal::Listen(admin.to_string(), e))?;
+    http::serve(listen(admin)?, "admin", move |request| ask_core(&http_tx, request))
+        .map_err(|e| Fatal::Listen(admin.to_string(), e))?;
     let config = Configuration::read(&almanac.body).ok();
     let mut steward = Steward {
         hedge: Hedge::new(kept, restarted, now, rand::random::<u64>),
@@ -2045,18 +1739,12 @@
             let members = seeds.iter().enumerate().map(founder).collect();
             Kept {
                 me: MemberId(place as u64 + 1),
-                snapshot: Snapshot {
-                    members,
-                    ..Snapshot::default()
-                },
+                snapshot: Snapshot { members, ..Snapshot::default() },
                 ..Kept::default()
             }
         }
         // Below i64::MAX for the disk, and far above the founders' ids.
-        _ => Kept {
-            me: MemberId((rand::random::<u64>() >> 2) | (1 << 40)),
-            ..Kept::default()
-        },
+        _ => Kept { me: MemberId((rand::random::<u64>() >> 2) | (1 << 40)), ..Kept::default() },
     }
 }
 
@@ -2121,17 +1809,26 @@
 }
 
 /// Asks a database one thing on a connection of its own.
-fn ask_database(service: &ServiceName, id: &InstanceId, address: SocketAddr, ask: Ask) -> Told {
+///
+/// `reached` is called once the connection is there.
+fn ask_database(
+    service: &ServiceName,
+    id: &InstanceId,
+    address: SocketAddr,
+    ask: Ask,
+    reached: impl FnOnce(),
+) -> Told {
     let text = match ask {
         Ask::Describe => "DESCRIBE".to_owned(),
         Ask::Pause(term) => format!("PAUSE {term}"),
         Ask::Continue => "CONTINUE".to_owned(),
         Ask::StepDown(term) => format!("STEPDOWN {term}"),
     };
-    let exchange = || -> std::io::Result<Told> {
+    let exchange = move || -> std::io::Result<Told> {
         let limit = Duration::from_millis(300);
         let mut stream = dial(address, limit, Duration::from_secs(1))?;
-        stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+        reached();
+        stream.set_read_timeout(Some(Duration::from_millis(1_000)))?;
         stream.write_all(format!("CONNECT {service} steward {id}\r\n").as_bytes())?;
         let mut inbox = wire::Inbox::default();
         if let Some(refused) = read_answer(&mut stream, &mut inbox)? {
@@ -2200,10 +1897,7 @@
     target: &InstanceId,
 ) -> Posted {
     let body = serde_json::json!({ "target_service": service, "instance_id": target }).to_string();
-    let headers = [
-        ("Duty-Holder", holder.to_owned()),
-        ("Fence-Token", fence.to_string()),
-    ];
+    let headers = [("Duty-Holder", holder.to_owned()), ("Fence-Token", fence.to_string())];
     match http::call(
         provider,
         "POST",
@@ -2306,15 +2000,9 @@
             return;
         };
         let address = member.peer;
-        let link = self.links.entry(to).or_insert(Link {
-            stream: None,
-            dialing: false,
-            retry: now,
-        });
-        let frame = Frame::Raft {
-            to,
-            message: Box::new(message),
-        };
+        let link =
+            self.links.entry(to).or_insert(Link { stream: None, dialing: false, retry: now });
+        let frame = Frame::Raft { to, message: Box::new(message) };
         if let Some(stream) = &mut link.stream {
             if send(stream, &frame).is_ok() {
                 return;
@@ -2327,10 +2015,7 @@
             let tx = self.tx.clone();
             std::thread::spawn(move || {
                 let stream = dial(address, Duration::from_millis(500), Duration::from_secs(2))
-                    .and_then(|s| {
-                        s.set_write_timeout(Some(Duration::from_millis(200)))
-                            .map(|()| s)
-                    })
+                    .and_then(|s| s.set_write_timeout(Some(Duration::from_millis(200))).map(|()| s))
                     .and_then(|mut s| send(&mut s, &frame).map(|()| s));
                 // The core may have ended meanwhile.
                 let _ = tx.send(Input::Linked(to, stream.ok()));
@@ -2372,10 +2057,10 @@
             Input::Frame(..) => {}
             Input::Http(request, reply) => self.answer_http(request, reply, now),
             Input::Told(service, id, ask, told) => {
-                info!(target: "failover", "{service}: {id} on {ask:?}: {told:?}");
-                self.move_on(&service, now, |s, facts| {
-                    s.told(facts, &id, ask, &told, now)
-                });
+                if told != Told::Reached {
+                    info!(target: "failover", "{service}: {id} on {ask:?}: {told:?}");
+                }
+                self.move_on(&service, now, |s, facts| s.told(facts, &id, ask, &told, now));
             }
             Input::Posted(service, id, posted) => {
                 info!(target: "failover", "{service}: promote of {id}: {posted:?}");
@@ -2406,10 +2091,8 @@
                         .map(|m| format!("{}{}", m.node, if m.voter { "" } else { " (learning)" }))
                         .collect();
                     info!(target: "hedge", "members: {}", names.join(", "));
-                    self.joining
-                        .retain(|id, _| !members.iter().any(|m| m.id == *id));
-                    self.links
-                        .retain(|id, _| members.iter().any(|m| m.id == *id));
+                    self.joining.retain(|id, _| !members.iter().any(|m| m.id == *id));
+                    self.links.retain(|id, _| members.iter().any(|m| m.id == *id));
                 }
                 Body::Change(bytes) => match unpack::<Change>(bytes) {
                     Ok(change) => self.apply_change(&change, waiter, now),
@@ -2441,10 +2124,7 @@
                 }
             }
             Change::Beat { id, instance, .. } => {
-                let listed = Listed {
-                    id: id.clone(),
-                    instance: instance.clone(),
-                };
+                let listed = Listed { id: id.clone(), instance: instance.clone() };
                 info!(target: "almanac", "{id} of {}: {:?}, {:?}", instance.target_service,
                     instance.database_role, instance.lifecycle_state);
                 self.tell_stiles(&ToStile::Upsert(listed));
@@ -2455,16 +2135,10 @@
                 info!(target: "almanac", "{id} is gone");
                 self.tell_stiles(&ToStile::Remove(id.clone()));
             }
-            Change::Led {
-                service,
-                term,
-                primary,
-            } => {
+            Change::Led { service, term, primary } => {
                 info!(target: "failover", "{service}: {primary} leads term {term}");
             }
-            Change::Intend {
-                service, target, ..
-            } => {
+            Change::Intend { service, target, .. } => {
                 info!(target: "failover", "{service}: {target} is to take over");
             }
             Change::Abandon { service, target } => {
@@ -2483,8 +2157,7 @@
     }
 
     fn propose(&mut self, change: &Change, now: Tick) -> Option<Index> {
-        self.hedge
-            .propose(Body::Change(ByteBuf::from(pack(change))), now)
+        self.hedge.propose(Body::Change(ByteBuf::from(pack(change))), now)
     }
 
     // -- office --------------------------------------------------------------------------------
@@ -2504,9 +2177,7 @@
                 let beats = self.almanac.instances.iter();
                 self.office = Some(Office {
                     leases: LeaseBook::new(now),
-                    beats: beats
-                        .map(|(id, r)| (id.clone(), (now, r.sequence)))
-                        .collect(),
+                    beats: beats.map(|(id, r)| (id.clone(), (now, r.sequence))).collect(),
                     successions: BTreeMap::new(),
                     opened: false,
                 });
@@ -2661,14 +2332,11 @@
             return;
         };
         let mut deeds = Vec::new();
-        let succession = office
-            .successions
-            .entry(service.clone())
-            .or_insert_with(|| {
-                let (begun, first) = Succession::begin(&facts, now);
-                deeds = first;
-                begun
-            });
+        let succession = office.successions.entry(service.clone()).or_insert_with(|| {
+            let (begun, first) = Succession::begin(&facts, now);
+            deeds = first;
+            begun
+        });
         let before = std::mem::discriminant(&succession.stage);
         deeds.extend(step(succession, &facts));
         if before != std::mem::discriminant(&succession.stage) {
@@ -2685,10 +2353,7 @@
                 self.propose(&change, now);
             }
             Deed::Revoke(term) => {
-                self.tell_stiles(&ToStile::Revoke {
-                    service: service.clone(),
-                    term,
-                });
+                self.tell_stiles(&ToStile::Revoke { service: service.clone(), term });
             }
             Deed::Ask(id, ask) => {
                 let Some(record) = self.almanac.instances.get(&id) else {
@@ -2701,7 +2366,18 @@
                 let (tx, asks) = (self.tx.clone(), Arc::clone(&self.asks));
                 let (service, address) = (service.clone(), record.instance.address);
                 std::thread::spawn(move || {
-                    let told = ask_database(&service, &id, address, ask);
+                    // Of use only where a dark machine is to be told from a slow one.
+                    let reached = || {
+                        if ask == Ask::Describe {
+                            drop(tx.send(Input::Told(
+                                service.clone(),
+                                id.clone(),
+                                ask,
+                                Told::Reached,
+                            )));
+                        }
+                    };
+                    let told = ask_database(&service, &id, address, ask, reached);
                     asks.fetch_sub(1, Ordering::Relaxed);
                     // The core may have ended meanwhile.
                     drop(tx.send(Input::Told(service, id, ask, told)));
@@ -2747,12 +2423,7 @@
             let leader = self.leader().map(|m| m.peer);
             return self.send_conn(conn, &Frame::Steward(ToStile::Elsewhere(leader)));
         }
-        if let ToSteward::Hello {
-            node,
-            life,
-            revision,
-        } = message
-        {
+        if let ToSteward::Hello { node, life, revision } = message {
             info!(target: "stiles", "{node} is here");
             if let Some(office) = &mut self.office {
                 office.leases.seat(&node, life, conn, now);
@@ -2767,10 +2438,7 @@
                 .almanac
                 .instances
                 .iter()
-                .map(|(id, r)| Listed {
-                    id: id.clone(),
-                    instance: r.instance.clone(),
-                })
+                .map(|(id, r)| Listed { id: id.clone(), instance: r.instance.clone() })
                 .collect();
             return self.send_conn(conn, &Frame::Steward(ToStile::Directory(listed)));
         }
@@ -2780,21 +2448,13 @@
         match message {
             ToSteward::Hello { .. } => {}
             ToSteward::Renew { seq, shares } => self.renew(conn, &node, seq, shares, now),
-            ToSteward::Suspect {
-                service,
-                instance,
-                why,
-            } => {
+            ToSteward::Suspect { service, instance, why } => {
                 info!(target: "failover", "{service}: {node} doubts {instance} ({why:?})");
                 self.move_on(&service, now, |s, facts| {
                     s.suspect(facts, &node, &instance, why, now)
                 });
             }
-            ToSteward::Revoked {
-                service,
-                term,
-                highest,
-            } => {
+            ToSteward::Revoked { service, term, highest } => {
                 if let Some(office) = &mut self.office {
                     office.leases.give_back(&node, &service, term, highest);
                 }
@@ -2836,27 +2496,14 @@
                 }
                 (Some(lead), Some(_)) => {
                     office.leases.granted(node, &service.name, lead.term, now);
-                    Standing::Led {
-                        term: lead.term,
-                        primary: lead.primary.clone(),
-                    }
+                    Standing::Led { term: lead.term, primary: lead.primary.clone() }
                 }
                 _ => Standing::Unled,
             };
-            let share = office
-                .leases
-                .share(node, &service.name, service.max_connections, now);
-            grants.push(Grant {
-                service: service.name.clone(),
-                standing,
-                share,
-            });
+            let share = office.leases.share(node, &service.name, service.max_connections, now);
+            grants.push(Grant { service: service.name.clone(), standing, share });
         }
-        let granted = ToStile::Granted {
-            seq,
-            lease_ms: LEASE_MS,
-            grants,
-        };
+        let granted = ToStile::Granted { seq, lease_ms: LEASE_MS, grants };
         self.send_conn(conn, &Frame::Steward(granted));
     }
 
@@ -2865,12 +2512,7 @@
     fn answer_http(&mut self, request: Request, reply: SyncSender<Response>, now: Tick) {
         // A caller that no longer waits is none of our business.
         let say = |response: Response| drop(reply.try_send(response));
-        let path = request
-            .path
-            .split('?')
-            .next()
-            .unwrap_or_default()
-            .to_owned();
+        let path = request.path.split('?').next().unwrap_or_default().to_owned();
         let method = request.method.as_str();
         let instance = path.strip_prefix("/instances/").filter(|id| {
             !id.is_empty()
@@ -2887,10 +2529,7 @@
             return say(Response::refusal(405, "not with this method"));
         }
         if path == "/status" {
-            return say(Response::json(
-                200,
-                self.status(now).to_string().into_bytes(),
-            ));
+            return say(Response::json(200, self.status(now).to_string().into_bytes()));
         }
         // What can't be read is refused by any steward.
         let parsed = match (method, instance) {
@@ -2907,10 +2546,9 @@
                 Ok(_) => return say(Response::refusal(400, "target_service is no word")),
                 Err(e) => return say(Response::refusal(400, &format!("cannot be read: {e}"))),
             },
-            ("DELETE", Some(id)) => Some(Change::Gone {
-                id: InstanceId(id.to_owned()),
-                sequence: 0,
-            }),
+            ("DELETE", Some(id)) => {
+                Some(Change::Gone { id: InstanceId(id.to_owned()), sequence: 0 })
+            }
             _ => None,
         };
         if !self.hedge.is_leader() {
@@ -2928,20 +2566,12 @@
                 say(Response::refusal(404, "no configuration yet"));
             }
             None => say(Response::json(200, self.almanac.body.to_vec())),
-            Some(Change::Configure {
-                base,
-                revision,
-                body,
-            }) => {
+            Some(Change::Configure { base, revision, body }) => {
                 let effect = self.almanac.judge(base, revision, &body);
                 if effect != Effect::Done {
                     return say(judged(&effect));
                 }
-                let change = Change::Configure {
-                    base,
-                    revision,
-                    body,
-                };
+                let change = Change::Configure { base, revision, body };
                 match self.propose(&change, now) {
                     Some(index) => {
                         self.waiting.insert(index, Waiter::Configured(reply));
@@ -2949,11 +2579,7 @@
                     None => say(Response::refusal(503, "no leader")),
                 }
             }
-            Some(Change::Beat {
-                id,
-                instance,
-                sequence,
-            }) => {
+            Some(Change::Beat { id, instance, sequence }) => {
                 self.take_beat(id, instance, sequence, reply, now);
             }
             Some(change) => {
@@ -2995,11 +2621,7 @@
             }
         }
         if self.almanac.news(&id, &instance, sequence) {
-            let change = Change::Beat {
-                id,
-                instance,
-                sequence,
-            };
+            let change = Change::Beat { id, instance, sequence };
             match self.propose(&change, now) {
                 Some(index) => {
                     self.waiting.insert(index, Waiter::Beaten(reply));
@@ -3045,10 +2667,7 @@
             .leads
             .iter()
             .map(|(service, lead)| {
-                let stage = self
-                    .office
-                    .as_ref()
-                    .and_then(|o| o.successions.get(service));
+                let stage = self.office.as_ref().and_then(|o| o.successions.get(service));
                 serde_json::json!({
                     "service": service, "term": lead.term, "primary": lead.primary,
                     "intent": lead.intent, "stage": stage.map(|s| stage_name(&s.stage)),
@@ -3079,9 +2698,7 @@
         Stage::Steady => "steady",
         Stage::Founding { .. } => "asking the first primary",
         Stage::Doubting { .. } => "doubting the primary",
-        Stage::Fencing {
-            target: Some(_), ..
-        } => "fencing for a planned change",
+        Stage::Fencing { target: Some(_), .. } => "fencing for a planned change",
         Stage::Fencing { target: None, .. } => "fencing a lost primary",
         Stage::Intending { .. } => "writing down the intent",
         Stage::Posting { .. } => "promoting",
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -23,9 +23,7 @@
 /// A poisoned lock means that another thread died half way; going on with its data is the best
 /// that is left, since every value behind a lock here is whole between two statements.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(|poisoned| poisoned.into_inner())
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -83,12 +81,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Phase {
     Idle,
-    Open {
-        read_only: bool,
-        began: Tick,
-        shown: bool,
-        wrote: bool,
-    },
+    Open { read_only: bool, began: Tick, shown: bool, wrote: bool },
     Failed,
 }
 
@@ -105,12 +98,7 @@
 
 impl Default for Graft {
     fn default() -> Self {
-        Self {
-            phase: Phase::Idle,
-            values: BTreeMap::new(),
-            names: BTreeMap::new(),
-            version: 0,
-        }
+        Self { phase: Phase::Idle, values: BTreeMap::new(), names: BTreeMap::new(), version: 0 }
     }
 }
 
@@ -177,12 +165,7 @@
                 if self.phase != Phase::Idle {
                     return Verdict::Refused(ErrorKind::Malformed);
                 }
-                self.phase = Phase::Open {
-                    read_only,
-                    began: now,
-                    shown: false,
-                    wrote: false,
-                };
+                self.phase = Phase::Open { read_only, began: now, shown: false, wrote: false };
                 Verdict::Settled
             }
             Statement::Commit if self.phase == Phase::Idle => {
@@ -201,10 +184,7 @@
                 Verdict::Settled
             }
             Statement::Prepare { name, verb, shape } => {
-                let shape = Shape {
-                    verb,
-                    text: shape.to_owned(),
-                };
+                let shape = Shape { verb, text: shape.to_owned() };
                 self.names.insert(name.to_owned(), shape);
                 self.version += 1;
                 Verdict::Settled
@@ -228,31 +208,14 @@
 
     fn run(&mut self, kind: Kind, shape: Option<Shape>) -> Verdict {
         let task = match &mut self.phase {
-            Phase::Open {
-                read_only,
-                shown,
-                wrote,
-                ..
-            } => {
+            Phase::Open { read_only, shown, wrote, .. } => {
                 if kind == Kind::Write {
                     // From here on the end of the transaction matters, sent or not.
                     *wrote = true;
                 }
-                Task {
-                    kind,
-                    alone: false,
-                    first: !*shown,
-                    read_only: *read_only,
-                    shape,
-                }
+                Task { kind, alone: false, first: !*shown, read_only: *read_only, shape }
             }
-            _ => Task {
-                kind,
-                alone: true,
-                first: true,
-                read_only: kind == Kind::Read,
-                shape,
-            },
+            _ => Task { kind, alone: true, first: true, read_only: kind == Kind::Read, shape },
         };
         Verdict::Run(task)
     }
@@ -292,20 +255,9 @@
     /// A database's answer is passed on to the client.
     pub fn answered(&mut self, state: State) {
         self.phase = match (std::mem::replace(&mut self.phase, Phase::Idle), state) {
-            (
-                Phase::Open {
-                    read_only,
-                    began,
-                    wrote,
-                    ..
-                },
-                State::Open,
-            ) => Phase::Open {
-                read_only,
-                began,
-                shown: true,
-                wrote,
-            },
+            (Phase::Open { read_only, began, wrote, .. }, State::Open) => {
+                Phase::Open { read_only, began, shown: true, wrote }
+            }
             (Phase::Open { .. } | Phase::Failed, State::Failed) => Phase::Failed,
             _ => Phase::Idle,
         };
@@ -332,11 +284,7 @@
             return;
         }
         self.newest = Some((sent, position));
-        if self
-            .kept
-            .back()
-            .is_none_or(|(s, _)| sent.since(*s) >= FLOOR_STEP_MS)
-        {
+        if self.kept.back().is_none_or(|(s, _)| sent.since(*s) >= FLOOR_STEP_MS) {
             if self.kept.len() == FLOORS_KEPT {
                 self.kept.pop_front();
             }
@@ -348,9 +296,7 @@
         // Times are cut to whole milliseconds, so one is kept in hand.
         let fresh = |s: Tick| s.plus(stale_ms) > began.plus(1);
         let old_enough = self.kept.iter().find(|(s, _)| fresh(*s));
-        old_enough
-            .or(self.newest.as_ref().filter(|(s, _)| fresh(*s)))
-            .map(|(_, p)| *p)
+        old_enough.or(self.newest.as_ref().filter(|(s, _)| fresh(*s))).map(|(_, p)| *p)
     }
 }
 
@@ -422,10 +368,7 @@
                 Ok(0) => return Err(Loss::Broken),
                 Ok(_) => {}
                 Err(e)
-                    if matches!(
-                        e.kind(),
-                        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
-                    ) =>
+                    if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) =>
                 {
                     if let Some(loss) = look() {
                         return Err(loss);
@@ -478,9 +421,13 @@
     pub fn leave(&mut self, turn: &Turn) {
         self.waiting.remove(turn);
     }
-    /// Whether it is this waiter's turn, with `free` connections to hand out.
-    pub fn turn(&self, turn: &Turn, free: usize) -> bool {
-        let ahead = self.waiting.range(..turn).count();
+    /// Whether it is this waiter's turn, with `free` connections to hand out. One that does not
+    /// wait yet comes after all who do.
+    pub fn turn(&self, turn: Option<&Turn>, free: usize) -> bool {
+        let ahead = match turn {
+            Some(turn) => self.waiting.range(..turn).count(),
+            None => self.waiting.len(),
+        };
         let room = self.cap.saturating_sub(self.open) as usize;
         ahead < free + room
     }
@@ -521,9 +468,7 @@
         if self.seen < PACE_TRUSTED {
             return most;
         }
-        ((self.mean + 6.0 * self.stray) as u64)
-            .max(PATIENCE_MIN_MS)
-            .min(most)
+        ((self.mean + 6.0 * self.stray) as u64).max(PATIENCE_MIN_MS).min(most)
     }
 }
 
@@ -571,8 +516,7 @@
     }
     fn failed(&self, now: Tick) {
         let failures = self.failures.fetch_add(1, Ordering::Relaxed).min(4);
-        self.down_until
-            .store(now.0 + (100 << failures), Ordering::Relaxed);
+        self.down_until.store(now.0 + (100 << failures), Ordering::Relaxed);
     }
     fn heard(&self, now: Tick) {
         self.heard.store(now.0, Ordering::Relaxed);
@@ -581,10 +525,7 @@
     fn load(&self) -> (usize, bool) {
         let inner = lock(&self.inner);
         let busy = (inner.admission.open as usize).saturating_sub(inner.idle.len());
-        (
-            busy + inner.admission.waiting(),
-            inner.draining || inner.gone || inner.admission.cap == 0,
-        )
+        (busy + inner.admission.waiting(), inner.draining || inner.gone || inner.admission.cap == 0)
     }
     fn set_cap(&self, cap: u32) {
         let mut inner = lock(&self.inner);
@@ -629,11 +570,7 @@
                 break;
             }
             let free = inner.idle.len();
-            let mine = match &turn {
-                Some(turn) => inner.admission.turn(turn, free),
-                None => inner.admission.waiting() < free || inner.admission.waiting() == 0,
-            };
-            if mine {
+            if inner.admission.turn(turn.as_ref(), free) {
                 if let Some(best) = best_fit(&inner.idle, graft, session) {
                     let stock = inner.idle.swap_remove(best);
                     if let Some(turn) = &turn {
@@ -673,11 +610,8 @@
 
     fn open(&self, now: Tick, until: Tick) -> Result<Rootstock, NoRoom> {
         let connect = || -> io::Result<Result<Rootstock, ErrorKind>> {
-            let stream = dial(
-                self.address,
-                Duration::from_millis(CONNECT_MS),
-                Duration::from_secs(3),
-            )?;
+            let stream =
+                dial(self.address, Duration::from_millis(CONNECT_MS), Duration::from_secs(3))?;
             stream.set_read_timeout(Some(Duration::from_millis(LOOK_MS)))?;
             stream.set_write_timeout(Some(Duration::from_secs(1)))?;
             let mut stock = Rootstock {
@@ -777,10 +711,7 @@
             } else if stock.inside || stock.values.keys().any(|k| !values.contains_key(k)) {
                 100
             } else {
-                1 + values
-                    .iter()
-                    .filter(|(k, v)| stock.values.get(*k) != Some(v))
-                    .count()
+                1 + values.iter().filter(|(k, v)| stock.values.get(*k) != Some(v)).count()
             }
         })
         .map(|(at, _)| at)
@@ -793,18 +724,15 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Held {
     None,
-    Led {
-        term: DbTerm,
-        primary: InstanceId,
-        until: Tick,
-    },
+    Led { term: DbTerm, primary: InstanceId, until: Tick },
 }
 
 #[derive(Debug)]
 struct ServiceView {
     held: Held,
-    /// Terms up to this were taken back and are not used again.
-    revoked: Option<DbTerm>,
+    /// Terms up to this were taken back; only a renewal asked for after that one may bring them
+    /// again, when the alarm was false.
+    revoked: Option<(DbTerm, u64)>,
     floors: Floors,
     /// The furthest position passed on to a client or seen at the primary.
     highest: Option<Position>,
@@ -829,11 +757,7 @@
 impl ServiceView {
     fn lease(&self, now: Tick) -> Option<(DbTerm, &InstanceId)> {
         match &self.held {
-            Held::Led {
-                term,
-                primary,
-                until,
-            } if *until > now => Some((*term, primary)),
+            Held::Led { term, primary, until } if *until > now => Some((*term, primary)),
             _ => None,
         }
     }
@@ -889,6 +813,8 @@
 /// Silent reruns of one statement.
 const MAX_RERUNS: u32 = 4;
 const RERUN_PAUSE_MS: u64 = 15;
+/// Added to the priority of a read that is at the primary only because no replica can have it.
+const BEHIND: u8 = 100;
 
 impl Stile {
     fn config(&self) -> Option<Arc<Configuration>> {
@@ -903,10 +829,7 @@
     /// Whether the lease on this term is still held.
     fn still(&self, service: &ServiceName, term: DbTerm, now: Tick) -> bool {
         let view = lock(&self.view);
-        view.services
-            .get(service)
-            .and_then(|s| s.lease(now))
-            .is_some_and(|(t, _)| t == term)
+        view.services.get(service).and_then(|s| s.lease(now)).is_some_and(|(t, _)| t == term)
     }
     /// An answer of the primary came under a lease that still holds.
     fn learn(&self, service: &ServiceName, sent: Tick, position: Position) {
@@ -917,11 +840,7 @@
         }
     }
     fn floor(&self, service: &ServiceName, began: Tick, stale_ms: u64) -> Option<Position> {
-        lock(&self.view)
-            .services
-            .get(service)?
-            .floors
-            .needed(began, stale_ms)
+        lock(&self.view).services.get(service)?.floors.needed(began, stale_ms)
     }
     /// Replicas to read from, the best first. The zone's own costs nothing between zones, so it is
     /// taken until it has clearly more to do.
@@ -946,7 +865,10 @@
     }
 
     fn tell(&self, message: ToSteward) {
-        if let Some(stream) = lock(&self.link).as_mut()
+        self.tell_under(&mut lock(&self.link), message);
+    }
+    fn tell_under(&self, link: &mut Option<TcpStream>, message: ToSteward) {
+        if let Some(stream) = link.as_mut()
             && send(stream, &Frame::Stile(message)).is_err()
         {
             // The reader sees the end and looks for another leader.
@@ -962,11 +884,7 @@
             doubted.insert(pool.id.clone(), now);
         }
         let (service, instance) = (pool.service.clone(), pool.id.clone());
-        self.tell(ToSteward::Suspect {
-            service,
-            instance,
-            why,
-        });
+        self.tell(ToSteward::Suspect { service, instance, why });
     }
     fn renew_when_due(&self) {
         let last = lock(&self.sent).back().map(|(_, t)| *t);
@@ -976,12 +894,12 @@
         }
     }
     fn renew(&self) {
+        // Numbered and sent under the link's lock, so that a lease given back and a renewal reach
+        // the leader in the order in which this stile thinks of them.
+        let mut link = lock(&self.link);
         let shares = {
             let view = lock(&self.view);
-            view.services
-                .iter()
-                .map(|(name, s)| (name.clone(), s.share))
-                .collect()
+            view.services.iter().map(|(name, s)| (name.clone(), s.share)).collect()
         };
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
         {
@@ -991,7 +909,25 @@
                 sent.pop_front();
             }
         }
-        self.tell(ToSteward::Renew { seq, shares });
+        self.tell_under(&mut link, ToSteward::Renew { seq, shares });
+    }
+    /// The leader takes a term back: nothing is sent or passed on under it from here on.
+    fn revoke(&self, service: ServiceName, term: DbTerm) {
+        let mut link = lock(&self.link);
+        let highest = {
+            let mut view = lock(&self.view);
+            let seen = view.services.entry(service.clone()).or_default();
+            seen.revoked = Some((term, self.seq.load(Ordering::Relaxed)));
+            if matches!(seen.held, Held::Led { term: held, .. } if held <= term) {
+                seen.held = Held::None;
+                seen.unled_since = Some(Tick::now());
+            }
+            seen.highest
+        };
+        info!(target: "lease", "{service}: term {term} was taken back");
+        self.tell_under(&mut link, ToSteward::Revoked { service, term, highest });
+        drop(link);
+        self.changed.notify_all();
     }
 
     // -- what the leader says --------------------------------------------------------------------
@@ -1001,11 +937,7 @@
             ToStile::Elsewhere(_) | ToStile::Welcome { .. } => {}
             ToStile::Configured(config) => {
                 let mut view = lock(&self.view);
-                if view
-                    .config
-                    .as_ref()
-                    .is_some_and(|c| c.revision >= config.revision)
-                {
+                if view.config.as_ref().is_some_and(|c| c.revision >= config.revision) {
                     return;
                 }
                 info!(target: "stile", "configuration {} is in force", config.revision);
@@ -1032,39 +964,14 @@
             }
             ToStile::Upsert(listed) => Self::upsert(&mut lock(&self.view), listed),
             ToStile::Remove(id) => Self::remove(&mut lock(&self.view), &id),
-            ToStile::Granted {
-                seq,
-                lease_ms,
-                grants,
-            } => self.granted(seq, lease_ms, grants),
-            ToStile::Revoke { service, term } => {
-                let highest = {
-                    let mut view = lock(&self.view);
-                    let seen = view.services.entry(service.clone()).or_default();
-                    seen.revoked = seen.revoked.max(Some(term));
-                    if matches!(seen.held, Held::Led { term: held, .. } if held <= term) {
-                        seen.held = Held::None;
-                        seen.unled_since = Some(Tick::now());
-                    }
-                    seen.highest
-                };
-                info!(target: "lease", "{service}: term {term} was taken back");
-                self.changed.notify_all();
-                self.tell(ToSteward::Revoked {
-                    service,
-                    term,
-                    highest,
-                });
-            }
+            ToStile::Granted { seq, lease_ms, grants } => self.granted(seq, lease_ms, grants),
+            ToStile::Revoke { service, term } => self.revoke(service, term),
             ToStile::Renew => self.renew(),
         }
     }
 
     fn upsert(view: &mut View, listed: Listed) {
-        let share = view
-            .services
-            .get(&listed.instance.target_service)
-            .map_or(0, |s| s.share);
+        let share = view.services.get(&listed.instance.target_service).map_or(0, |s| s.share);
         let fits =
             |p: &Arc<Pool>| p.address == listed.instance.address && p.zone == listed.instance.zone;
         let pool = match view.pools.get(&listed.id).filter(|p| fits(p)) {
@@ -1079,10 +986,7 @@
         };
         // News of a database: whatever kept it from being tried may be over.
         pool.down_until.store(0, Ordering::Relaxed);
-        pool.retire(
-            listed.instance.lifecycle_state == Lifecycle::Draining,
-            false,
-        );
+        pool.retire(listed.instance.lifecycle_state == Lifecycle::Draining, false);
     }
     fn remove(view: &mut View, id: &InstanceId) {
         if let Some(pool) = view.pools.remove(id) {
@@ -1104,15 +1008,11 @@
             let led = matches!(seen.held, Held::Led { .. });
             match grant.standing {
                 Standing::Led { term, primary } => {
-                    if seen.revoked.is_none_or(|r| term > r) {
+                    if seen.revoked.is_none_or(|(last, upto)| term > last || seq > upto) {
                         if !matches!(&seen.held, Held::Led { term: t, .. } if *t == term) {
                             info!(target: "lease", "{}: {primary} leads term {term}", grant.service);
                         }
-                        seen.held = Held::Led {
-                            term,
-                            primary,
-                            until: asked.plus(lease_ms),
-                        };
+                        seen.held = Held::Led { term, primary, until: asked.plus(lease_ms) };
                         seen.unled_since = None;
                     }
                 }
@@ -1229,9 +1129,7 @@
         Err(NoLine::TooLarge) => return refuse(ErrorKind::TooLarge, "over 1 MiB"),
         Err(_) => return Ok(()),
     };
-    let found = stile
-        .config()
-        .and_then(|c| c.route(&database).cloned().map(|r| (c, r)));
+    let found = stile.config().and_then(|c| c.route(&database).cloned().map(|r| (c, r)));
     let Some((config, route)) = found else {
         return refuse(ErrorKind::NoDatabase, "no such database");
     };
@@ -1281,11 +1179,7 @@
             let arrived = Tick::now();
             let say = match wire::parse(line) {
                 Ok(Line::Close) => return Ok(()),
-                Ok(Line::Query {
-                    id,
-                    text,
-                    statement,
-                }) => {
+                Ok(Line::Query { id, text, statement }) => {
                     if state == State::Idle && !self.rebind_route() {
                         return client.write_all(b"ERROR NODATABASE no such database any more\r\n");
                     }
@@ -1364,10 +1258,7 @@
 
     /// Lets go of the connection; what it has open is rolled back first.
     fn unbind(&mut self) {
-        let Some(Bound {
-            mut stock, pool, ..
-        }) = self.bound.take()
-        else {
+        let Some(Bound { mut stock, pool, .. }) = self.bound.take() else {
             return;
         };
         if !stock.open {
@@ -1419,7 +1310,7 @@
                     self.graft.give_up();
                     return Say::Error(ErrorKind::RolledBack, "connection lost".to_owned());
                 }
-                match self.bind(task, arrived, hold, &avoid) {
+                match self.bind(task, arrived, hold, &mut avoid) {
                     Ok(bound) => self.bound = Some(bound),
                     Err(kind) => return self.refuse(kind),
                 }
@@ -1484,42 +1375,33 @@
         task: &Task,
         arrived: Tick,
         hold: Tick,
-        avoid: &[InstanceId],
+        avoid: &mut Vec<InstanceId>,
     ) -> Result<Bound, ErrorKind> {
         let stile = &self.stile;
         let service = &self.route.target_service;
         let began = self.graft.began(arrived);
+        let elsewhere = task.read_only && self.route.route_type != RouteType::Primary;
         loop {
             let now = Tick::now();
-            if task.read_only
-                && self.route.route_type != RouteType::Primary
-                && self.need(began).is_some()
-            {
+            if elsewhere && self.need(began).is_some() {
                 for pool in stile.replicas(service, now) {
                     if avoid.contains(&pool.id) {
                         continue;
                     }
-                    match pool.borrow(&self.graft, self.id, self.route.priority, hold) {
-                        Ok(stock) => {
-                            return Ok(Bound {
-                                stock,
-                                pool,
-                                term: None,
-                            });
-                        }
-                        Err(NoRoom::Full | NoRoom::Down) => {}
+                    if let Ok(stock) = pool.borrow(&self.graft, self.id, self.route.priority, hold)
+                    {
+                        return Ok(Bound { stock, pool, term: None });
                     }
                 }
             }
             if let Some((term, pool)) = stile.primary(service, now) {
-                match pool.borrow(&self.graft, self.id, self.route.priority, hold) {
+                // Reads that belong on replicas wait behind the work only a primary can do.
+                let behind = if elsewhere { BEHIND } else { 0 };
+                let priority = self.route.priority.saturating_add(behind);
+                match pool.borrow(&self.graft, self.id, priority, hold) {
                     // The lease may have run out while waiting.
                     Ok(stock) if stile.still(service, term, Tick::now()) => {
-                        return Ok(Bound {
-                            stock,
-                            pool,
-                            term: Some(term),
-                        });
+                        return Ok(Bound { stock, pool, term: Some(term) });
                     }
                     Ok(stock) => pool.give_back(stock, Tick::now()),
                     Err(NoRoom::Full) => {}
@@ -1531,14 +1413,14 @@
                 return Err(ErrorKind::Throttled);
             }
             stile.wait_for_news(hold.since(now).clamp(1, 50));
+            // A replica that lagged may have caught up.
+            avoid.clear();
         }
     }
 
     /// The position a replica must have for a read that began at `began`.
     fn need(&self, began: Tick) -> Option<Position> {
-        let floor = self
-            .stile
-            .floor(&self.route.target_service, began, self.route.stale_ms)?;
+        let floor = self.stile.floor(&self.route.target_service, began, self.route.stale_ms)?;
         Some(match self.route.route_type {
             RouteType::ReadYourWrites => self.own.map_or(floor, |own| own.max(floor)),
             _ => floor,
@@ -1615,30 +1497,14 @@
             }
             (loss, sent)
         };
-        lay_on(
-            &mut bound.stock,
-            &self.graft,
-            self.id,
-            &stile.hasher,
-            look(Tick::now()),
-        )
-        .map_err(|loss| broken(loss, false))?;
+        lay_on(&mut bound.stock, &self.graft, self.id, &stile.hasher, look(Tick::now()))
+            .map_err(|loss| broken(loss, false))?;
         let mut waits = waits;
         if !task.alone && !bound.stock.open {
-            let begin = if task.read_only {
-                "BEGIN FETCH"
-            } else {
-                "BEGIN"
-            };
+            let begin = if task.read_only { "BEGIN FETCH" } else { "BEGIN" };
             let line = format!("QUERY - {waits}{begin}\r\n");
-            bound
-                .stock
-                .write(line.as_bytes())
-                .map_err(|l| broken(l, false))?;
-            let reply = bound
-                .stock
-                .answer(look(Tick::now()))
-                .map_err(|l| broken(l, false))?;
+            bound.stock.write(line.as_bytes()).map_err(|l| broken(l, false))?;
+            let reply = bound.stock.answer(look(Tick::now())).map_err(|l| broken(l, false))?;
             pool.heard(Tick::now());
             if reply.outcome != Outcome::Complete {
                 return Ok(reply);
@@ -1661,14 +1527,8 @@
         if term.is_some_and(|term| !stile.still(&service, term, sent)) {
             return Err((Loss::Overdue, false));
         }
-        bound
-            .stock
-            .write(line.as_bytes())
-            .map_err(|l| broken(l, true))?;
-        let reply = bound
-            .stock
-            .answer(look(sent))
-            .map_err(|l| broken(l, true))?;
+        bound.stock.write(line.as_bytes()).map_err(|l| broken(l, true))?;
+        let reply = bound.stock.answer(look(sent)).map_err(|l| broken(l, true))?;
         let now = Tick::now();
         pool.heard(now);
         if reply.outcome == Outcome::Complete {
@@ -1723,10 +1583,7 @@
         reply: &Reply,
         avoid: &mut Vec<InstanceId>,
     ) -> Option<Say> {
-        let ran = matches!(
-            kind,
-            ErrorKind::Failed | ErrorKind::TimedOut | ErrorKind::Unknown
-        );
+        let ran = matches!(kind, ErrorKind::Failed | ErrorKind::TimedOut | ErrorKind::Unknown);
         let again = if ran {
             task.alone && task.kind == Kind::Read && avoid.is_empty()
         } else {
@@ -1756,11 +1613,7 @@
             return None;
         }
         if ran || task.alone {
-            let state = if task.alone {
-                State::Idle
-            } else {
-                State::Failed
-            };
+            let state = if task.alone { State::Idle } else { State::Failed };
             let (state, same) = match reply.state {
                 State::Open => (State::Failed, false),
                 other => (other, other == state),
@@ -1768,9 +1621,7 @@
             bound.stock.open = reply.state != State::Idle;
             self.graft.answered(state);
             if same {
-                return Some(Say::Passed {
-                    reply: reply.clone(),
-                });
+                return Some(Say::Passed { reply: reply.clone() });
             }
             bound.stock.inbox.use_up(reply.end);
             self.unbind();
@@ -1781,10 +1632,7 @@
         bound.stock.open = reply.state != State::Idle;
         self.unbind();
         self.graft.give_up();
-        Some(Say::Error(
-            ErrorKind::RolledBack,
-            format!("{kind} at the database"),
-        ))
+        Some(Say::Error(ErrorKind::RolledBack, format!("{kind} at the database")))
     }
 }
 
@@ -1824,10 +1672,7 @@
     };
     let foreign = stock.values.keys().any(|k| !values.contains_key(k));
     let wanted: Vec<(u64, &Shape)> = shapes.map(|s| (shape_id(hasher, s), s)).collect();
-    let missing = wanted
-        .iter()
-        .filter(|(id, _)| !stock.prepared.contains(id))
-        .count();
+    let missing = wanted.iter().filter(|(id, _)| !stock.prepared.contains(id)).count();
     if !stock.open && (foreign || stock.inside || stock.prepared.len() + missing > MAX_PREPARED) {
         say(format_args!("DISCARD"));
         stock.values.clear();
@@ -1842,11 +1687,7 @@
     }
     for (id, shape) in wanted {
         if stock.prepared.insert(id) {
-            say(format_args!(
-                "PREPARE p{id:x} {} {}",
-                shape.verb.word(),
-                shape.text
-            ));
+            say(format_args!("PREPARE p{id:x} {} {}", shape.verb.word(), shape.text));
         }
     }
     if count > 0 {
@@ -1886,10 +1727,9 @@
         match view.services.get(service) {
             Some(seen) if seen.lease(now).is_some() => 100,
             // A change of primary takes about a second; less of it is left the longer it lasts.
-            Some(ServiceView {
-                unled_since: Some(since),
-                ..
-            }) => 1_000u64.saturating_sub(now.since(*since)).max(150),
+            Some(ServiceView { unled_since: Some(since), .. }) => {
+                1_000u64.saturating_sub(now.since(*since)).max(150)
+            }
             _ => 500,
         }
     }
@@ -1937,11 +1777,7 @@
         // Renewals are answered far more often than this; silence means another leader.
         stream.set_read_timeout(Some(Duration::from_millis(1_200)))?;
         let revision = self.config().map_or(Revision(0), |c| c.revision);
-        let hello = ToSteward::Hello {
-            node: self.node.clone(),
-            life: self.life,
-            revision,
-        };
+        let hello = ToSteward::Hello { node: self.node.clone(), life: self.life, revision };
         send(&mut stream, &Frame::Stile(hello))?;
         let mut reader = io::BufReader::with_capacity(4096, stream.try_clone()?);
         match receive(&mut reader)? {
@@ -1990,15 +1826,13 @@
         });
         lock(&self.sessions).insert(id, Arc::clone(&seen));
         let stile = Arc::clone(self);
-        let started = std::thread::Builder::new()
-            .stack_size(STACK)
-            .spawn(move || {
-                let _gone = Leaves { stile: &stile, id };
-                // How a client's connection ends is not worth a line each.
-                if let Err(e) = session(&stile, seen, id) {
-                    log::debug!(target: "session", "{id}: {e}");
-                }
-            });
+        let started = std::thread::Builder::new().stack_size(STACK).spawn(move || {
+            let _gone = Leaves { stile: &stile, id };
+            // How a client's connection ends is not worth a line each.
+            if let Err(e) = session(&stile, seen, id) {
+                log::debug!(target: "session", "{id}: {e}");
+            }
+        });
         if started.is_err() {
             lock(&self.sessions).remove(&id);
         }
@@ -2014,11 +1848,7 @@
             }
         }
         let view = lock(&self.view);
-        for seen in view
-            .services
-            .iter()
-            .filter(|(_, s)| s.share > 0 && s.share_until <= now)
-        {
+        for seen in view.services.iter().filter(|(_, s)| s.share > 0 && s.share_until <= now) {
             for pool in view.pools.values().filter(|p| p.service == *seen.0) {
                 pool.set_cap(0);
             }
@@ -2060,17 +1890,11 @@
         next_session: AtomicU64::new(1),
         doubted: Mutex::default(),
         hasher: std::hash::RandomState::new(),
-        max_sessions: settings
-            .limits
-            .max_open_files
-            .saturating_sub(SPARE_FILES)
-            .max(16) as usize,
+        max_sessions: settings.limits.max_open_files.saturating_sub(SPARE_FILES).max(16) as usize,
     });
     let asked = Arc::clone(&stile);
-    http::serve(listen(readiness)?, "readiness", move |request| {
-        answer(&asked, &request)
-    })
-    .map_err(|e| Fatal::Listen(readiness.to_string(), e))?;
+    http::serve(listen(readiness)?, "readiness", move |request| answer(&asked, &request))
+        .map_err(|e| Fatal::Listen(readiness.to_string(), e))?;
     let linking = Arc::clone(&stile);
     let seeds = settings.seed_peers();
     std::thread::spawn(move || linking.keep_link(seeds));
@@ -2121,11 +1945,7 @@
     let mut tended = Tick(0);
     let mut leaving: Option<Tick> = None;
     loop {
-        std::thread::sleep(Duration::from_millis(if leaving.is_some() {
-            50
-        } else {
-            150
-        }));
+        std::thread::sleep(Duration::from_millis(if leaving.is_some() { 50 } else { 150 }));
         let now = Tick::now();
         stile.renew_when_due();
         if now.since(tended) >= 500 {
