A new leader does not give all connections to the first stile that comes

Ruled out: the election (0.72 s in good and bad runs) and the leases (never lapsed). Now nobody gets more than the largest share any stile reports (4 before any) until every holder must have been heard of.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1472,6 +1472,8 @@
 const SHARE_HELD_MS: u64 = 4_500;
 /// A lost stile may have passed on more than it told; others have seen further after this time.
 const UNTOLD_MS: u64 = 10_000;
+/// What a stile gets from a new leader that has not heard of any share yet.
+const YOUNG_SHARE: u32 = 4;
 /// Connections to each database kept back for the stewards' own questions.
 const RESERVE: u32 = 4;
 
@@ -1568,6 +1570,13 @@
             })
             .try_fold(None, |most: Option<Position>, one| Some(most.max(one?)))
     }
+    /// A stile is heard of, with the shares it holds itself to.
+    pub fn report(&mut self, node: &NodeName, shares: Vec<(ServiceName, u32)>, now: Tick) {
+        if let Some(seat) = self.seats.get_mut(node) {
+            seat.heard = now;
+            seat.reported = shares.into_iter().collect();
+        }
+    }
     /// Divides `total` among the live stiles; what another still holds is not given twice.
     pub fn share(&mut self, node: &NodeName, service: &ServiceName, total: u32, now: Tick) -> u32 {
         let live = self.seats.values().filter(|s| s.conn.is_some()).count().max(1) as u32;
@@ -1585,17 +1594,16 @@
             })
             .map(|(_, s)| held(s))
             .sum();
-        let young = now.since(self.elected) < SHARE_HELD_MS;
-        let Some(seat) = self.seats.get_mut(node) else {
-            return 0;
-        };
-        let reported = seat.reported.get(service).copied().unwrap_or(0);
         let mut share = target.min(total.saturating_sub(others));
-        // A new leader does not know all who hold something; nobody gets more meanwhile.
-        if young && reported > 0 {
-            share = share.min(reported);
+        // A new leader does not know all who hold something. Until it must, nobody gets more than
+        // the most that one of them says it has: the leader before gave everyone the same.
+        if now.since(self.elected) < SHARE_HELD_MS {
+            let reported = self.seats.values().filter_map(|s| s.reported.get(service)).max();
+            share = share.min(reported.copied().unwrap_or(0).max(YOUNG_SHARE));
+        }
+        if let Some(seat) = self.seats.get_mut(node) {
+            seat.shares.insert(service.clone(), share);
         }
-        seat.shares.insert(service.clone(), share);
         share
     }
 }
@@ -2478,13 +2486,8 @@
         if !self.hedge.granting(now) {
             return;
         }
-        let Some(office) = &mut self.office else {
-            return;
-        };
-        if let Some(seat) = office.leases.seats.get_mut(node) {
-            seat.heard = now;
-            seat.reported = shares.into_iter().collect();
-        }
+        let Some(office) = &mut self.office else { return };
+        office.leases.report(node, shares, now);
         let Some(config) = &self.config else { return };
         let mut grants = Vec::new();
         for service in &config.services {
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -321,6 +321,23 @@
     assert_eq!(book.given_back(&s, DbTerm(1), now.plus(30)), None);
 }
 
+#[test]
+fn a_new_leader_does_not_give_all_to_the_first_who_comes() {
+    let s = ServiceName::from("s");
+    let now = Tick(100_000);
+    let mut book = LeaseBook::new(now);
+    // A stile that just started comes first, then those that hold eight each.
+    book.seat(&"fresh".into(), 1, 0, now);
+    assert_eq!(book.share(&"fresh".into(), &s, 92, now), 4);
+    for i in 1..10 {
+        let node = NodeName(format!("n{i}"));
+        book.seat(&node, 1, i, now);
+        book.report(&node, vec![(s.clone(), 8)], now);
+        assert_eq!(book.share(&node, &s, 92, now.plus(i)), 8, "{node} keeps what it had");
+    }
+    assert_eq!(book.share(&"fresh".into(), &s, 92, now.plus(20)), 8);
+}
+
 #[test]
 fn shares_never_add_up_to_more_than_the_total() {
     let s = ServiceName::from("s");
