--- a/src/steward.rs
+++ b/src/steward.rs
@@ -27,10 +27,10 @@
 // Consensus
 
 /// How often the leader is heard of when there is nothing to say.
-const HEARTBEAT_MS: u64 = 200;
+const HEARTBEAT_MS: u64 = 150;
 /// A follower that heard its leader within this time helps nobody else to lead.
-pub const ELECTION_MIN_MS: u64 = 800;
-const ELECTION_SPREAD_MS: u64 = 500;
+pub const ELECTION_MIN_MS: u64 = 600;
+const ELECTION_SPREAD_MS: u64 = 400;
 /// The leader acts alone only while a quorum answered messages it sent within this time. It is
 /// less than `ELECTION_MIN_MS`, so no other steward can lead meanwhile.
 const QUORUM_FRESH_MS: u64 = ELECTION_MIN_MS - 100;
@@ -1465,7 +1465,7 @@
 // Leases and shares
 
 /// How long a stile may use what it was last granted, from when it asked.
-pub const LEASE_MS: u64 = 2_400;
+pub const LEASE_MS: u64 = 1_800;
 /// For what a clock may be off by a little.
 const LEASE_SLACK_MS: u64 = 50;
 /// Connections of a lost stile are counted this long: a database drops a dark end after 3 s.
