--- a/src/stile.rs
+++ b/src/stile.rs
@@ -1300,7 +1300,7 @@
         let limit = arrived.plus(self.route.timeout_ms);
         // Waiting for a connection longer than this rarely ends well; the client is better off
         // coming back, and has the time to.
-        let hold = arrived.plus(self.route.timeout_ms * 45 / 100);
+        let hold = arrived.plus(self.route.timeout_ms * 20 / 100);
         let mut avoid: Vec<InstanceId> = Vec::new();
         let mut patient = false;
         let mut reruns = 0;
