--- a/src/steward.rs
+++ b/src/steward.rs
@@ -967,6 +967,10 @@
 const LOOK_AGAIN_MS: u64 = 500;
 /// A slow primary is replaced at most this often.
 const SLOW_AGAIN_MS: u64 = 5_000;
+/// A database that can work answers a question about itself within this.
+const SLOW_ANSWER_MS: u64 = 150;
+/// Slow twice within this is slow, not a moment's queue.
+const SLOW_TWICE_MS: u64 = 2_000;
 const PLANNED_PATIENCE_MS: u64 = 3_000;
 const PAUSE_PATIENCE_MS: u64 = 600;
 /// A primary that just proved itself is not doubted again for this long.
@@ -986,6 +990,7 @@
     paused: BTreeSet<InstanceId>,
     stepped_down: Option<Tick>,
     slow_tried: Option<Tick>,
+    slow_before: Option<Tick>,
 }
 
 impl Succession {
@@ -1002,6 +1007,7 @@
             paused: BTreeSet::new(),
             stepped_down: None,
             slow_tried: None,
+            slow_before: None,
         };
         let mut deeds = Vec::new();
         match facts.lead.as_ref().and_then(|l| l.intent.clone().map(|target| (l.term, target))) {
@@ -1095,6 +1101,18 @@
         which.into_iter().map(|id| Deed::Ask(id, Ask::Pause(DbTerm(term.0 + 1)))).collect()
     }
 
+    /// The primary was seen slow. Seen so twice in a row it is left, if a replica can take over
+    /// at once and the last try was long ago.
+    fn leave_slow(&mut self, facts: &Facts, term: DbTerm, now: Tick) -> Vec<Deed> {
+        let again = self.slow_before.is_some_and(|t| now.since(t) < SLOW_TWICE_MS);
+        self.slow_before = Some(now);
+        if !again || self.slow_tried.is_some_and(|t| now.since(t) < SLOW_AGAIN_MS) {
+            return Vec::new();
+        }
+        self.slow_tried = Some(now);
+        self.plan(facts, term, true, now)
+    }
+
     /// Begins a planned change: all replicas but the target are paused, so that from then on every
     /// acknowledged commit is on the target, and the primary serves until the promote.
     fn plan(&mut self, facts: &Facts, term: DbTerm, slow: bool, now: Tick) -> Vec<Deed> {
@@ -1167,9 +1185,14 @@
                     Told::Lost | Told::Silent => false,
                 };
                 match (&self.stage, leads) {
-                    (Stage::Doubting { .. }, true) => {
+                    (Stage::Doubting { asked, .. }, true) => {
+                        // Its own answer was slow, or it turned even this question away.
+                        let slow = now.since(*asked) > SLOW_ANSWER_MS || *told == Told::Alive;
                         self.settle(now);
-                        Vec::new()
+                        match lead {
+                            Some(lead) if slow => self.leave_slow(facts, lead.term, now),
+                            _ => Vec::new(),
+                        }
                     }
                     // Nothing was posted yet, and the alarm was false.
                     (Stage::Fencing { target: None, .. }, true) => self.call_off(now),
@@ -1381,10 +1404,8 @@
                 if !*reached {
                     return self.fence(facts, now);
                 }
-                if self.slow_tried.is_none_or(|t| now.since(t) > SLOW_AGAIN_MS) {
-                    self.slow_tried = Some(now);
-                    return self.plan(facts, lead.term, true, now);
-                }
+                self.slow_before = Some(now);
+                return self.leave_slow(facts, lead.term, now);
             }
             Stage::Doubting { asked, .. } if now.since(*asked) > 4 * ASK_AGAIN_MS => {
                 self.stage = Stage::Steady;
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -148,6 +148,23 @@
     }
 }
 
+#[test]
+fn a_primary_seen_slow_twice_is_left_once() {
+    let (facts, now) = (facts(), Tick(50_000));
+    let (mut s, _) = Succession::begin(&facts, now);
+    let nine = at(9);
+    let mut look = |at: u64, took: u64| {
+        s.suspect(&facts, &"n1".into(), &"a".into(), Doubt::Silent, now.plus(at));
+        let answer = row(true, 1, nine);
+        s.told(&facts, &"a".into(), Ask::Describe, &answer, now.plus(at + took)).len()
+    };
+    // at, the answer took, deeds: quick, slow once, quick, slow once, slow again, slow once more
+    let table = [(0, 20, 0), (500, 400, 0), (1_500, 20, 0), (4_000, 400, 0), (5_000, 400, 1)];
+    for (at, took, deeds) in table {
+        assert_eq!(look(at, took), deeds, "at {at}");
+    }
+}
+
 #[test]
 fn with_too_few_answers_nobody_is_promoted_unless_the_stiles_vouch() {
     let now = Tick(50_000);
