--- a/src/stile.rs
+++ b/src/stile.rs
@@ -492,6 +492,8 @@
     /// Not to be tried before this.
     down_until: AtomicU64,
     failures: AtomicU64,
+    /// It lacked even the floor; other databases are asked until this.
+    lags_until: AtomicU64,
     /// By the type of the route: their statements differ in work.
     paces: Mutex<[Pace; 3]>,
 }
@@ -508,12 +510,16 @@
             heard: AtomicU64::new(0),
             down_until: AtomicU64::new(0),
             failures: AtomicU64::new(0),
+            lags_until: AtomicU64::new(0),
             paces: Mutex::default(),
         }
     }
     fn is_down(&self, now: Tick) -> bool {
         now.0 < self.down_until.load(Ordering::Relaxed)
     }
+    fn lags(&self, now: Tick) -> bool {
+        now.0 < self.lags_until.load(Ordering::Relaxed)
+    }
     fn failed(&self, now: Tick) {
         let failures = self.failures.fetch_add(1, Ordering::Relaxed).min(4);
         self.down_until.store(now.0 + (100 << failures), Ordering::Relaxed);
@@ -813,6 +819,8 @@
 /// Silent reruns of one statement.
 const MAX_RERUNS: u32 = 4;
 const RERUN_PAUSE_MS: u64 = 15;
+/// A replica that lacked the floor is asked again after this.
+const LAG_SKIPPED_MS: u64 = 100;
 /// Added to the priority of a read that is at the primary only because no replica can have it.
 const BEHIND: u8 = 100;
 
@@ -853,7 +861,8 @@
         let mut found: Vec<(usize, u64, Arc<Pool>)> = view
             .pools
             .values()
-            .filter(|p| p.service == *service && Some(&p.id) != primary && !p.is_down(now))
+            .filter(|p| p.service == *service && Some(&p.id) != primary)
+            .filter(|p| !p.is_down(now) && !p.lags(now))
             .filter_map(|p| {
                 let (load, closed) = p.load();
                 let far = if p.zone == self.zone { 0 } else { 3 };
@@ -1603,6 +1612,14 @@
                     self.stile.doubt(&pool, Doubt::Broken, Tick::now());
                     self.stile.wait_for_news(50);
                 }
+                ErrorKind::Lagging => {
+                    // A session's own fresh commit may be missing for a moment; the floor may not.
+                    let (pool, now) = (Arc::clone(&bound.pool), Tick::now());
+                    if self.own.is_none_or(|own| self.need(now).is_some_and(|need| need > own)) {
+                        pool.lags_until.store(now.plus(LAG_SKIPPED_MS).0, Ordering::Relaxed);
+                    }
+                    self.unbind();
+                }
                 ErrorKind::NotFound => {
                     // The name was laid on and is not there: this connection can't be trusted.
                     self.cut();
