Let replicas go for certain, bound peers and silent clients, and tidy the session code

A CONTINUE that got no answer left a replica paused for good; it is said again each second while the replica lives. Sessions have 10 s to say CONNECT, the peer port holds 1000 connections.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -965,6 +965,7 @@
 /// A call that got an answer or none at all is not under way any more after this.
 const POST_SETTLED_MS: u64 = 3_000;
 const LOOK_AGAIN_MS: u64 = 500;
+const OWED_AGAIN_MS: u64 = 1_000;
 /// A slow primary is replaced at most this often.
 const SLOW_AGAIN_MS: u64 = 5_000;
 /// A database that can work answers a question about itself within this.
@@ -988,6 +989,9 @@
     trusted: Option<Tick>,
     rested: Option<Tick>,
     paused: BTreeSet<InstanceId>,
+    /// Let go, but not yet heard to have been: asked again while they live.
+    owed: BTreeSet<InstanceId>,
+    owed_asked: Tick,
     stepped_down: Option<Tick>,
     slow_tried: Option<Tick>,
     slow_before: Option<Tick>,
@@ -1005,6 +1009,8 @@
             trusted: None,
             rested: None,
             paused: BTreeSet::new(),
+            owed: BTreeSet::new(),
+            owed_asked: now,
             stepped_down: None,
             slow_tried: None,
             slow_before: None,
@@ -1018,7 +1024,8 @@
                 this.post(target, now, &mut deeds);
             }
             None if facts.lead.is_some() => {
-                deeds.extend(facts.replicas().map(|(id, _)| Deed::Ask(id.clone(), Ask::Continue)));
+                this.paused = facts.replicas().map(|(id, _)| id.clone()).collect();
+                deeds.extend(this.let_go(now));
             }
             None => {}
         }
@@ -1043,10 +1050,14 @@
     fn call_off(&mut self, now: Tick) -> Vec<Deed> {
         self.settle(now);
         self.rested = Some(now);
-        std::mem::take(&mut self.paused)
-            .into_iter()
-            .map(|id| Deed::Ask(id, Ask::Continue))
-            .collect()
+        self.let_go(now)
+    }
+
+    fn let_go(&mut self, now: Tick) -> Vec<Deed> {
+        let paused = std::mem::take(&mut self.paused);
+        self.owed.extend(paused.iter().cloned());
+        self.owed_asked = now;
+        paused.into_iter().map(|id| Deed::Ask(id, Ask::Continue)).collect()
     }
 
     pub fn suspect(
@@ -1098,6 +1109,7 @@
 
     fn pause(&mut self, which: Vec<InstanceId>, term: DbTerm) -> Vec<Deed> {
         self.paused.extend(which.iter().cloned());
+        self.owed.retain(|id| !which.contains(id));
         which.into_iter().map(|id| Deed::Ask(id, Ask::Pause(DbTerm(term.0 + 1)))).collect()
     }
 
@@ -1162,6 +1174,12 @@
                 Vec::new()
             }
             (_, _, Told::Reached) => Vec::new(),
+            (_, Ask::Continue, told) => {
+                if matches!(told, Told::Row(_)) {
+                    self.owed.remove(of);
+                }
+                Vec::new()
+            }
             (Stage::Founding { .. }, Ask::Describe, Told::Row(row)) if lead.is_none() => {
                 self.stage = Stage::Steady;
                 if !row.primary {
@@ -1385,6 +1403,12 @@
                 let Some((id, primary)) = listed else {
                     return self.fence(facts, now);
                 };
+                if !self.owed.is_empty() && now.since(self.owed_asked) > OWED_AGAIN_MS {
+                    self.owed_asked = now;
+                    self.owed.retain(|id| facts.replicas().any(|(replica, _)| replica == id));
+                    let living = self.owed.iter().filter(|id| facts.beating.contains(*id));
+                    return living.map(|id| Deed::Ask(id.clone(), Ask::Continue)).collect();
+                }
                 let rested = self.rested.is_none_or(|t| now.since(t) > 1_000);
                 if primary.lifecycle_state == Lifecycle::Draining && rested {
                     return self.plan(facts, lead.term, false, now);
@@ -1661,7 +1685,6 @@
     /// When each database was last heard of, and its newest sequence.
     beats: HashMap<InstanceId, (Tick, u64)>,
     successions: BTreeMap<ServiceName, Succession>,
-    opened: bool,
 }
 
 struct Steward {
@@ -1683,6 +1706,8 @@
     asks: Arc<AtomicUsize>,
 }
 
+/// Connections on the peer port at once.
+const MAX_PEERS: usize = 1_000;
 /// Questions under way at once.
 const MAX_ASKS: usize = 32;
 /// A database whose beats miss this many intervals is doubted.
@@ -1791,16 +1816,23 @@
 fn accept_peers(at: SocketAddr, tx: Sender<Input>) -> Result<(), Fatal> {
     let listener = listen(at)?;
     let next = AtomicU64::new(1);
+    // Each connection holds a clone; the count of them is the bound.
+    let open = Arc::new(());
     std::thread::spawn(move || {
         for stream in listener.incoming() {
             let Ok(stream) = stream else {
                 std::thread::sleep(Duration::from_millis(50));
                 continue;
             };
+            if Arc::strong_count(&open) > MAX_PEERS {
+                continue;
+            }
+            let held = Arc::clone(&open);
             let id = next.fetch_add(1, Ordering::Relaxed);
             let tx = tx.clone();
             let reader = std::thread::Builder::new().stack_size(256 << 10);
             let spawned = reader.spawn(move || {
+                let _held = held;
                 let dark = Duration::from_secs(3);
                 let ready = tune(&stream, dark)
                     .and_then(|()| keep_alive(&stream, dark))
@@ -2208,7 +2240,6 @@
                     leases: LeaseBook::new(now),
                     beats: beats.map(|(id, r)| (id.clone(), (now, r.sequence))).collect(),
                     successions: BTreeMap::new(),
-                    opened: false,
                 });
             }
             (false, true) => {
@@ -2250,7 +2281,6 @@
             .collect();
         if let Some(office) = &mut self.office {
             office.leases.forget_old(now);
-            office.opened = true;
         }
         for service in services {
             self.move_on(&service, now, |s, facts| s.tick(facts, now));
@@ -2509,9 +2539,9 @@
         }
         let Some(office) = &mut self.office else { return };
         office.leases.report(node, shares, now);
-        let Some(config) = &self.config else { return };
         let mut grants = Vec::new();
-        for service in &config.services {
+        // Without a configuration there is nothing to grant, but the answer says that we lead.
+        for service in self.config.iter().flat_map(|c| &c.services) {
             let lead = self.almanac.leads.get(&service.name);
             let succession = office.successions.get(&service.name);
             let standing = match (lead, succession) {
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -326,8 +326,6 @@
     open: bool,
     /// State was laid on inside a transaction that may be rolled back with it.
     inside: bool,
-    cleared: bool,
-    used: Tick,
 }
 
 #[derive(Debug)]
@@ -628,8 +626,6 @@
                 holds: None,
                 open: false,
                 inside: false,
-                cleared: true,
-                used: now,
             };
             let hello = format!("CONNECT {} stile {}\r\n", self.service, self.id);
             stock.stream.write_all(hello.as_bytes())?;
@@ -683,8 +679,7 @@
     }
 
     /// Takes a connection back that is at rest.
-    fn give_back(&self, mut stock: Rootstock, now: Tick) {
-        stock.used = now;
+    fn give_back(&self, stock: Rootstock) {
         let mut inner = lock(&self.inner);
         if inner.gone || inner.admission.over() {
             inner.admission.shrink();
@@ -1112,6 +1107,15 @@
     last_position: Option<Position>,
 }
 
+/// A statement that a database has to run, as it came.
+struct Asked<'a> {
+    id: &'a str,
+    text: &'a str,
+    statement: Statement<'a>,
+    task: Task,
+    arrived: Tick,
+}
+
 /// What goes back to the client.
 enum Say {
     /// The database's own bytes, up to `end` in the inbox of the bound connection.
@@ -1143,6 +1147,7 @@
         return refuse(ErrorKind::NoDatabase, "no such database");
     };
     client.write_all(b"READY I -\r\n")?;
+    seen.stream.set_read_timeout(None)?;
     let mut scion = Scion {
         stile: Arc::clone(stile),
         seen: Arc::clone(&seen),
@@ -1204,7 +1209,9 @@
                             }
                             Say::Error(kind, refusal_text(kind).to_owned())
                         }
-                        Verdict::Run(task) => self.run(id, text, &statement, &task, arrived),
+                        Verdict::Run(task) => {
+                            self.run(&Asked { id, text, statement, task, arrived })
+                        }
                     }
                 }
                 Ok(Line::Connect { .. }) | Err(_) => {
@@ -1271,7 +1278,7 @@
             return;
         };
         if !stock.open {
-            return pool.give_back(stock, Tick::now());
+            return pool.give_back(stock);
         }
         let limit = Tick::now().plus(300);
         let ended = stock
@@ -1285,7 +1292,7 @@
                 if stock.inside {
                     stock.holds = None;
                 }
-                pool.give_back(stock, Tick::now());
+                pool.give_back(stock);
             }
             _ => pool.lose(stock),
         }
@@ -1298,14 +1305,8 @@
     }
 
     /// Has a database run the statement, on as many connections as the reroute rules allow.
-    fn run(
-        &mut self,
-        id: &str,
-        text: &str,
-        statement: &Statement<'_>,
-        task: &Task,
-        arrived: Tick,
-    ) -> Say {
+    fn run(&mut self, asked: &Asked<'_>) -> Say {
+        let Asked { task, arrived, .. } = asked;
         let limit = arrived.plus(self.route.timeout_ms);
         // Waiting for a connection longer than this rarely ends well; the client is better off
         // coming back, and has the time to.
@@ -1319,28 +1320,27 @@
                     self.graft.give_up();
                     return Say::Error(ErrorKind::RolledBack, "connection lost".to_owned());
                 }
-                match self.bind(task, arrived, hold, &mut avoid) {
+                match self.bind(asked, hold, &mut avoid) {
                     Ok(bound) => self.bound = Some(bound),
                     Err(kind) => return self.refuse(kind),
                 }
             }
-            let (loss, sent) =
-                match self.exchange(id, text, statement, task, arrived, limit, patient) {
-                    Ok(reply) => match reply.outcome {
-                        Outcome::Complete => return self.passed(task, reply),
-                        Outcome::Error(kind) => match self.denied(task, kind, &reply, &mut avoid) {
-                            Some(say) => return say,
-                            None => (None, false),
-                        },
+            let (loss, sent) = match self.exchange(asked, limit, patient) {
+                Ok(reply) => match reply.outcome {
+                    Outcome::Complete => return self.passed(task, reply),
+                    Outcome::Error(kind) => match self.denied(task, kind, &reply, &mut avoid) {
+                        Some(say) => return say,
+                        None => (None, false),
                     },
-                    Err((loss, sent)) => {
-                        if let Some(bound) = &self.bound {
-                            avoid.push(bound.pool.id.clone());
-                        }
-                        self.cut();
-                        (Some(loss), sent)
+                },
+                Err((loss, sent)) => {
+                    if let Some(bound) = &self.bound {
+                        avoid.push(bound.pool.id.clone());
                     }
-                };
+                    self.cut();
+                    (Some(loss), sent)
+                }
+            };
             if let Some(loss) = loss {
                 if let Fate::Tell(kind) = self.graft.lost(task, sent) {
                     return Say::Error(kind, "connection lost".to_owned());
@@ -1381,14 +1381,14 @@
     /// Picks a database and borrows a connection to it.
     fn bind(
         &self,
-        task: &Task,
-        arrived: Tick,
+        asked: &Asked<'_>,
         hold: Tick,
         avoid: &mut Vec<InstanceId>,
     ) -> Result<Bound, ErrorKind> {
+        let task = &asked.task;
         let stile = &self.stile;
         let service = &self.route.target_service;
-        let began = self.graft.began(arrived);
+        let began = self.graft.began(asked.arrived);
         let elsewhere = task.read_only && self.route.route_type != RouteType::Primary;
         loop {
             let now = Tick::now();
@@ -1412,7 +1412,7 @@
                     Ok(stock) if stile.still(service, term, Tick::now()) => {
                         return Ok(Bound { stock, pool, term: Some(term) });
                     }
-                    Ok(stock) => pool.give_back(stock, Tick::now()),
+                    Ok(stock) => pool.give_back(stock),
                     Err(NoRoom::Full) => {}
                     Err(NoRoom::Down) => stile.doubt(&pool, Doubt::Broken, Tick::now()),
                 }
@@ -1438,18 +1438,14 @@
 
     /// One round with the bound connection: what the session needs is laid on, a transaction is
     /// opened where one is wanted, and the statement is sent. An error tells whether it was sent.
-    #[allow(clippy::too_many_arguments)]
     fn exchange(
         &mut self,
-        id: &str,
-        text: &str,
-        statement: &Statement<'_>,
-        task: &Task,
-        arrived: Tick,
+        asked: &Asked<'_>,
         limit: Tick,
         patient: bool,
     ) -> Result<Reply, (Loss, bool)> {
-        let began = self.graft.began(arrived);
+        let Asked { id, text, statement, task, arrived } = asked;
+        let began = self.graft.began(*arrived);
         let waits = match &self.bound {
             Some(bound) if bound.term.is_none() => match self.need(began) {
                 Some(position) => format!("WAITFOR {position} "),
@@ -1467,8 +1463,8 @@
         // Given up early only where nothing can have been kept: a first read is run again, a
         // transaction under way is rolled back and may be tried again in time.
         let rerun = task.kind == Kind::Read && task.first;
-        let early =
-            !patient && !(task.alone && task.kind == Kind::Write) && task.kind != Kind::Commit;
+        let last_word = task.kind == Kind::Commit || (task.alone && task.kind == Kind::Write);
+        let early = !(patient || last_word);
         let most = self.route.timeout_ms / if rerun { 4 } else { 3 };
         let kind = self.route.route_type as usize;
         let patience = lock(&pool.paces)[kind].patience(most) * if rerun { 1 } else { 2 };
@@ -1708,7 +1704,6 @@
         }
     }
     if count > 0 {
-        stock.cleared = false;
         stock.inside |= stock.open;
         stock.write(lines.as_bytes())?;
         for _ in 0..count {
@@ -1832,7 +1827,9 @@
         }
         let ready = tune(&stream, Duration::from_secs(10))
             .and_then(|()| keep_alive(&stream, Duration::from_secs(30)))
-            .and_then(|()| stream.set_write_timeout(Some(Duration::from_secs(5))));
+            .and_then(|()| stream.set_write_timeout(Some(Duration::from_secs(5))))
+            // Until it has said CONNECT; a session may then rest as long as it likes.
+            .and_then(|()| stream.set_read_timeout(Some(Duration::from_secs(10))));
         if ready.is_err() {
             return;
         }
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -123,6 +123,19 @@
     assert!(matches!(s.stage, Stage::Posting { .. }));
 }
 
+#[test]
+fn a_replica_that_was_not_heard_to_go_on_is_told_again() {
+    let (facts, now) = (facts(), Tick(50_000));
+    let mut s = fencing(&facts, now);
+    s.told(&facts, &"a".into(), Ask::Describe, &row(true, 1, at(9)), now);
+    s.told(&facts, &"b".into(), Ask::Continue, &row(false, 1, at(9)), now);
+    s.told(&facts, &"c".into(), Ask::Continue, &Told::Silent, now);
+    assert!(s.tick(&facts, now.plus(500)).is_empty());
+    assert_eq!(s.tick(&facts, now.plus(1_100)), [ask("c", Ask::Continue)]);
+    s.told(&facts, &"c".into(), Ask::Continue, &row(false, 1, at(9)), now.plus(1_110));
+    assert!(s.tick(&facts, now.plus(2_500)).is_empty());
+}
+
 #[test]
 fn three_stiles_that_hear_nothing_are_enough_unless_the_machine_is_reached() {
     let (facts, now) = (facts(), Tick(50_000));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! All databases share one store, so a replica is never behind. What a test wants to go wrong is
 //! set in `Faults`; everything that reached a database is kept in `ran`.
+// The tests and the example each need a part of it.
+#![allow(dead_code)]
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
