Promote no database that is about to end while another can take over

Ruled out: the fence and the leases (30 ms, 1 ms). Now replicas are waited for 300 ms before the stiles' word is taken, an available one with everything passed on goes before a draining one, and the refusal of a target that left the directory settles at once (2 s otherwise).

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -963,7 +963,7 @@
 const ASK_AGAIN_MS: u64 = 400;
 const POST_AGAIN_MS: u64 = 300;
 /// A call that got an answer or none at all is not under way any more after this.
-const POST_SETTLED_MS: u64 = 3_000;
+const POST_SETTLED_MS: u64 = 2_000;
 const LOOK_AGAIN_MS: u64 = 500;
 const OWED_AGAIN_MS: u64 = 1_000;
 /// A slow primary is replaced at most this often.
@@ -974,6 +974,8 @@
 const SLOW_TWICE_MS: u64 = 2_000;
 const PLANNED_PATIENCE_MS: u64 = 3_000;
 const PAUSE_PATIENCE_MS: u64 = 600;
+/// For this long the replicas themselves are waited for, before the stiles' word is taken.
+const VOUCH_AFTER_MS: u64 = 300;
 /// A primary that just proved itself is not doubted again for this long.
 const TRUST_MS: u64 = 300;
 
@@ -1258,7 +1260,7 @@
 
     /// Whether the paused replicas are enough, and which one then takes over.
     fn choose(&mut self, facts: &Facts, now: Tick) -> Vec<Deed> {
-        let Stage::Fencing { target, rows, .. } = &self.stage else {
+        let Stage::Fencing { target, rows, since, .. } = &self.stage else {
             return Vec::new();
         };
         let Some(lead) = &facts.lead else {
@@ -1284,25 +1286,29 @@
                 let needed = (replicas + 1).saturating_sub(facts.sync_replicas as usize).max(1);
                 let answered = facts.replicas().filter(|(id, _)| rows.contains_key(id)).count();
                 let fenced = facts.sync_replicas > 0 && answered >= needed;
+                let patient = now.since(*since) < VOUCH_AFTER_MS;
                 let vouched =
-                    answered > 0 && facts.given_back.is_some_and(|highest| highest <= furthest);
-                if fenced || vouched {
-                    self.sealed = furthest;
-                    facts
-                        .replicas()
-                        .filter(|(id, _)| {
-                            rows.get(id).is_some_and(|r| Some(r.received) == furthest)
-                        })
-                        .max_by_key(|(_, i)| {
-                            (
-                                i.lifecycle_state == Lifecycle::Available,
-                                i.revision.len(),
-                                i.revision.clone(),
-                            )
-                        })
-                        .map(|(id, _)| id.clone())
-                } else {
-                    None
+                    !patient && answered > 0 && facts.given_back.is_some_and(|h| h <= furthest);
+                let holds_all = |received: Position| {
+                    Some(received) == furthest
+                        || facts.given_back.is_some_and(|highest| highest <= Some(received))
+                };
+                let best = facts
+                    .replicas()
+                    .filter_map(|(id, i)| Some((id, i, rows.get(id)?.received)))
+                    .filter(|(_, _, received)| holds_all(*received))
+                    .max_by_key(|(_, i, received)| {
+                        let available = i.lifecycle_state == Lifecycle::Available;
+                        (available, *received, i.revision.len(), i.revision.clone())
+                    });
+                match best {
+                    // One that is about to end is taken only if there is no other.
+                    Some((_, i, _)) if patient && i.lifecycle_state == Lifecycle::Draining => None,
+                    Some((id, ..)) if fenced || vouched => {
+                        self.sealed = furthest;
+                        Some(id.clone())
+                    }
+                    _ => None,
                 }
             }
         };
@@ -1337,7 +1343,9 @@
             Posted::Unclear => *perhaps = Some(now),
             Posted::Busy => {}
             Posted::Refused => {
-                if perhaps.is_none_or(|t| now.since(t) > POST_SETTLED_MS) {
+                // One that has left for good will not lead any more, whatever is under way.
+                let left = !facts.databases.iter().any(|(id, _)| id == target);
+                if left || perhaps.is_none_or(|t| now.since(t) > POST_SETTLED_MS) {
                     let (service, target) = (facts.service.clone(), target.clone());
                     return vec![Deed::Propose(Change::Abandon { service, target })];
                 }
@@ -1482,7 +1490,11 @@
             }
             Stage::Posting { target, tried, in_flight, looked, perhaps } => {
                 let mut deeds = Vec::new();
-                if !*in_flight && now >= tried.plus(POST_AGAIN_MS) {
+                // Having left in the meantime, the target is asked for again at once: the refusal
+                // settles it.
+                let left = !facts.databases.iter().any(|(id, _)| id == target);
+                let again = now >= tried.plus(POST_AGAIN_MS);
+                if !*in_flight && (again || (left && *tried > now)) {
                     *in_flight = true;
                     *tried = now;
                     deeds.push(Deed::Post(target.clone()));
