--- a/src/steward.rs
+++ b/src/steward.rs
@@ -972,6 +972,12 @@
 const SLOW_ANSWER_MS: u64 = 150;
 /// Slow twice within this is slow, not a moment's queue.
 const SLOW_TWICE_MS: u64 = 2_000;
+/// So many reports of broken connections, from so many stiles, within so long, make a primary
+/// unsteady.
+const BREAKS_MANY: usize = 5;
+const BREAKS_STILES: usize = 3;
+const BREAKS_WITHIN_MS: u64 = 1_500;
+const BREAKS_KEPT: usize = 32;
 const PLANNED_PATIENCE_MS: u64 = 3_000;
 const PAUSE_PATIENCE_MS: u64 = 600;
 /// For this long the replicas themselves are waited for, before the stiles' word is taken.
@@ -997,6 +1003,8 @@
     stepped_down: Option<Tick>,
     slow_tried: Option<Tick>,
     slow_before: Option<Tick>,
+    /// Broken connections at the primary, as stiles told of them.
+    breaks: VecDeque<(Tick, NodeName)>,
 }
 
 impl Succession {
@@ -1016,6 +1024,7 @@
             stepped_down: None,
             slow_tried: None,
             slow_before: None,
+            breaks: VecDeque::new(),
         };
         let mut deeds = Vec::new();
         match facts.lead.as_ref().and_then(|l| l.intent.clone().map(|target| (l.term, target))) {
@@ -1073,7 +1082,16 @@
         let Some(lead) = &facts.lead else {
             return Vec::new();
         };
-        if lead.primary != *of || self.trusted.is_some_and(|t| now.since(t) < TRUST_MS) {
+        if lead.primary != *of {
+            return Vec::new();
+        }
+        if why == Doubt::Broken {
+            self.breaks.push_back((now, who.clone()));
+            if self.breaks.len() > BREAKS_KEPT {
+                self.breaks.pop_front();
+            }
+        }
+        if self.trusted.is_some_and(|t| now.since(t) < TRUST_MS) {
             return Vec::new();
         }
         if why == Doubt::Silent {
@@ -1120,7 +1138,17 @@
     fn leave_slow(&mut self, facts: &Facts, term: DbTerm, now: Tick) -> Vec<Deed> {
         let again = self.slow_before.is_some_and(|t| now.since(t) < SLOW_TWICE_MS);
         self.slow_before = Some(now);
-        if !again || self.slow_tried.is_some_and(|t| now.since(t) < SLOW_AGAIN_MS) {
+        if again { self.leave(facts, term, now) } else { Vec::new() }
+    }
+    /// It answers for itself, but breaks connections of many stiles again and again: each break
+    /// may cost an answer, and a replica may do better.
+    fn unsteady(&self, now: Tick) -> bool {
+        let recent = || self.breaks.iter().filter(|(at, _)| now.since(*at) < BREAKS_WITHIN_MS);
+        recent().count() >= BREAKS_MANY
+            && recent().map(|(_, who)| who).collect::<BTreeSet<_>>().len() >= BREAKS_STILES
+    }
+    fn leave(&mut self, facts: &Facts, term: DbTerm, now: Tick) -> Vec<Deed> {
+        if self.slow_tried.is_some_and(|t| now.since(t) < SLOW_AGAIN_MS) {
             return Vec::new();
         }
         self.slow_tried = Some(now);
@@ -1211,6 +1239,7 @@
                         self.settle(now);
                         match lead {
                             Some(lead) if slow => self.leave_slow(facts, lead.term, now),
+                            Some(lead) if self.unsteady(now) => self.leave(facts, lead.term, now),
                             _ => Vec::new(),
                         }
                     }
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -178,6 +178,30 @@
     }
 }
 
+#[test]
+fn a_primary_that_breaks_many_connections_is_left() {
+    let (facts, now) = (facts(), Tick(50_000));
+    // reports of so many stiles, each so many times, this far apart: whether it is left
+    for (stiles, times, apart, left) in [(3, 2, 100, true), (2, 4, 100, false), (4, 2, 500, false)]
+    {
+        let (mut s, _) = Succession::begin(&facts, now);
+        let mut at_ms = 0;
+        for i in 0..stiles * times {
+            let who = NodeName(format!("n{}", i % stiles));
+            at_ms += apart;
+            s.suspect(&facts, &who, &"a".into(), Doubt::Broken, now.plus(at_ms));
+        }
+        let fine = row(true, 1, at(9));
+        s.told(&facts, &"a".into(), Ask::Describe, &fine, now.plus(at_ms + 5));
+        let doubted =
+            s.suspect(&facts, &"n0".into(), &"a".into(), Doubt::Broken, now.plus(at_ms + 400));
+        let deeds = s.told(&facts, &"a".into(), Ask::Describe, &fine, now.plus(at_ms + 410));
+        let planned = matches!(s.stage, Stage::Fencing { target: Some(_), .. });
+        assert_eq!(planned, left, "{stiles} {times} {apart}: {doubted:?} {deeds:?}");
+        assert!(!s.revoking);
+    }
+}
+
 #[test]
 fn with_too_few_answers_nobody_is_promoted_unless_the_stiles_vouch() {
     let now = Tick(50_000);
