Leave to later what short sessions never need of their sockets

Cause: two thirds of the clients open a session for one operation, and each paid for nine socket options; keep-alive (four calls) and the limit for CONNECT (two) now fall to the tending loop after a second.

--- a/src/stile.rs
+++ b/src/stile.rs
@@ -775,6 +775,11 @@
 /// A session, as others may see and end it.
 struct Seen {
     stream: TcpStream,
+    came: Tick,
+    /// It stayed, and its connection is watched by the kernel.
+    lasting: AtomicBool,
+    /// It has said CONNECT.
+    connected: AtomicBool,
     /// When the session began to wait for its client; 0 while it works.
     resting: AtomicU64,
     open: AtomicBool,
@@ -1147,7 +1152,7 @@
         return refuse(ErrorKind::NoDatabase, "no such database");
     };
     client.write_all(b"READY I -\r\n")?;
-    seen.stream.set_read_timeout(None)?;
+    seen.connected.store(true, Ordering::Relaxed);
     let mut scion = Scion {
         stile: Arc::clone(stile),
         seen: Arc::clone(&seen),
@@ -1724,6 +1729,10 @@
 
 /// Sessions get this much of the program's stack; statements are small and buffers on the heap.
 const STACK: usize = 128 << 10;
+/// A client has this long to say CONNECT.
+const HELLO_MS: u64 = 10_000;
+/// A session that is older than this may stay for long.
+const LASTING_MS: u64 = 1_000;
 /// Descriptors kept for connections to databases, the link and files.
 const SPARE_FILES: u64 = 400;
 
@@ -1825,17 +1834,19 @@
         if lock(&self.sessions).len() >= self.max_sessions {
             return;
         }
+        // Many sessions serve one operation and go; what only the others need is left to `tend`.
         let ready = tune(&stream, Duration::from_secs(10))
-            .and_then(|()| keep_alive(&stream, Duration::from_secs(30)))
-            .and_then(|()| stream.set_write_timeout(Some(Duration::from_secs(5))))
-            // Until it has said CONNECT; a session may then rest as long as it likes.
-            .and_then(|()| stream.set_read_timeout(Some(Duration::from_secs(10))));
+            .and_then(|()| stream.set_write_timeout(Some(Duration::from_secs(5))));
         if ready.is_err() {
             return;
         }
+        let now = Tick::now();
         let seen = Arc::new(Seen {
             stream,
-            resting: AtomicU64::new(Tick::now().0),
+            came: now,
+            lasting: AtomicBool::new(false),
+            connected: AtomicBool::new(false),
+            resting: AtomicU64::new(now.0),
             open: AtomicBool::new(false),
         });
         lock(&self.sessions).insert(id, Arc::clone(&seen));
@@ -1860,6 +1871,14 @@
             if seen.open.load(Ordering::Relaxed) && since > 0 && now.0 > since + rest {
                 drop(seen.stream.shutdown(Shutdown::Both));
             }
+            let age = now.since(seen.came);
+            if age > HELLO_MS && !seen.connected.load(Ordering::Relaxed) {
+                drop(seen.stream.shutdown(Shutdown::Both));
+            }
+            if age > LASTING_MS && !seen.lasting.swap(true, Ordering::Relaxed) {
+                // One that can't be watched is noticed when it is next written to.
+                drop(keep_alive(&seen.stream, Duration::from_secs(30)));
+            }
         }
         let view = lock(&self.view);
         for seen in view.services.iter().filter(|(_, s)| s.share > 0 && s.share_until <= now) {
