Let a session's thread wait for the next session instead of ending with it

Cause: after the socket options, starting and ending a thread was the largest part of a short session's cost. A thread now waits 2 s for another session. Weighed: a fixed set of threads (long sessions would fill it) and a poll loop (docs/design.md).

--- a/src/stile.rs
+++ b/src/stile.rs
@@ -800,11 +800,20 @@
     close_from: AtomicU64,
     sessions: Mutex<HashMap<u64, Arc<Seen>>>,
     next_session: AtomicU64,
+    bench: Mutex<Bench>,
+    wanted: Condvar,
     doubted: Mutex<HashMap<InstanceId, Tick>>,
     hasher: std::hash::RandomState,
     max_sessions: usize,
 }
 
+/// Threads between two sessions, and sessions that one of them is about to take.
+#[derive(Default)]
+struct Bench {
+    resting: usize,
+    waiting: VecDeque<(u64, Arc<Seen>)>,
+}
+
 /// A connection in a session's hands.
 struct Bound {
     stock: Rootstock,
@@ -1729,6 +1738,8 @@
 
 /// Sessions get this much of the program's stack; statements are small and buffers on the heap.
 const STACK: usize = 128 << 10;
+/// How long a thread waits for another session.
+const REST_MS: u64 = 2_000;
 /// A client has this long to say CONNECT.
 const HELLO_MS: u64 = 10_000;
 /// A session that is older than this may stay for long.
@@ -1850,12 +1861,21 @@
             open: AtomicBool::new(false),
         });
         lock(&self.sessions).insert(id, Arc::clone(&seen));
+        {
+            let mut bench = lock(&self.bench);
+            if bench.resting > bench.waiting.len() {
+                bench.waiting.push_back((id, seen));
+                drop(bench);
+                self.wanted.notify_one();
+                return;
+            }
+        }
         let stile = Arc::clone(self);
         let started = std::thread::Builder::new().stack_size(STACK).spawn(move || {
-            let _gone = Leaves { stile: &stile, id };
-            // How a client's connection ends is not worth a line each.
-            if let Err(e) = session(&stile, seen, id) {
-                log::debug!(target: "session", "{id}: {e}");
+            let mut next = Some((id, seen));
+            while let Some((id, seen)) = next {
+                stile.attend(id, seen);
+                next = stile.rest();
             }
         });
         if started.is_err() {
@@ -1863,6 +1883,36 @@
         }
     }
 
+    fn attend(self: &Arc<Self>, id: u64, seen: Arc<Seen>) {
+        let _gone = Leaves { stile: self, id };
+        // How a client's connection ends is not worth a line each.
+        if let Err(e) = session(self, seen, id) {
+            log::debug!(target: "session", "{id}: {e}");
+        }
+    }
+
+    /// A thread whose session ended waits a little for the next one; a new thread costs more.
+    fn rest(&self) -> Option<(u64, Arc<Seen>)> {
+        let mut bench = lock(&self.bench);
+        bench.resting += 1;
+        let until = Tick::now().plus(REST_MS);
+        loop {
+            if let Some(next) = bench.waiting.pop_front() {
+                bench.resting -= 1;
+                return Some(next);
+            }
+            let left = until.since(Tick::now());
+            if left == 0 {
+                bench.resting -= 1;
+                return None;
+            }
+            bench = match self.wanted.wait_timeout(bench, Duration::from_millis(left)) {
+                Ok((guard, _)) => guard,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
+        }
+    }
+
     /// Ends transactions that rest for too long, and connections that nobody may hold any more.
     fn tend(&self, now: Tick) {
         let rest = self.config().map_or(3_000, |c| c.limits.txn_idle_ms);
@@ -1921,6 +1971,8 @@
         close_from: AtomicU64::new(u64::MAX),
         sessions: Mutex::default(),
         next_session: AtomicU64::new(1),
+        bench: Mutex::default(),
+        wanted: Condvar::new(),
         doubted: Mutex::default(),
         hasher: std::hash::RandomState::new(),
         max_sessions: settings.limits.max_open_files.saturating_sub(SPARE_FILES).max(16) as usize,
