--- a/src/steward.rs
+++ b/src/steward.rs
@@ -972,6 +972,8 @@
 const SLOW_ANSWER_MS: u64 = 150;
 /// Slow twice within this is slow, not a moment's queue.
 const SLOW_TWICE_MS: u64 = 2_000;
+/// A second question without an answer within this says that the first was no lost packet.
+const UNANSWERED_MS: u64 = 1_500;
 /// So many reports of broken connections, from so many stiles, within so long, make a primary
 /// unsteady.
 const BREAKS_MANY: usize = 5;
@@ -1003,6 +1005,7 @@
     stepped_down: Option<Tick>,
     slow_tried: Option<Tick>,
     slow_before: Option<Tick>,
+    unanswered: Option<Tick>,
     /// Broken connections at the primary, as stiles told of them.
     breaks: VecDeque<(Tick, NodeName)>,
 }
@@ -1024,6 +1027,7 @@
             stepped_down: None,
             slow_tried: None,
             slow_before: None,
+            unanswered: None,
             breaks: VecDeque::new(),
         };
         let mut deeds = Vec::new();
@@ -1243,6 +1247,16 @@
                             _ => Vec::new(),
                         }
                     }
+                    // One question without an answer may be a lost packet: it is asked once more.
+                    (Stage::Doubting { .. }, false)
+                        if *told == Told::Silent
+                            && self.suspects.len() < 3
+                            && self.unanswered.is_none_or(|t| now.since(t) > UNANSWERED_MS) =>
+                    {
+                        self.unanswered = Some(now);
+                        self.stage = Stage::Doubting { asked: now, reached: false };
+                        vec![Deed::Ask(of.clone(), Ask::Describe)]
+                    }
                     // Nothing was posted yet, and the alarm was false.
                     (Stage::Fencing { target: None, .. }, true) => self.call_off(now),
                     (Stage::Fencing { target: None, .. }, false) | (_, true) => Vec::new(),
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -202,6 +202,23 @@
     }
 }
 
+#[test]
+fn one_question_without_an_answer_is_no_loss_and_a_refusal_is() {
+    let (facts, now) = (facts(), Tick(50_000));
+    for (told, deeds) in [(Told::Silent, vec![ask("a", Ask::Describe)]), (Told::Lost, Vec::new())] {
+        let (mut s, _) = Succession::begin(&facts, now);
+        s.suspect(&facts, &"n1".into(), &"a".into(), Doubt::Broken, now);
+        let done = s.told(&facts, &"a".into(), Ask::Describe, &told, now.plus(300));
+        if deeds.is_empty() {
+            assert!(matches!(s.stage, Stage::Fencing { .. }));
+        } else {
+            assert_eq!(done, deeds);
+            s.told(&facts, &"a".into(), Ask::Describe, &told, now.plus(600));
+            assert!(matches!(s.stage, Stage::Fencing { .. }), "twice is enough");
+        }
+    }
+}
+
 #[test]
 fn with_too_few_answers_nobody_is_promoted_unless_the_stiles_vouch() {
     let now = Tick(50_000);
