--- a/src/steward.rs
+++ b/src/steward.rs
@@ -908,6 +908,9 @@
 }
 
 impl Facts {
+    fn database(&self, wanted: &InstanceId) -> Option<&(InstanceId, Instance)> {
+        self.databases.iter().find(|(id, _)| id == wanted)
+    }
     fn replicas(&self) -> impl Iterator<Item = &(InstanceId, Instance)> {
         let primary = self.lead.as_ref().map(|l| l.primary.clone());
         self.databases.iter().filter(move |(id, _)| Some(id) != primary.as_ref())
@@ -958,6 +961,8 @@
     },
 }
 
+/// So many stiles that are owed answers outweigh one unanswered question.
+const SILENT_STILES: usize = 3;
 /// A machine in reach takes a connection well within this.
 const DARK_MS: u64 = 25;
 const ASK_AGAIN_MS: u64 = 400;
@@ -1250,7 +1255,7 @@
                     // One question without an answer may be a lost packet: it is asked once more.
                     (Stage::Doubting { .. }, false)
                         if *told == Told::Silent
-                            && self.suspects.len() < 3
+                            && self.suspects.len() < SILENT_STILES
                             && self.unanswered.is_none_or(|t| now.since(t) > UNANSWERED_MS) =>
                     {
                         self.unanswered = Some(now);
@@ -1387,7 +1392,7 @@
             Posted::Busy => {}
             Posted::Refused => {
                 // One that has left for good will not lead any more, whatever is under way.
-                let left = !facts.databases.iter().any(|(id, _)| id == target);
+                let left = facts.database(target).is_none();
                 if left || perhaps.is_none_or(|t| now.since(t) > POST_SETTLED_MS) {
                     let (service, target) = (facts.service.clone(), target.clone());
                     return vec![Deed::Propose(Change::Abandon { service, target })];
@@ -1445,7 +1450,7 @@
             }
             return Vec::new();
         };
-        let listed = facts.databases.iter().find(|(id, _)| *id == lead.primary);
+        let listed = facts.database(&lead.primary);
         match &mut self.stage {
             Stage::Steady => {
                 if facts.databases.is_empty() {
@@ -1474,7 +1479,7 @@
             // Several stiles are owed answers. If its machine does not even take a connection, it
             // is lost; if it does, it is slow, and a replica may do better while it still serves.
             Stage::Doubting { asked, reached }
-                if self.suspects.len() >= 3 && now.since(*asked) >= DARK_MS =>
+                if self.suspects.len() >= SILENT_STILES && now.since(*asked) >= DARK_MS =>
             {
                 if !*reached {
                     return self.fence(facts, now);
@@ -1535,7 +1540,7 @@
                 let mut deeds = Vec::new();
                 // Having left in the meantime, the target is asked for again at once: the refusal
                 // settles it.
-                let left = !facts.databases.iter().any(|(id, _)| id == target);
+                let left = facts.database(target).is_none();
                 let again = now >= tried.plus(POST_AGAIN_MS);
                 if !*in_flight && (again || (left && *tried > now)) {
                     *in_flight = true;
@@ -2225,7 +2230,7 @@
         match waiter {
             // A caller that no longer waits is none of our business.
             Some(Waiter::Configured(reply)) => drop(reply.try_send(judged(&effect))),
-            Some(Waiter::Beaten(reply)) => drop(reply.try_send(self.beat_answer())),
+            Some(Waiter::Beaten(reply)) => drop(reply.try_send(Response::ok())),
             None => {}
         }
         if effect != Effect::Done {
@@ -2725,7 +2730,7 @@
                 *beat = (now, sequence);
             } else if beat.1 != 0 {
                 // Late or repeated: nothing changes.
-                drop(reply.try_send(self.beat_answer()));
+                drop(reply.try_send(Response::ok()));
                 return;
             }
         }
@@ -2738,15 +2743,11 @@
                 None => drop(reply.try_send(Response::refusal(503, "no leader"))),
             }
         } else {
-            drop(reply.try_send(self.beat_answer()));
+            drop(reply.try_send(Response::ok()));
             self.move_on(&service, now, |s, facts| s.beat(facts, &id, role, now));
         }
     }
 
-    fn beat_answer(&self) -> Response {
-        Response::ok()
-    }
-
     fn status(&self, now: Tick) -> serde_json::Value {
         let members: Vec<_> = self
             .hedge
