Let the reroute flag itself decide when a session leaves its connection

It was compared by hand in two places and asked for only by its test. Behaviour stays: a connection is left whenever no transaction is open, as before.

--- a/src/stile.rs
+++ b/src/stile.rs
@@ -113,7 +113,8 @@
     /// The source's flag: no resource of the session lives in a connection, which may be changed
     /// or given to another session.
     pub fn reusable(&self) -> bool {
-        self.phase == Phase::Idle
+        // A failed transaction holds nothing that its client could still ask for.
+        !matches!(self.phase, Phase::Open { .. })
     }
     /// What every connection must hold before the next statement: the source's SET statements,
     /// with the prepared names beside them.
@@ -1218,7 +1219,7 @@
                             Say::Complete
                         }
                         Verdict::Refused(kind) => {
-                            if self.graft.state() != State::Open {
+                            if self.graft.reusable() {
                                 self.unbind();
                             }
                             Say::Error(kind, refusal_text(kind).to_owned())
@@ -1277,9 +1278,8 @@
                 };
                 let sent = client.write_all(&bound.stock.inbox.pending()[..reply.end]);
                 bound.stock.inbox.use_up(reply.end);
-                match self.graft.state() {
-                    State::Open => {}
-                    _ => self.unbind(),
+                if self.graft.reusable() {
+                    self.unbind();
                 }
                 sent
             }
