Acknowledge a leaving only once it is committed, also when it is repeated

Cause, from reading the code: a beat's sequence was noted before its change was committed, so a repeat was acknowledged although the leader could still fall and take the news with it; a new leader could answer from an almanac that had not applied all that was committed; a waiting caller was found by the place in the log alone, where another leader's entry may come to stand; a late beat could bring back a database that had said goodbye after a change of leader.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -735,12 +735,35 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Change {
-    Configure { base: Revision, revision: Revision, body: ByteBuf },
-    Beat { id: InstanceId, instance: Instance, sequence: u64 },
-    Gone { id: InstanceId, sequence: u64 },
-    Led { service: ServiceName, term: DbTerm, primary: InstanceId },
-    Intend { service: ServiceName, term: DbTerm, target: InstanceId },
-    Abandon { service: ServiceName, target: InstanceId },
+    Configure {
+        base: Revision,
+        revision: Revision,
+        body: ByteBuf,
+    },
+    Beat {
+        id: InstanceId,
+        instance: Instance,
+        sequence: u64,
+    },
+    /// Beats up to `sequence` must not bring it back.
+    Gone {
+        id: InstanceId,
+        sequence: u64,
+    },
+    Led {
+        service: ServiceName,
+        term: DbTerm,
+        primary: InstanceId,
+    },
+    Intend {
+        service: ServiceName,
+        term: DbTerm,
+        target: InstanceId,
+    },
+    Abandon {
+        service: ServiceName,
+        target: InstanceId,
+    },
 }
 
 /// What became of a change.
@@ -1734,9 +1757,10 @@
     retry: Tick,
 }
 
-enum Waiter {
-    Configured(SyncSender<Response>),
-    Beaten(SyncSender<Response>),
+/// A caller whose change is on its way into the log.
+struct Waiter {
+    epoch: Epoch,
+    reply: SyncSender<Response>,
 }
 
 /// What only the leader keeps, and forgets when it no longer leads.
@@ -2203,7 +2227,8 @@
         }
         for entry in self.hedge.committed(self.applied) {
             self.applied = entry.index;
-            let waiter = self.waiting.remove(&entry.index);
+            // Another leader's entry may have come to stand where the caller's was.
+            let waiter = self.waiting.remove(&entry.index).filter(|w| w.epoch == entry.epoch);
             match &entry.body {
                 Body::Opened => {}
                 Body::Members(members) => {
@@ -2227,11 +2252,9 @@
 
     fn apply_change(&mut self, change: &Change, waiter: Option<Waiter>, now: Tick) {
         let effect = self.almanac.apply(change);
-        match waiter {
+        if let Some(Waiter { reply, .. }) = waiter {
             // A caller that no longer waits is none of our business.
-            Some(Waiter::Configured(reply)) => drop(reply.try_send(judged(&effect))),
-            Some(Waiter::Beaten(reply)) => drop(reply.try_send(Response::ok())),
-            None => {}
+            drop(reply.try_send(judged(&effect)));
         }
         if effect != Effect::Done {
             return;
@@ -2305,9 +2328,8 @@
             (false, true) => {
                 self.office = None;
                 for (_, waiter) in std::mem::take(&mut self.waiting) {
-                    let (Waiter::Configured(reply) | Waiter::Beaten(reply)) = waiter;
                     // Whether it will be in force is not known here; asked again it shows.
-                    drop(reply.try_send(Response::refusal(503, "no longer the leader")));
+                    drop(waiter.reply.try_send(Response::refusal(503, "no longer the leader")));
                 }
                 let elsewhere = Frame::Steward(ToStile::Elsewhere(self.leader().map(|m| m.peer)));
                 for (conn, _) in std::mem::take(&mut self.stiles) {
@@ -2660,8 +2682,9 @@
                 Ok(_) => return say(Response::refusal(400, "target_service is no word")),
                 Err(e) => return say(Response::refusal(400, &format!("cannot be read: {e}"))),
             },
+            // One that says goodbye has ended: whatever is still under way of it is late.
             ("DELETE", Some(id)) => {
-                Some(Change::Gone { id: InstanceId(id.to_owned()), sequence: 0 })
+                Some(Change::Gone { id: InstanceId(id.to_owned()), sequence: u64::MAX })
             }
             _ => None,
         };
@@ -2671,10 +2694,12 @@
                 None => Response::refusal(503, "no leader"),
             });
         }
-        // Only a leader that is certain of it may say what is current.
+        // Only a leader that is certain of it may say what is current, and only from all that is
+        // committed: a new leader may not have applied yet what the one before acknowledged.
         if !self.hedge.granting(now) {
             return say(Response::refusal(503, "no quorum"));
         }
+        self.apply(now);
         match parsed {
             None if self.almanac.body.is_empty() => {
                 say(Response::refusal(404, "no configuration yet"));
@@ -2685,33 +2710,15 @@
                 if effect != Effect::Done {
                     return say(judged(&effect));
                 }
-                let change = Change::Configure { base, revision, body };
-                match self.propose(&change, now) {
-                    Some(index) => {
-                        self.waiting.insert(index, Waiter::Configured(reply));
-                    }
-                    None => say(Response::refusal(503, "no leader")),
-                }
+                self.await_change(&Change::Configure { base, revision, body }, reply, now);
             }
             Some(Change::Beat { id, instance, sequence }) => {
                 self.take_beat(id, instance, sequence, reply, now);
             }
-            Some(change) => {
-                let mut change = change;
-                if let Change::Gone { id, sequence } = &mut change {
-                    if !self.almanac.instances.contains_key(id) {
-                        return say(Response::ok());
-                    }
-                    let beats = self.office.as_ref().and_then(|o| o.beats.get(id));
-                    *sequence = beats.map_or(0, |(_, last)| *last);
-                }
-                match self.propose(&change, now) {
-                    Some(index) => {
-                        self.waiting.insert(index, Waiter::Beaten(reply));
-                    }
-                    None => say(Response::refusal(503, "no leader")),
-                }
+            Some(Change::Gone { id, .. }) if !self.almanac.instances.contains_key(&id) => {
+                say(Response::ok())
             }
+            Some(change) => self.await_change(&change, reply, now),
         }
     }
 
@@ -2724,27 +2731,34 @@
         now: Tick,
     ) {
         let (service, role) = (instance.target_service.clone(), instance.database_role);
+        // That it was heard is known at once; what it said counts only once it is committed.
+        let mut newest = false;
         if let Some(office) = &mut self.office {
-            let beat = office.beats.entry(id.clone()).or_insert((now, 0));
-            if sequence > beat.1 {
-                *beat = (now, sequence);
-            } else if beat.1 != 0 {
-                // Late or repeated: nothing changes.
-                drop(reply.try_send(Response::ok()));
-                return;
+            let heard = office.beats.entry(id.clone()).or_insert((now, 0));
+            newest = sequence > heard.1;
+            if newest {
+                *heard = (now, sequence);
             }
         }
         if self.almanac.news(&id, &instance, sequence) {
-            let change = Change::Beat { id, instance, sequence };
-            match self.propose(&change, now) {
-                Some(index) => {
-                    self.waiting.insert(index, Waiter::Beaten(reply));
-                }
-                None => drop(reply.try_send(Response::refusal(503, "no leader"))),
-            }
+            self.await_change(&Change::Beat { id, instance, sequence }, reply, now);
         } else {
             drop(reply.try_send(Response::ok()));
-            self.move_on(&service, now, |s, facts| s.beat(facts, &id, role, now));
+            if newest {
+                self.move_on(&service, now, |s, facts| s.beat(facts, &id, role, now));
+            }
+        }
+    }
+
+    /// Proposes what a caller asked for; it is answered when that is committed and applied.
+    fn await_change(&mut self, change: &Change, reply: SyncSender<Response>, now: Tick) {
+        match self.propose(change, now) {
+            Some(index) => {
+                let waiter = Waiter { epoch: self.hedge.kept.epoch, reply };
+                self.waiting.insert(index, waiter);
+            }
+            // A caller that no longer waits is none of our business.
+            None => drop(reply.try_send(Response::refusal(503, "no leader"))),
         }
     }
 
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -4,7 +4,8 @@
 use silvertack::common::peer::Doubt;
 use silvertack::common::wire::Described;
 use silvertack::steward::{
-    Ask, Change, Deed, Facts, LEASE_MS, Lead, LeaseBook, Posted, Stage, Succession, Told,
+    Almanac, Ask, Change, Deed, Effect, Facts, LEASE_MS, Lead, LeaseBook, Posted, Stage,
+    Succession, Told,
 };
 use std::collections::BTreeSet;
 
@@ -463,3 +464,34 @@
     let live = held.iter().filter(|h| **h > 0).count();
     assert!(live == 8 && held.iter().all(|h| *h == 0 || *h == 11), "{held:?}");
 }
+
+#[test]
+fn a_leaving_is_news_until_it_is_committed_and_nothing_brings_one_back_that_said_goodbye() {
+    let id = InstanceId::from("a");
+    let stays = database(Lifecycle::Available, Role::Replica, "v1");
+    let leaves = database(Lifecycle::Draining, Role::Replica, "v1");
+    let beat = |instance: &Instance, sequence| Change::Beat {
+        id: id.clone(),
+        instance: instance.clone(),
+        sequence,
+    };
+    let mut almanac = Almanac::default();
+    almanac.apply(&beat(&stays, 3));
+    // Heard once and perhaps lost with its leader: a repeat must not pass as known.
+    for _ in 0..3 {
+        assert!(almanac.news(&id, &leaves, 5));
+    }
+    assert_eq!(almanac.apply(&beat(&leaves, 5)), Effect::Done);
+    // (what is told, its sequence, whether it is news)
+    for (told, sequence, news) in [(&leaves, 5, false), (&leaves, 9, false), (&stays, 4, false)] {
+        assert_eq!(almanac.news(&id, told, sequence), news, "{told:?} {sequence}");
+    }
+    assert_eq!(almanac.instances[&id].instance, leaves);
+    // It said goodbye: a beat that was under way for long comes after all.
+    almanac.apply(&Change::Gone { id: id.clone(), sequence: u64::MAX });
+    assert_eq!(almanac.apply(&beat(&leaves, 40)), Effect::Nothing);
+    // One that was only not heard of for long may come back with its next beat.
+    almanac.apply(&Change::Beat { id: "b".into(), instance: stays.clone(), sequence: 7 });
+    almanac.apply(&Change::Gone { id: "b".into(), sequence: 0 });
+    assert!(!almanac.news(&"b".into(), &stays, 7) && almanac.news(&"b".into(), &stays, 8));
+}
