Write to disk in a thread of its own; trouble there stops only leading

Change: Desk, a value between the hedge and the disk: one write at a time, later changes join the next one; messages that promise an epoch or a vote wait for it, acknowledgements tell only what is stored, heartbeats are answered meanwhile. A failed write is repeated from the state in memory. A leader whose disk refuses or stalls for 700 ms hands over, and stands for nothing until it is well. The leader's own copy counts like any other, so the others can commit without it. The log is folded by bytes too, messages are bounded by bytes, and the names of new files are synced. A member's state that is missing where its mark is there is refused instead of taken for a new disk. Ruled out: reopening the file after a failure; the same transaction works once there is room.

--- a/src/common/errors.rs
+++ b/src/common/errors.rs
@@ -72,6 +72,8 @@
     Configuration(String),
     #[error("state on disk: {0}")]
     State(String),
+    #[error("the disk: {0}")]
+    Disk(String),
     #[error("cannot listen on {0}: {1}")]
     Listen(String, std::io::Error),
     #[error("{0}")]
@@ -82,7 +84,7 @@
         match self {
             Fatal::Settings(_) => 2,
             Fatal::State(_) => 3,
-            Fatal::Configuration(_) | Fatal::Listen(..) | Fatal::Call(_) => 1,
+            Fatal::Configuration(_) | Fatal::Disk(_) | Fatal::Listen(..) | Fatal::Call(_) => 1,
         }
     }
 }
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -34,10 +34,14 @@
 /// The leader acts alone only while a quorum answered messages it sent within this time. It is
 /// less than `ELECTION_MIN_MS`, so no other steward can lead meanwhile.
 const QUORUM_FRESH_MS: u64 = ELECTION_MIN_MS - 100;
-/// Entries kept before the log is folded into a snapshot.
+/// The log is folded into a snapshot when it is longer than this, or larger.
 const COMPACT_AFTER: usize = 256;
-/// Entries sent in one message.
+const COMPACT_BYTES: usize = 1 << 20;
+/// Asked to lead, another does so within this or not at all.
+const HAND_OVER_MS: u64 = 500;
+/// Entries sent in one message; one at least, and well within the largest frame.
 const BATCH: usize = 64;
+const BATCH_BYTES: usize = 512 << 10;
 
 #[derive(Clone, Debug, PartialEq)]
 enum Rank {
@@ -54,13 +58,28 @@
     acked: Tick,
 }
 
-/// What must reach the disk before any message leaves.
+/// What differs from the disk.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Dirty {
     pub hard: bool,
     pub log_from: Option<Index>,
     pub snapshot: bool,
 }
+impl Dirty {
+    pub fn all() -> Self {
+        Self { hard: true, log_from: Some(Index(0)), snapshot: true }
+    }
+    fn mark_log(&mut self, from: Index) {
+        self.log_from = Some(self.log_from.map_or(from, |old| old.min(from)));
+    }
+    fn add(&mut self, other: Dirty) {
+        self.hard |= other.hard;
+        self.snapshot |= other.snapshot;
+        if let Some(from) = other.log_from {
+            self.mark_log(from);
+        }
+    }
+}
 
 /// What a steward keeps on disk.
 #[derive(Clone, Debug, Default)]
@@ -72,6 +91,14 @@
     pub snapshot: Snapshot,
 }
 
+/// About how many bytes an entry takes.
+fn size(entry: &Entry) -> usize {
+    match &entry.body {
+        Body::Change(bytes) => 32 + bytes.len(),
+        _ => 512,
+    }
+}
+
 /// The set of stewards, seen from one of them: Raft with trial votes, a quorum check, hand-over
 /// and one change of members at a time.
 pub struct Hedge {
@@ -85,7 +112,14 @@
     /// After a restart nothing is known of what the leader was last told, so no vote is given yet.
     quiet_until: Tick,
     peers: BTreeMap<MemberId, Progress>,
-    leaving: bool,
+    /// Since when another was asked to take over; nothing is granted from then on.
+    leaving: Option<Tick>,
+    /// The disk is in trouble: this steward does not lead.
+    ailing: bool,
+    /// Everything up to here is on this steward's disk.
+    durable: Index,
+    /// An acknowledgement that waits for the disk: to whom, up to where, and the message's time.
+    owed: Option<(MemberId, Index, u64)>,
     pub dirty: Dirty,
     pub out: Vec<(MemberId, Raft)>,
     spread: fn() -> u64,
@@ -104,11 +138,15 @@
             next_beat: now,
             quiet_until: if restarted { now.plus(ELECTION_MIN_MS) } else { now },
             peers: BTreeMap::new(),
-            leaving: false,
+            leaving: None,
+            ailing: false,
+            durable: Index(0),
+            owed: None,
             dirty: Dirty::default(),
             out: Vec::new(),
             spread,
         };
+        hedge.durable = hedge.last().1;
         hedge.rest(now);
         hedge
     }
@@ -164,7 +202,7 @@
         let Rank::Leader { opened, .. } = self.role else {
             return false;
         };
-        !self.leaving && self.commit >= opened && self.fresh(now, QUORUM_FRESH_MS)
+        self.leaving.is_none() && self.commit >= opened && self.fresh(now, QUORUM_FRESH_MS)
     }
     fn fresh(&self, now: Tick, within: u64) -> bool {
         let count = self
@@ -190,6 +228,7 @@
             self.kept.epoch = epoch;
             self.kept.voted = None;
             self.dirty.hard = true;
+            self.owed = None;
         }
     }
     fn follow(&mut self, leader: Option<MemberId>, now: Tick) {
@@ -203,7 +242,10 @@
         match &self.role {
             Rank::Leader { since, .. } => {
                 let patience = ELECTION_MIN_MS + ELECTION_SPREAD_MS;
-                if now.since(*since) > patience && !self.fresh(now, patience) {
+                let deserted = now.since(*since) > patience && !self.fresh(now, patience);
+                // Whoever was asked to take over may do so no more: it would be in this epoch.
+                let declined = self.leaving.is_some_and(|t| now.since(t) > HAND_OVER_MS);
+                if deserted || declined {
                     self.follow(None, now);
                 } else if now >= self.next_beat {
                     self.next_beat = now.plus(HEARTBEAT_MS);
@@ -214,7 +256,7 @@
             }
             _ if now >= self.deadline => {
                 self.rest(now);
-                if self.is_voter() && now >= self.quiet_until {
+                if self.is_voter() && now >= self.quiet_until && !self.ailing {
                     self.leader = None;
                     self.campaign(true, false, now);
                 }
@@ -261,7 +303,7 @@
         let opened = Index(last.0 + 1);
         self.role = Rank::Leader { opened, since: now };
         self.leader = Some(self.kept.me);
-        self.leaving = false;
+        self.leaving = None;
         self.peers = self
             .others()
             .into_iter()
@@ -272,7 +314,7 @@
 
     /// Appends to the log if this steward leads; tells where.
     pub fn propose(&mut self, body: Body, now: Tick) -> Option<Index> {
-        if !self.is_leader() || self.leaving {
+        if !self.is_leader() || self.leaving.is_some() {
             return None;
         }
         Some(self.push(body, now))
@@ -280,7 +322,7 @@
     fn push(&mut self, body: Body, now: Tick) -> Index {
         let index = Index(self.last().1.0 + 1);
         self.kept.log.push(Entry { epoch: self.kept.epoch, index, body });
-        self.mark_log(index);
+        self.dirty.mark_log(index);
         let others = self.others();
         self.peers.retain(|id, _| others.contains(id));
         for id in others {
@@ -294,9 +336,6 @@
         }
         index
     }
-    fn mark_log(&mut self, from: Index) {
-        self.dirty.log_from = Some(self.dirty.log_from.map_or(from, |old| old.min(from)));
-    }
     fn append_to(&mut self, id: MemberId, now: Tick) {
         let Some(progress) = self.peers.get(&id) else {
             return;
@@ -315,7 +354,14 @@
             return;
         };
         let from = (before.0 - base.1.0) as usize;
-        let entries: Vec<Entry> = self.kept.log.iter().skip(from).take(BATCH).cloned().collect();
+        let mut room = BATCH_BYTES;
+        let fits = |e: &&Entry| {
+            let goes = room > 0;
+            room = room.saturating_sub(size(e));
+            goes
+        };
+        let waiting = self.kept.log.iter().skip(from).take(BATCH);
+        let entries: Vec<Entry> = waiting.take_while(fits).cloned().collect();
         let next = Index(progress.next.0 + entries.len() as u64);
         let (commit, sent) = (self.commit, now.0);
         self.say(id, RaftKind::Append { previous: (epoch, before), entries, commit, sent });
@@ -350,11 +396,14 @@
                     let kind = RaftKind::Appended { upto: Index(0), ok: false, sent };
                     return self.say(from, kind);
                 }
+                let heartbeat = entries.is_empty();
                 let (ok, upto) = self.take_entries(previous, entries);
                 if ok {
                     self.commit = self.commit.max(commit.min(upto));
+                    self.acknowledge(from, upto, sent, heartbeat);
+                } else {
+                    self.say(from, RaftKind::Appended { upto, ok, sent });
                 }
-                self.say(from, RaftKind::Appended { upto, ok, sent });
             }
             RaftKind::Snapshot { snapshot, sent } => {
                 if !self.led_by(from, epoch, now) {
@@ -370,10 +419,11 @@
                     }
                     self.kept.snapshot = snapshot;
                     self.commit = upto;
+                    self.durable = Index(0);
                     self.dirty.snapshot = true;
-                    self.mark_log(Index(0));
+                    self.dirty.mark_log(Index(0));
                 }
-                self.say(from, RaftKind::Appended { upto, ok: true, sent });
+                self.acknowledge(from, upto, sent, false);
             }
             RaftKind::Appended { upto, ok, sent } => {
                 if epoch > self.kept.epoch {
@@ -402,13 +452,50 @@
                 }
             }
             RaftKind::TakeOver => {
-                if epoch == self.kept.epoch && self.is_voter() && self.leader == Some(from) {
+                let mine = epoch == self.kept.epoch && self.leader == Some(from);
+                if mine && self.is_voter() && !self.ailing {
                     self.campaign(false, true, now);
                 }
             }
         }
     }
 
+    /// Only what is on disk is acknowledged. New entries wait for it; a heartbeat is answered at
+    /// once with what there is, as a disk that stalls does not make this steward dead.
+    fn acknowledge(&mut self, leader: MemberId, upto: Index, sent: u64, heartbeat: bool) {
+        if upto > self.durable {
+            self.owed = Some((leader, upto, sent));
+            if !heartbeat {
+                return;
+            }
+        }
+        let upto = upto.min(self.durable);
+        self.say(leader, RaftKind::Appended { upto, ok: true, sent });
+    }
+    /// The disk has everything up to this entry, if it is still the one in the log.
+    pub fn stored(&mut self, last: (Epoch, Index)) {
+        if self.epoch_at(last.1) == Some(last.0) {
+            self.durable = self.durable.max(last.1);
+        }
+        self.advance();
+        if let Some((leader, upto, sent)) = self.owed
+            && self.leader == Some(leader)
+        {
+            if upto <= self.durable {
+                self.owed = None;
+            }
+            let upto = upto.min(self.durable);
+            self.say(leader, RaftKind::Appended { upto, ok: true, sent });
+        }
+    }
+    /// While the disk is in trouble, another should lead.
+    pub fn set_ailing(&mut self, ailing: bool, now: Tick) {
+        self.ailing = ailing;
+        if ailing {
+            self.hand_over(now);
+        }
+    }
+
     /// Accepts the sender as leader of its epoch, unless that epoch has passed.
     fn led_by(&mut self, from: MemberId, epoch: Epoch, now: Tick) -> bool {
         if epoch < self.kept.epoch {
@@ -478,17 +565,18 @@
                 Some(_) => {
                     let keep = (entry.index.0 - base.0 - 1) as usize;
                     self.kept.log.truncate(keep);
+                    self.durable = self.durable.min(Index(entry.index.0 - 1));
                 }
                 None => {}
             }
-            self.mark_log(entry.index);
+            self.dirty.mark_log(entry.index);
             self.kept.log.push(entry);
         }
         (true, upto.max(base))
     }
 
-    /// To be called once what was dirty is on disk: the leader's own copy counts from then on.
-    pub fn advance(&mut self) {
+    /// Commits what a quorum has on disk; the leader's own copy counts like any other.
+    fn advance(&mut self) {
         if !self.is_leader() {
             return;
         }
@@ -497,7 +585,7 @@
             .iter()
             .map(|id| {
                 if *id == self.kept.me {
-                    self.last().1
+                    self.durable
                 } else {
                     self.peers.get(id).map_or(Index(0), |p| p.matched)
                 }
@@ -528,7 +616,8 @@
         let Some(at) = self.position(applied) else {
             return;
         };
-        if at < COMPACT_AFTER {
+        let bytes: usize = self.kept.log[..=at].iter().map(size).sum();
+        if at < COMPACT_AFTER && bytes < COMPACT_BYTES {
             return;
         }
         let members = self.kept.log[..=at]
@@ -543,15 +632,15 @@
         self.kept.snapshot = Snapshot { last, members, state: ByteBuf::from(state()) };
         self.kept.log.drain(..=at);
         self.dirty.snapshot = true;
-        self.mark_log(Index(0));
+        self.dirty.mark_log(Index(0));
     }
 
     /// Asks the voter that is furthest along to lead. No lease is given from here on.
-    pub fn hand_over(&mut self) {
-        if !self.is_leader() || self.leaving {
+    pub fn hand_over(&mut self, now: Tick) {
+        if !self.is_leader() || self.leaving.is_some() {
             return;
         }
-        self.leaving = true;
+        self.leaving = Some(now);
         let voters = self.voters();
         let best = self
             .peers
@@ -598,6 +687,18 @@
 /// The layout this program writes. A file with a higher one is from a newer program.
 const FORMAT: i64 = 1;
 
+/// Says that a member's state was written here, should the state itself ever be missing.
+const MARK: &str = "member";
+
+/// A full or failing disk may be well again later; anything else is wrong with the state itself.
+fn disk(error: rusqlite::Error) -> Fatal {
+    use rusqlite::ErrorCode::{CannotOpen, DiskFull, SystemIoFailure};
+    match error.sqlite_error_code() {
+        Some(DiskFull | SystemIoFailure | CannotOpen) => Fatal::Disk(error.to_string()),
+        _ => Fatal::State(error.to_string()),
+    }
+}
+
 /// The SQLite file that holds vote, log and snapshot.
 pub struct Granary {
     db: Connection,
@@ -606,8 +707,8 @@
 impl Granary {
     /// Opens or makes the file; gives what it holds, `None` if it was new.
     pub fn open(folder: &Path) -> Result<(Self, Option<Kept>), Fatal> {
-        let state = |e: rusqlite::Error| Fatal::State(e.to_string());
-        std::fs::create_dir_all(folder).map_err(|e| Fatal::State(e.to_string()))?;
+        let state = disk;
+        std::fs::create_dir_all(folder).map_err(|e| Fatal::Disk(e.to_string()))?;
         let db = Connection::open(folder.join("hedge.sqlite")).map_err(state)?;
         // Exclusive before WAL: the index of the log then lives on the heap.
         db.pragma_update(None, "locking_mode", "EXCLUSIVE").map_err(state)?;
@@ -638,11 +739,39 @@
             .map_err(state)?;
         }
         let kept = Self::load(&db)?;
+        if kept.is_none() && folder.join(MARK).exists() {
+            return Err(Fatal::State(
+                "a member's state was here and is gone; not taken for a new disk".into(),
+            ));
+        }
         Ok((Self { db }, kept))
     }
 
+    /// Opens the file and makes sure that there is a first state in it, durable with its names.
+    pub fn found(folder: &Path, first: impl FnOnce() -> Kept) -> Result<(Self, Kept, bool), Fatal> {
+        let (mut granary, kept) = Self::open(folder)?;
+        if let Some(kept) = kept {
+            return Ok((granary, kept, true));
+        }
+        let kept = first();
+        granary.save(&Sheaf::of(&kept, &Dirty::all())).map_err(disk)?;
+        let sync = || -> std::io::Result<()> {
+            let mut mark = std::fs::File::create(folder.join(MARK))?;
+            mark.write_all(kept.me.to_string().as_bytes())?;
+            mark.sync_all()?;
+            std::fs::File::open(folder)?.sync_all()?;
+            // The folder's own name stands in the one above, where that may be opened.
+            match folder.parent().map(std::fs::File::open) {
+                Some(Ok(above)) => above.sync_all(),
+                _ => Ok(()),
+            }
+        };
+        sync().map_err(|e| Fatal::Disk(e.to_string()))?;
+        Ok((granary, kept, false))
+    }
+
     fn load(db: &Connection) -> Result<Option<Kept>, Fatal> {
-        let state = |e: rusqlite::Error| Fatal::State(e.to_string());
+        let state = disk;
         let broken = |e: std::io::Error| Fatal::State(format!("damaged, left as it is: {e}"));
         let hard = db
             .query_row("SELECT me, epoch, voted FROM hard", [], |r| {
@@ -683,27 +812,131 @@
     }
 
     /// Writes what changed in one transaction; when this returns it is durable.
-    pub fn save(&mut self, kept: &Kept, dirty: &Dirty) -> rusqlite::Result<()> {
+    pub fn save(&mut self, sheaf: &Sheaf) -> rusqlite::Result<()> {
         let tx = self.db.transaction()?;
-        if dirty.hard {
-            tx.prepare_cached("INSERT OR REPLACE INTO hard VALUES (1, ?1, ?2, ?3)")?.execute(
-                params![kept.me.0 as i64, kept.epoch.0 as i64, kept.voted.map(|v| v.0 as i64)],
-            )?;
+        if let Some((me, epoch, voted)) = &sheaf.hard {
+            tx.prepare_cached("INSERT OR REPLACE INTO hard VALUES (1, ?1, ?2, ?3)")?
+                .execute(params![me.0 as i64, epoch.0 as i64, voted.map(|v| v.0 as i64)])?;
         }
-        if dirty.snapshot {
-            tx.execute("INSERT OR REPLACE INTO snapshot VALUES (1, ?1)", [pack(&kept.snapshot)])?;
+        if let Some(snapshot) = &sheaf.snapshot {
+            tx.execute("INSERT OR REPLACE INTO snapshot VALUES (1, ?1)", [snapshot])?;
         }
-        if let Some(from) = dirty.log_from {
+        if let Some((from, entries)) = &sheaf.log {
             tx.prepare_cached("DELETE FROM log WHERE place >= ?1")?.execute([from.0 as i64])?;
             let mut insert = tx.prepare_cached("INSERT INTO log VALUES (?1, ?2)")?;
-            for entry in kept.log.iter().filter(|e| e.index >= from) {
-                insert.execute(params![entry.index.0 as i64, pack(entry)])?;
+            for (index, body) in entries {
+                insert.execute(params![index.0 as i64, body])?;
             }
         }
         tx.commit()
     }
 }
 
+/// Entries as the table of the log holds them.
+type Rows = Vec<(Index, Vec<u8>)>;
+
+/// What one transaction brings to the disk, as bytes.
+#[derive(Debug)]
+pub struct Sheaf {
+    hard: Option<(MemberId, Epoch, Option<MemberId>)>,
+    snapshot: Option<Vec<u8>>,
+    /// From this place on the log is replaced.
+    log: Option<(Index, Rows)>,
+}
+impl Sheaf {
+    pub fn of(kept: &Kept, dirty: &Dirty) -> Self {
+        let entries = |from: Index| {
+            let after = kept.log.iter().filter(move |e| e.index >= from);
+            (from, after.map(|e| (e.index, pack(e))).collect::<Rows>())
+        };
+        Self {
+            hard: dirty.hard.then_some((kept.me, kept.epoch, kept.voted)),
+            snapshot: dirty.snapshot.then(|| pack(&kept.snapshot)),
+            log: dirty.log_from.map(entries),
+        }
+    }
+}
+
+/// A write takes this long only when the disk is in trouble.
+const STALL_MS: u64 = 700;
+const WRITE_AGAIN_MS: u64 = 200;
+
+/// Between the hedge and the disk: one write at a time, whatever comes meanwhile goes into the
+/// next one, and messages wait that would promise what is not on disk yet.
+#[derive(Default)]
+pub struct Desk {
+    started: u64,
+    under_way: Option<UnderWay>,
+    /// The last write failed; the next try comes then.
+    retry: Option<Tick>,
+    /// Messages, each behind the write it stands on.
+    held: VecDeque<(u64, MemberId, Raft)>,
+}
+struct UnderWay {
+    dirty: Dirty,
+    last: (Epoch, Index),
+    since: Tick,
+}
+
+impl Desk {
+    /// The messages that may leave now. An epoch or a vote that is not on disk holds all of them
+    /// back but trial votes, which promise nothing; what entries they tell of is the hedge's care.
+    pub fn leaving(&mut self, hedge: &mut Hedge) -> Vec<(MemberId, Raft)> {
+        let behind = if hedge.dirty.hard {
+            Some(self.started + 1)
+        } else {
+            self.under_way.as_ref().filter(|w| w.dirty.hard).map(|_| self.started)
+        };
+        let mut free = Vec::new();
+        for (to, message) in hedge.out.drain(..) {
+            let trial = matches!(
+                message.kind,
+                RaftKind::AskVote { trial: true, .. } | RaftKind::Vote { trial: true, .. }
+            );
+            match behind {
+                Some(number) if !trial => self.held.push_back((number, to, message)),
+                _ => free.push((to, message)),
+            }
+        }
+        free
+    }
+    /// The next write, if there is one to be started now.
+    pub fn start(&mut self, hedge: &mut Hedge, now: Tick) -> Option<Sheaf> {
+        let waits = self.under_way.is_some() || self.retry.is_some_and(|t| now < t);
+        if waits || hedge.dirty == Dirty::default() {
+            return None;
+        }
+        let dirty = std::mem::take(&mut hedge.dirty);
+        let sheaf = Sheaf::of(&hedge.kept, &dirty);
+        self.started += 1;
+        self.under_way = Some(UnderWay { dirty, last: hedge.last(), since: now });
+        Some(sheaf)
+    }
+    /// The write under way has ended; gives the messages that waited for it.
+    pub fn ended(&mut self, hedge: &mut Hedge, well: bool, now: Tick) -> Vec<(MemberId, Raft)> {
+        let Some(UnderWay { dirty, last, .. }) = self.under_way.take() else {
+            return Vec::new();
+        };
+        if !well {
+            hedge.dirty.add(dirty);
+            self.retry = Some(now.plus(WRITE_AGAIN_MS));
+            return Vec::new();
+        }
+        self.retry = None;
+        hedge.stored(last);
+        let mut free = Vec::new();
+        while self.held.front().is_some_and(|(number, ..)| *number <= self.started) {
+            free.extend(self.held.pop_front().map(|(_, to, message)| (to, message)));
+        }
+        free
+    }
+    /// The disk refuses writes, or does not answer.
+    pub fn troubled(&self, now: Tick) -> bool {
+        self.retry.is_some()
+            || self.under_way.as_ref().is_some_and(|w| now.since(w.since) > STALL_MS)
+    }
+}
+
 // ---------------------------------------------------------------------------------------------
 // The replicated state
 
@@ -1749,6 +1982,8 @@
     Http(Request, SyncSender<Response>),
     Told(ServiceName, InstanceId, Ask, Told),
     Posted(ServiceName, InstanceId, Posted),
+    /// The write under way has ended, with its error if it failed.
+    Saved(Result<(), String>),
 }
 
 struct Link {
@@ -1774,7 +2009,9 @@
 struct Steward {
     settings: Settings,
     hedge: Hedge,
-    granary: Granary,
+    desk: Desk,
+    scribe: Sender<Sheaf>,
+    ailing: bool,
     almanac: Almanac,
     applied: Index,
     config: Option<Configuration>,
@@ -1809,18 +2046,18 @@
         .clone()
         .ok_or_else(|| Fatal::Settings("data_path is needed by a steward".into()))?;
     let signals = Signals::install().map_err(|e| Fatal::Call(e.to_string()))?;
-    let (mut granary, kept) = Granary::open(&folder)?;
-    let now = Tick::now();
-    let restarted = kept.is_some();
-    let kept = match kept {
-        Some(kept) => kept,
-        None => {
-            let kept = found(&settings, admin);
-            let all = Dirty { hard: true, log_from: Some(Index(0)), snapshot: true };
-            granary.save(&kept, &all).map_err(|e| Fatal::State(e.to_string()))?;
-            kept
+    let (granary, kept, restarted) = loop {
+        match Granary::found(&folder, || found(&settings, admin)) {
+            Ok(opened) => break opened,
+            // A full or failing disk may be well again later.
+            Err(Fatal::Disk(why)) if !signals.terminated() => {
+                warn!(target: "disk", "cannot be used, tried again soon: {why}");
+                std::thread::sleep(Duration::from_millis(500));
+            }
+            Err(e) => return Err(e),
         }
     };
+    let now = Tick::now();
     info!(target: "hedge", "member {} starts at epoch {}, entry {}", kept.me, kept.epoch,
         kept.log.last().map_or(kept.snapshot.last.1, |e| e.index));
     let almanac: Almanac = if kept.snapshot.state.is_empty() {
@@ -1840,7 +2077,9 @@
     let mut steward = Steward {
         hedge: Hedge::new(kept, restarted, now, rand::random::<u64>),
         settings,
-        granary,
+        desk: Desk::default(),
+        scribe: start_scribe(granary, tx.clone()),
+        ailing: false,
         almanac,
         applied,
         config,
@@ -1858,6 +2097,20 @@
     steward.serve(rx, &signals, Watched::new(path))
 }
 
+/// The thread that waits for the disk, so that nothing else does.
+fn start_scribe(mut granary: Granary, done: Sender<Input>) -> Sender<Sheaf> {
+    let (jobs, next) = channel::<Sheaf>();
+    std::thread::spawn(move || {
+        for sheaf in next {
+            let saved = granary.save(&sheaf).map_err(|e| e.to_string());
+            if done.send(Input::Saved(saved)).is_err() {
+                return;
+            }
+        }
+    });
+    jobs
+}
+
 /// The first state of an empty disk: the seeds found the hedge when the system starts for the
 /// first time; anyone else begins as a stranger under a fresh id and asks to join.
 fn found(settings: &Settings, admin: SocketAddr) -> Kept {
@@ -2095,9 +2348,9 @@
             }
             let now = Tick::now();
             self.hedge.tick(now);
-            self.flush(now)?;
+            self.flush(now);
             self.reconcile(now);
-            self.flush(now)?;
+            self.flush(now);
             if now.since(looked) > 1_000 {
                 looked = now;
                 if let Some(settings) = watched.poll(signals.take_hup()) {
@@ -2107,8 +2360,8 @@
             if signals.terminated() && leaving.is_none() {
                 info!(target: "hedge", "stopping");
                 leaving = Some(now);
-                self.hedge.hand_over();
-                self.flush(now)?;
+                self.hedge.hand_over(now);
+                self.flush(now);
             }
             // The hand-over needs a moment; a follower can go at once.
             if leaving.is_some_and(|t| !self.hedge.is_leader() || now.since(t) > 500) {
@@ -2118,28 +2371,46 @@
         }
     }
 
-    /// Makes durable what changed, then lets messages leave, then applies what was agreed.
-    fn flush(&mut self, now: Tick) -> Result<(), Fatal> {
-        loop {
-            let dirty = std::mem::take(&mut self.hedge.dirty);
-            if dirty != Dirty::default() {
-                if let Err(e) = self.granary.save(&self.hedge.kept, &dirty) {
-                    error!(target: "hedge", "cannot write: {e}");
-                    return Err(Fatal::State(e.to_string()));
-                }
-                self.hedge.advance();
+    /// Lets the messages leave that may, starts the next write, and applies what was agreed.
+    fn flush(&mut self, now: Tick) {
+        let troubled = self.desk.troubled(now);
+        if troubled != self.ailing {
+            self.ailing = troubled;
+            match troubled {
+                true => warn!(target: "disk", "in trouble, another is to lead"),
+                false => info!(target: "disk", "well again"),
             }
-            for (to, message) in std::mem::take(&mut self.hedge.out) {
+        }
+        self.hedge.set_ailing(troubled, now);
+        loop {
+            for (to, message) in self.desk.leaving(&mut self.hedge) {
                 self.send_raft(to, message, now);
             }
+            if let Some(sheaf) = self.desk.start(&mut self.hedge, now)
+                && self.scribe.send(sheaf).is_err()
+            {
+                error!(target: "hedge", "the thread that writes has ended");
+            }
             self.apply(now);
             self.change_office(now);
-            if self.hedge.dirty == Dirty::default() && self.hedge.out.is_empty() {
-                return Ok(());
+            if self.hedge.out.is_empty() {
+                return;
             }
         }
     }
 
+    fn saved(&mut self, saved: Result<(), String>, now: Tick) {
+        // Tried again until it works; one line for the first failure is enough.
+        if let Err(e) = &saved
+            && !self.ailing
+        {
+            error!(target: "disk", "cannot write: {e}");
+        }
+        for (to, message) in self.desk.ended(&mut self.hedge, saved.is_ok(), now) {
+            self.send_raft(to, message, now);
+        }
+    }
+
     fn send_raft(&mut self, to: MemberId, message: Raft, now: Tick) {
         let Some(member) = self.hedge.members().iter().find(|m| m.id == to) else {
             return;
@@ -2207,6 +2478,7 @@
                 }
                 self.move_on(&service, now, |s, facts| s.told(facts, &id, ask, &told, now));
             }
+            Input::Saved(saved) => self.saved(saved, now),
             Input::Posted(service, id, posted) => {
                 info!(target: "failover", "{service}: promote of {id}: {posted:?}");
                 self.move_on(&service, now, |s, facts| s.posted(facts, &id, posted, now));
@@ -2225,6 +2497,9 @@
             self.applied = self.hedge.kept.snapshot.last.1;
             self.config = Configuration::read(&self.almanac.body).ok();
         }
+        if self.hedge.commit <= self.applied {
+            return;
+        }
         for entry in self.hedge.committed(self.applied) {
             self.applied = entry.index;
             // Another leader's entry may have come to stand where the caller's was.
--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -2,7 +2,7 @@
 use serde_bytes::ByteBuf;
 use silvertack::common::ids::*;
 use silvertack::common::peer::*;
-use silvertack::steward::{Dirty, ELECTION_MIN_MS, Granary, Hedge, Kept};
+use silvertack::steward::{Desk, Dirty, ELECTION_MIN_MS, Granary, Hedge, Kept, Sheaf};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 fn member(id: u64, voter: bool) -> Member {
@@ -61,7 +61,7 @@
                     || !self.disks.contains_key(id)
                 {
                     self.disks.insert(*id, hedge.kept.clone());
-                    hedge.advance();
+                    hedge.stored(hedge.last());
                 }
                 let from_cut = self.cut.contains(id);
                 self.wire.extend(hedge.out.drain(..).filter(|_| !from_cut));
@@ -212,7 +212,7 @@
     let old = stewards.lead();
     let now = stewards.now;
     let hedge = stewards.hedges.get_mut(&old).expect("leader");
-    hedge.hand_over();
+    hedge.hand_over(now);
     assert!(!hedge.granting(now), "no lease from the moment it asks");
     stewards.settle();
     stewards.run(300);
@@ -279,12 +279,12 @@
         |index, epoch, n| Entry { epoch: Epoch(epoch), index: Index(index), body: change(n) };
     let mut kept = Kept { epoch: Epoch(3), voted: Some(MemberId(2)), ..founder(1, 3) };
     kept.log = vec![entry(1, 1, 1), entry(2, 1, 2), entry(3, 1, 3)];
-    let all = Dirty { hard: true, log_from: Some(Index(0)), snapshot: true };
-    granary.save(&kept, &all).expect("saved");
+    granary.save(&Sheaf::of(&kept, &Dirty::all())).expect("saved");
     // A conflicting tail is replaced.
     kept.log.truncate(1);
     kept.log.push(entry(2, 3, 9));
-    granary.save(&kept, &Dirty { log_from: Some(Index(2)), ..Dirty::default() }).expect("saved");
+    let tail = Dirty { log_from: Some(Index(2)), ..Dirty::default() };
+    granary.save(&Sheaf::of(&kept, &tail)).expect("saved");
     drop(granary);
     let (granary, found) = Granary::open(&folder).expect("again");
     let found = found.expect("kept");
@@ -303,5 +303,107 @@
     std::fs::write(&file, vec![7u8; 8192]).expect("damage");
     assert!(Granary::open(&folder).is_err(), "a damaged file is refused");
     assert_eq!(std::fs::read(&file).expect("bytes"), vec![7u8; 8192], "and left as it is");
+    // A member's state that is gone is not taken for a new disk; an empty folder is.
     let _ = std::fs::remove_dir_all(&folder);
+    let (granary, first, old) = Granary::found(&folder, || founder(1, 3)).expect("founded");
+    assert!(!old && first.me == MemberId(1));
+    drop(granary);
+    let (granary, again, old) = Granary::found(&folder, || founder(2, 3)).expect("again");
+    assert!(old && again.me == MemberId(1), "what is on disk wins");
+    drop(granary);
+    for name in ["hedge.sqlite", "hedge.sqlite-wal"] {
+        let _ = std::fs::remove_file(folder.join(name));
+    }
+    let refused = Granary::found(&folder, || founder(2, 3)).err().expect("refused").to_string();
+    assert!(refused.contains("is gone"), "{refused}");
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
+#[test]
+fn nothing_leaves_that_stands_on_what_the_disk_has_not_taken() {
+    let now = Tick(5_000);
+    let mut hedge = Hedge::new(founder(2, 3), false, now, || 10);
+    let mut desk = Desk::default();
+    let raft = |epoch, kind| Raft { from: MemberId(1), epoch: Epoch(epoch), kind };
+    let append = |entries, sent| RaftKind::Append {
+        previous: (Epoch(0), Index(0)),
+        entries,
+        commit: Index(0),
+        sent,
+    };
+    let entry = Entry { epoch: Epoch(4), index: Index(1), body: change(1) };
+    let acked = |out: &[(MemberId, Raft)]| -> Vec<u64> {
+        out.iter()
+            .filter_map(|(_, m)| match m.kind {
+                RaftKind::Appended { upto, ok: true, .. } => Some(upto.0),
+                _ => None,
+            })
+            .collect()
+    };
+    // A new epoch and an entry: both go to the disk, and no word leaves meanwhile.
+    hedge.step(raft(4, append(vec![entry], 1)), now);
+    assert!(desk.leaving(&mut hedge).is_empty());
+    assert!(desk.start(&mut hedge, now).is_some() && desk.start(&mut hedge, now).is_none());
+    hedge.step(raft(4, append(vec![], 2)), now.plus(100));
+    assert!(desk.leaving(&mut hedge).is_empty(), "the epoch is not on disk");
+    // The disk refuses: the same goes there again, and still nothing was promised.
+    assert!(desk.ended(&mut hedge, false, now.plus(110)).is_empty());
+    assert!(desk.troubled(now.plus(110)) && desk.start(&mut hedge, now.plus(120)).is_none());
+    assert!(desk.start(&mut hedge, now.plus(400)).is_some());
+    let freed = desk.ended(&mut hedge, true, now.plus(401));
+    assert_eq!(acked(&freed), [0], "a heartbeat's answer, as of when it came");
+    assert_eq!(acked(&desk.leaving(&mut hedge)), [1], "and the entry once it is there");
+    // From here on only entries wait: a heartbeat is answered while the disk stalls.
+    let second = Entry { epoch: Epoch(4), index: Index(2), body: change(2) };
+    let previous = (Epoch(4), Index(1));
+    let kind = RaftKind::Append { previous, entries: vec![second], commit: Index(0), sent: 3 };
+    hedge.step(raft(4, kind), now.plus(500));
+    assert!(desk.start(&mut hedge, now.plus(500)).is_some());
+    let kind = RaftKind::Append {
+        previous: (Epoch(4), Index(2)),
+        entries: vec![],
+        commit: Index(0),
+        sent: 4,
+    };
+    hedge.step(raft(4, kind), now.plus(900));
+    assert_eq!(acked(&desk.leaving(&mut hedge)), [1]);
+    assert!(!desk.troubled(now.plus(900)) && desk.troubled(now.plus(1_400)), "stalled");
+    desk.ended(&mut hedge, true, now.plus(1_500));
+    assert_eq!(acked(&desk.leaving(&mut hedge)), [2]);
+    assert!(!desk.troubled(now.plus(1_500)));
+}
+
+#[test]
+fn a_leader_whose_disk_is_in_trouble_lets_another_lead() {
+    let mut stewards = Orchard::new(4);
+    let old = stewards.lead();
+    let now = stewards.now;
+    stewards.hedges.get_mut(&old).expect("leader").set_ailing(true, now);
+    stewards.settle();
+    for _ in 0..60 {
+        stewards.run(10);
+        assert!(stewards.leaders().len() <= 1);
+    }
+    let new = stewards.leaders();
+    assert!(new.len() == 1 && new != [old], "{new:?}");
+    // The ailing one stands for nothing, even when nobody else is left to lead.
+    stewards.cut.insert(new[0]);
+    stewards.run(4_000);
+    assert!(!stewards.leaders().contains(&old));
+}
+
+#[test]
+fn a_leader_commits_only_what_its_own_disk_or_enough_others_have() {
+    let mut stewards = Orchard::new(3);
+    let leader = stewards.lead();
+    let others: Vec<u64> = (1..=3).filter(|i| *i != leader).collect();
+    let (now, hedge) = (stewards.now, stewards.hedges.get_mut(&leader).expect("leader"));
+    let before = hedge.commit;
+    let index = hedge.propose(change(1), now).expect("taken");
+    let epoch = hedge.kept.epoch;
+    let kind = RaftKind::Appended { upto: index, ok: true, sent: now.0 };
+    hedge.step(Raft { from: MemberId(others[0]), epoch, kind: kind.clone() }, now);
+    assert_eq!(hedge.commit, before, "one disk of three");
+    hedge.step(Raft { from: MemberId(others[1]), epoch, kind }, now);
+    assert_eq!(hedge.commit, index, "two of three, though not its own");
 }
