Elect a restarted leader at once

A restarted voter gives no vote for 600 ms, since it may have promised quiet to a leader just before; but when that leader itself asks, there is none. Change: the last epoch a steward led is kept on disk; an asker that led the epoch before the one it asks for gets votes at once, also from the freshly started; it asks every 50 to 100 ms. A replay of the log reads the newest configuration only. Ruled out: a shorter election time-out for all, which slow machines would pay for.

--- a/src/common/peer.rs
+++ b/src/common/peer.rs
@@ -63,6 +63,8 @@
         trial: bool,
         /// The old leader itself asked for this election.
         handover: bool,
+        /// The asker led the epoch before this one, and does so no more.
+        led: bool,
         last: (Epoch, Index),
     },
     Vote {
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -31,6 +31,8 @@
 /// A follower that heard its leader within this time helps nobody else to lead.
 pub const ELECTION_MIN_MS: u64 = 600;
 const ELECTION_SPREAD_MS: u64 = 400;
+/// A leader that was restarted asks for votes this often until somebody leads.
+const RETURN_MS: u64 = 50;
 /// The leader acts alone only while a quorum answered messages it sent within this time. It is
 /// less than `ELECTION_MIN_MS`, so no other steward can lead meanwhile.
 const QUORUM_FRESH_MS: u64 = ELECTION_MIN_MS - 100;
@@ -87,6 +89,8 @@
     pub me: MemberId,
     pub epoch: Epoch,
     pub voted: Option<MemberId>,
+    /// The last epoch that this steward led.
+    pub led: Option<Epoch>,
     pub log: Vec<Entry>,
     pub snapshot: Snapshot,
 }
@@ -111,6 +115,8 @@
     next_beat: Tick,
     /// After a restart nothing is known of what the leader was last told, so no vote is given yet.
     quiet_until: Tick,
+    /// Just started, and it had led the newest epoch it knows: nobody waits for that leader.
+    returning: bool,
     peers: BTreeMap<MemberId, Progress>,
     /// Since when another was asked to take over; nothing is granted from then on.
     leaving: Option<Tick>,
@@ -128,6 +134,8 @@
 impl Hedge {
     pub fn new(kept: Kept, restarted: bool, now: Tick, spread: fn() -> u64) -> Self {
         let commit = kept.snapshot.last.1;
+        let returning = restarted && kept.led == Some(kept.epoch);
+        let quiet = restarted && !returning;
         let mut hedge = Self {
             kept,
             commit,
@@ -136,7 +144,8 @@
             heard: None,
             deadline: now,
             next_beat: now,
-            quiet_until: if restarted { now.plus(ELECTION_MIN_MS) } else { now },
+            quiet_until: if quiet { now.plus(ELECTION_MIN_MS) } else { now },
+            returning,
             peers: BTreeMap::new(),
             leaving: None,
             ailing: false,
@@ -193,7 +202,11 @@
         self.voters().len() / 2 + 1
     }
     fn rest(&mut self, now: Tick) {
-        self.deadline = now.plus(ELECTION_MIN_MS + (self.spread)() % ELECTION_SPREAD_MS);
+        let (least, spread) = match self.returning {
+            true => (RETURN_MS, RETURN_MS),
+            false => (ELECTION_MIN_MS, ELECTION_SPREAD_MS),
+        };
+        self.deadline = now.plus(least + (self.spread)() % spread);
     }
 
     /// True while this steward may act as the only leader: a quorum is with it, its first entry
@@ -229,6 +242,7 @@
             self.kept.voted = None;
             self.dirty.hard = true;
             self.owed = None;
+            self.returning = false;
         }
     }
     fn follow(&mut self, leader: Option<MemberId>, now: Tick) {
@@ -280,9 +294,11 @@
         self.role = Rank::Candidate { trial, handover, votes };
         self.rest(now);
         let last = self.last();
+        // True only for one that does not lead any more, since a leader never asks.
+        let led = self.kept.led.is_some_and(|l| l.0 + 1 == epoch.0);
         for id in self.voters() {
             if id != self.kept.me {
-                let kind = RaftKind::AskVote { trial, handover, last };
+                let kind = RaftKind::AskVote { trial, handover, led, last };
                 self.out.push((id, Raft { from: self.kept.me, epoch, kind }));
             }
         }
@@ -303,6 +319,8 @@
         let opened = Index(last.0 + 1);
         self.role = Rank::Leader { opened, since: now };
         self.leader = Some(self.kept.me);
+        self.kept.led = Some(self.kept.epoch);
+        self.dirty.hard = true;
         self.leaving = None;
         self.peers = self
             .others()
@@ -373,8 +391,11 @@
     pub fn step(&mut self, message: Raft, now: Tick) {
         let Raft { from, epoch, kind } = message;
         match kind {
-            RaftKind::AskVote { trial, handover, last } => {
-                self.asked_vote(from, epoch, trial, handover, last, now)
+            RaftKind::AskVote { trial, handover, led, last } => {
+                // One that led the newest epoch known here leads no more: there is nobody left
+                // that a vote could harm. Leaders before it lost their quorum when it won.
+                let free = handover || (led && epoch > self.kept.epoch);
+                self.asked_vote(from, epoch, trial, free, last, now)
             }
             RaftKind::Vote { trial, granted } => {
                 if !granted && epoch > self.kept.epoch {
@@ -512,13 +533,13 @@
         from: MemberId,
         epoch: Epoch,
         trial: bool,
-        handover: bool,
+        free: bool,
         last: (Epoch, Index),
         now: Tick,
     ) {
         let followed = self.heard.is_some_and(|t| now.since(t) < ELECTION_MIN_MS)
             || (self.is_leader() && self.fresh(now, ELECTION_MIN_MS));
-        if (followed && !handover) || now < self.quiet_until {
+        if (followed || now < self.quiet_until) && !free {
             return;
         }
         if epoch < self.kept.epoch || (trial && epoch <= self.kept.epoch) {
@@ -738,6 +759,9 @@
             )
             .map_err(state)?;
         }
+        // Came later than the rest; files without it are read as ever.
+        let led = "CREATE TABLE IF NOT EXISTS led (only_one INTEGER PRIMARY KEY CHECK (only_one = 1), epoch INTEGER NOT NULL)";
+        db.execute_batch(led).map_err(state)?;
         let kept = Self::load(&db)?;
         if kept.is_none() && folder.join(MARK).exists() {
             return Err(Fatal::State(
@@ -782,6 +806,10 @@
         let Some((me, epoch, voted)) = hard else {
             return Ok(None);
         };
+        let led = db
+            .query_row("SELECT epoch FROM led", [], |r| r.get::<_, i64>(0))
+            .optional()
+            .map_err(state)?;
         let snapshot = db
             .query_row("SELECT body FROM snapshot", [], |r| r.get::<_, Vec<u8>>(0))
             .optional()
@@ -806,6 +834,7 @@
             me: MemberId(me as u64),
             epoch: Epoch(epoch as u64),
             voted: voted.map(|v| MemberId(v as u64)),
+            led: led.map(|e| Epoch(e as u64)),
             log,
             snapshot,
         }))
@@ -814,9 +843,13 @@
     /// Writes what changed in one transaction; when this returns it is durable.
     pub fn save(&mut self, sheaf: &Sheaf) -> rusqlite::Result<()> {
         let tx = self.db.transaction()?;
-        if let Some((me, epoch, voted)) = &sheaf.hard {
+        if let Some((me, epoch, voted, led)) = &sheaf.hard {
             tx.prepare_cached("INSERT OR REPLACE INTO hard VALUES (1, ?1, ?2, ?3)")?
                 .execute(params![me.0 as i64, epoch.0 as i64, voted.map(|v| v.0 as i64)])?;
+            if let Some(led) = led {
+                tx.prepare_cached("INSERT OR REPLACE INTO led VALUES (1, ?1)")?
+                    .execute([led.0 as i64])?;
+            }
         }
         if let Some(snapshot) = &sheaf.snapshot {
             tx.execute("INSERT OR REPLACE INTO snapshot VALUES (1, ?1)", [snapshot])?;
@@ -838,7 +871,7 @@
 /// What one transaction brings to the disk, as bytes.
 #[derive(Debug)]
 pub struct Sheaf {
-    hard: Option<(MemberId, Epoch, Option<MemberId>)>,
+    hard: Option<(MemberId, Epoch, Option<MemberId>, Option<Epoch>)>,
     snapshot: Option<Vec<u8>>,
     /// From this place on the log is replaced.
     log: Option<(Index, Rows)>,
@@ -850,7 +883,7 @@
             (from, after.map(|e| (e.index, pack(e))).collect::<Rows>())
         };
         Self {
-            hard: dirty.hard.then_some((kept.me, kept.epoch, kept.voted)),
+            hard: dirty.hard.then_some((kept.me, kept.epoch, kept.voted, kept.led)),
             snapshot: dirty.snapshot.then(|| pack(&kept.snapshot)),
             log: dirty.log_from.map(entries),
         }
@@ -2489,15 +2522,15 @@
     // -- state ---------------------------------------------------------------------------------
 
     fn apply(&mut self, now: Tick) {
+        let before = self.applied;
         if self.hedge.kept.snapshot.last.1 > self.applied {
             match unpack::<Almanac>(&self.hedge.kept.snapshot.state) {
                 Ok(almanac) => self.almanac = almanac,
                 Err(e) => error!(target: "hedge", "unreadable snapshot: {e}"),
             }
             self.applied = self.hedge.kept.snapshot.last.1;
-            self.config = Configuration::read(&self.almanac.body).ok();
         }
-        if self.hedge.commit <= self.applied {
+        if self.hedge.commit <= self.applied && before == self.applied {
             return;
         }
         for entry in self.hedge.committed(self.applied) {
@@ -2521,6 +2554,13 @@
                 },
             }
         }
+        if self.config.as_ref().map_or(Revision(0), |c| c.revision) != self.almanac.revision {
+            info!(target: "almanac", "configuration {} is in force", self.almanac.revision);
+            self.config = Configuration::read(&self.almanac.body).ok();
+            if let Some(config) = self.config.clone() {
+                self.tell_stiles(&ToStile::Configured(Box::new(config)));
+            }
+        }
         let almanac = &self.almanac;
         self.hedge.compact(self.applied, || pack(almanac));
     }
@@ -2535,13 +2575,8 @@
             return;
         }
         match change {
-            Change::Configure { revision, body, .. } => {
-                info!(target: "almanac", "configuration {revision} is in force");
-                self.config = Configuration::read(body).ok();
-                if let Some(config) = self.config.clone() {
-                    self.tell_stiles(&ToStile::Configured(Box::new(config)));
-                }
-            }
+            // Read and told once all that is committed is applied: see `apply`.
+            Change::Configure { .. } => {}
             Change::Beat { id, instance, .. } => {
                 let listed = Listed { id: id.clone(), instance: instance.clone() };
                 info!(target: "almanac", "{id} of {}: {:?}, {:?}", instance.target_service,
--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -196,7 +196,7 @@
     let ask = |epoch| Raft {
         from: MemberId(other),
         epoch: Epoch(epoch),
-        kind: RaftKind::AskVote { trial: false, handover: false, last },
+        kind: RaftKind::AskVote { trial: false, handover: false, led: false, last },
     };
     let now = stewards.now;
     let hedge = stewards.hedges.get_mut(&voter).expect("voter");
@@ -407,3 +407,33 @@
     hedge.step(Raft { from: MemberId(others[1]), epoch, kind }, now);
     assert_eq!(hedge.commit, index, "two of three, though not its own");
 }
+
+#[test]
+fn a_restarted_leader_is_elected_at_once_and_nobody_else_is() {
+    let mut stewards = Orchard::new(4);
+    let old = stewards.lead();
+    // (who restarts, how soon somebody may lead, whether it must be the old leader)
+    for (who, all) in [("the leader", false), ("everybody", true)] {
+        let ids: Vec<u64> = if all { (1..=4).collect() } else { vec![old] };
+        for id in ids {
+            stewards.restart(id);
+        }
+        stewards.wire.clear();
+        stewards.run(200);
+        assert_eq!(stewards.leaders(), [old], "{who}");
+        stewards.run(1_000);
+    }
+    // One that led an epoch before the newest has nothing to go by.
+    let epoch = stewards.hedges[&old].kept.epoch;
+    let voter = (1..=4).find(|i| *i != old).expect("another");
+    let (now, last) = (stewards.now, stewards.hedges[&old].last());
+    for (asked, led, answered) in
+        [(epoch.0, true, false), (epoch.0 + 1, false, false), (epoch.0 + 1, true, true)]
+    {
+        stewards.restart(voter);
+        let hedge = stewards.hedges.get_mut(&voter).expect("voter");
+        let kind = RaftKind::AskVote { trial: true, handover: false, led, last };
+        hedge.step(Raft { from: MemberId(old), epoch: Epoch(asked), kind }, now);
+        assert_eq!(!hedge.out.is_empty(), answered, "{asked} {led}");
+    }
+}
