--- a/src/common/peer.rs
+++ b/src/common/peer.rs
@@ -245,6 +245,10 @@
         .map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.to_string()))
 }
 
+/// Between the system's own machines a connection is there within this, or the machine is dark and
+/// a new try is better than waiting for the first to be sent again.
+pub const REACH: Duration = Duration::from_millis(150);
+
 /// Opens a connection that gives up on a dark far end after `dark` and sends without delay.
 pub fn dial(to: SocketAddr, within: Duration, dark: Duration) -> io::Result<TcpStream> {
     let stream = TcpStream::connect_timeout(&to, within)?;
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2281,7 +2281,7 @@
 
 /// Asks a steward to be taken in, or whether one still belongs.
 fn ask_standing(at: SocketAddr, member: Member, was: bool) -> std::io::Result<Joined> {
-    let mut stream = dial(at, Duration::from_millis(400), Duration::from_secs(1))?;
+    let mut stream = dial(at, REACH, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(Duration::from_secs(1)))?;
     send(&mut stream, &Frame::Join { member, was })?;
     match receive(&mut stream)? {
@@ -2581,7 +2581,7 @@
             link.retry = now.plus(100);
             let tx = self.tx.clone();
             std::thread::spawn(move || {
-                let stream = dial(address, Duration::from_millis(500), Duration::from_secs(2))
+                let stream = dial(address, REACH, Duration::from_secs(2))
                     .and_then(|s| s.set_write_timeout(Some(Duration::from_millis(200))).map(|()| s))
                     .and_then(|mut s| send(&mut s, &frame).map(|()| s));
                 // The core may have ended meanwhile.
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -1806,7 +1806,7 @@
         to: SocketAddr,
         known: &mut Vec<SocketAddr>,
     ) -> io::Result<Option<SocketAddr>> {
-        let mut stream = dial(to, Duration::from_millis(300), Duration::from_secs(2))?;
+        let mut stream = dial(to, REACH, Duration::from_secs(2))?;
         stream.set_write_timeout(Some(Duration::from_millis(500)))?;
         // Renewals are answered far more often than this; silence means another leader.
         stream.set_read_timeout(Some(Duration::from_millis(1_200)))?;
