The core never waits for a peer that does not read; a version travels as what changed

The leader's one thread wrote whole versions to 91 stiles and to stewards behind 2 Mbit/s and waited up to 200 ms for each, longer than its heartbeats allow. Change: each peer has an outbox and is written to without waiting; a stile with bytes still waiting gets the newest state later instead of each older one, a revoke goes ahead, entries that a slow steward can't take are left out and asked for again. A version is sent as runs of the older one; a stile that lacks the base asks for the whole. Ruled out: a writer thread for each peer (a wake-up for each frame).

--- a/src/common/config.rs
+++ b/src/common/config.rs
@@ -1,7 +1,7 @@
 //! The operator's configuration and the directory's records.
 use super::ids::{InstanceId, Revision, ServiceName};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use validator::{Validate, ValidationError};
 
@@ -111,6 +111,29 @@
         config.validate().map_err(|e| e.to_string().replace('\n', "; "))?;
         Ok(config)
     }
+    /// What has to be known to come here from `base`.
+    pub fn since(&self, base: &Configuration) -> Changed {
+        let place = |r: &Route| (r.hostname.clone(), r.path_prefix.clone());
+        Changed {
+            base: base.revision,
+            revision: self.revision,
+            routes: runs(&base.route_rules, &self.route_rules, place),
+            services: runs(&base.services, &self.services, |s| s.name.clone()),
+            limits: self.limits.clone(),
+        }
+    }
+    /// The version that `changed` leads to from this one; none if it is not meant for this one.
+    pub fn with(&self, changed: &Changed) -> Option<Configuration> {
+        if changed.base != self.revision {
+            return None;
+        }
+        Some(Configuration {
+            revision: changed.revision,
+            route_rules: laid_out(&self.route_rules, &changed.routes)?,
+            services: laid_out(&self.services, &changed.services)?,
+            limits: changed.limits.clone(),
+        })
+    }
     /// The route of a database name as clients know it.
     pub fn route(&self, hostname: &str) -> Option<&Route> {
         self.route_rules.iter().find(|r| r.hostname == hostname)
@@ -120,6 +143,49 @@
     }
 }
 
+/// The way from one version to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Changed {
+    pub base: Revision,
+    pub revision: Revision,
+    pub routes: Vec<Run<Route>>,
+    pub services: Vec<Run<Service>>,
+    pub limits: SessionLimits,
+}
+/// A part of a list: as it stood in the old one, or new.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Run<T> {
+    Same { from: usize, count: usize },
+    New(Vec<T>),
+}
+
+fn runs<T: Clone + PartialEq, K: Ord>(old: &[T], new: &[T], key: impl Fn(&T) -> K) -> Vec<Run<T>> {
+    let places: BTreeMap<K, usize> = old.iter().enumerate().map(|(i, t)| (key(t), i)).collect();
+    let mut runs: Vec<Run<T>> = Vec::new();
+    for item in new {
+        let same = places.get(&key(item)).copied().filter(|at| old[*at] == *item);
+        match (runs.last_mut(), same) {
+            (Some(Run::Same { from, count }), Some(at)) if *from + *count == at => *count += 1,
+            (_, Some(at)) => runs.push(Run::Same { from: at, count: 1 }),
+            (Some(Run::New(items)), None) => items.push(item.clone()),
+            (_, None) => runs.push(Run::New(vec![item.clone()])),
+        }
+    }
+    runs
+}
+fn laid_out<T: Clone>(old: &[T], runs: &[Run<T>]) -> Option<Vec<T>> {
+    let mut new = Vec::new();
+    for run in runs {
+        match run {
+            Run::Same { from, count } => {
+                new.extend_from_slice(old.get(*from..from.checked_add(*count)?)?);
+            }
+            Run::New(items) => new.extend_from_slice(items),
+        }
+    }
+    Some(new)
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Lifecycle {
--- a/src/common/peer.rs
+++ b/src/common/peer.rs
@@ -1,5 +1,5 @@
 //! What the system's own processes say to each other: `rmp-serde` frames behind a length.
-use super::config::{Configuration, Listed};
+use super::config::{Changed, Configuration, Listed};
 use super::ids::{
     DbTerm, Epoch, Index, InstanceId, MemberId, NodeName, Position, Revision, ServiceName,
 };
@@ -158,6 +158,8 @@
         /// The furthest position this stile saw acknowledged.
         highest: Option<Position>,
     },
+    /// A change came for a version that this stile does not have: the whole is needed.
+    Whole,
     /// Leaving in order: no lease is used any more.
     Bye,
 }
@@ -170,6 +172,8 @@
         stewards: Vec<SocketAddr>,
     },
     Configured(Box<Configuration>),
+    /// What differs from a version that the stile has.
+    Changed(Box<Changed>),
     /// The whole directory, when a connection begins.
     Directory(Vec<Listed>),
     Upsert(Listed),
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2099,7 +2099,7 @@
     Frame(u64, Frame),
     Closed(u64),
     /// A connection of ours to another steward.
-    Linked(MemberId, Option<TcpStream>),
+    Linked(MemberId, Option<Wire>),
     Http(Request, SyncSender<Response>),
     Told(ServiceName, InstanceId, Ask, Told),
     Posted(ServiceName, InstanceId, Posted),
@@ -2109,12 +2109,90 @@
     Saved(Result<(), String>),
 }
 
+/// A connection of ours to another steward.
 struct Link {
-    stream: Option<TcpStream>,
+    line: Option<Wire>,
     dialing: bool,
     retry: Tick,
 }
 
+/// Frames on their way to one peer, as a value: which bytes go next, and how many wait.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    frames: VecDeque<Vec<u8>>,
+    /// Bytes of the first frame that have left.
+    left: usize,
+    waiting: usize,
+}
+impl Outbox {
+    pub fn push(&mut self, frame: Vec<u8>) {
+        self.waiting += frame.len();
+        self.frames.push_back(frame);
+    }
+    /// Ahead of all that has not begun to leave.
+    pub fn push_first(&mut self, frame: Vec<u8>) {
+        self.waiting += frame.len();
+        self.frames.insert(usize::from(self.left > 0), frame);
+    }
+    pub fn next(&self) -> Option<&[u8]> {
+        self.frames.front().map(|f| &f[self.left..])
+    }
+    pub fn took(&mut self, bytes: usize) {
+        self.left += bytes;
+        self.waiting -= bytes;
+        if self.frames.front().is_some_and(|f| f.len() <= self.left) {
+            self.frames.pop_front();
+            self.left = 0;
+        }
+    }
+    pub fn is_empty(&self) -> bool {
+        self.frames.is_empty()
+    }
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+}
+
+/// A peer's socket and what waits for it. The core never waits for a peer to read.
+struct Wire {
+    stream: TcpStream,
+    out: Outbox,
+}
+impl Wire {
+    fn new(stream: TcpStream) -> Self {
+        Self { stream, out: Outbox::default() }
+    }
+    /// Writes what goes without waiting.
+    fn pump(&mut self) -> std::io::Result<()> {
+        while let Some(bytes) = self.out.next() {
+            let socket = socket2::SockRef::from(&self.stream);
+            match socket.send_with_flags(bytes, libc::MSG_DONTWAIT) {
+                Ok(sent) => self.out.took(sent),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+    fn close(&self) {
+        // Its reader sees the end and reports it.
+        drop(self.stream.shutdown(std::net::Shutdown::Both));
+    }
+}
+
+/// A stile that follows this leader: what it was told, and what it is still owed. Where its link
+/// is slow, newer state takes the place of older state that has not left.
+struct Guest {
+    node: NodeName,
+    /// The configuration it has, or will have once what waits has arrived.
+    revision: Revision,
+    /// The whole directory is due, instead of the changes that did not fit.
+    directory_due: bool,
+    /// The renewal to be answered once what waits has left.
+    renewal: Option<u64>,
+}
+
 /// A caller whose change is on its way into the log.
 struct Waiter {
     epoch: Epoch,
@@ -2137,10 +2215,16 @@
     ailing: bool,
     almanac: Almanac,
     applied: Index,
-    config: Option<Configuration>,
+    config: Option<Arc<Configuration>>,
     links: HashMap<MemberId, Link>,
-    conns: HashMap<u64, TcpStream>,
-    stiles: HashMap<u64, NodeName>,
+    conns: HashMap<u64, Wire>,
+    stiles: HashMap<u64, Guest>,
+    /// Stiles that came before this leader had applied all that was committed.
+    early: Vec<(u64, ToSteward)>,
+    /// The newest versions, the last one in force; what changed since an older one is enough.
+    versions: VecDeque<Arc<Configuration>>,
+    /// The frame that brings a stile from a version to the one in force.
+    encoded: HashMap<Revision, Vec<u8>>,
     /// Who asked to join, and when last.
     joining: BTreeMap<MemberId, (Member, Tick)>,
     next_join: Tick,
@@ -2172,6 +2256,12 @@
 const LONELY_MS: u64 = 2_500;
 /// A seed without a disk waits this long for the first stewards before it names a founder.
 const NOMINATE_MS: u64 = 500;
+/// Versions of the configuration kept for telling what changed.
+const VERSIONS_KEPT: usize = 16;
+/// Changes of the directory that wait for a slow stile; beyond it the whole is sent later.
+const CHANGES_WAITING: usize = 64 << 10;
+/// How often peers are looked at that did not take all at once.
+const PUMP_MS: u64 = 5;
 /// One that stays silent this long is dropped from the directory.
 const FORGOTTEN_MS: u64 = 60_000;
 
@@ -2214,7 +2304,7 @@
     let http_tx = tx.clone();
     http::serve(listen(admin)?, "admin", move |request| ask_core(&http_tx, request))
         .map_err(|e| Fatal::Listen(admin.to_string(), e))?;
-    let config = Configuration::read(&almanac.body).ok();
+    let config = Configuration::read(&almanac.body).ok().map(Arc::new);
     let mut steward = Steward {
         hedge: Hedge::new(kept, restarted, now, rand::random::<u64>),
         settings,
@@ -2223,10 +2313,13 @@
         ailing: false,
         almanac,
         applied,
+        versions: config.iter().cloned().collect(),
         config,
         links: HashMap::new(),
         conns: HashMap::new(),
         stiles: HashMap::new(),
+        early: Vec::new(),
+        encoded: HashMap::new(),
         joining: BTreeMap::new(),
         next_join: now,
         join_at: None,
@@ -2324,7 +2417,6 @@
                 let dark = Duration::from_secs(3);
                 let ready = tune(&stream, dark)
                     .and_then(|()| keep_alive(&stream, dark))
-                    .and_then(|()| stream.set_write_timeout(Some(Duration::from_millis(200))))
                     .and_then(|()| stream.try_clone());
                 let Ok(writer) = ready else { return };
                 if tx.send(Input::Opened(id, writer)).is_err() {
@@ -2485,6 +2577,7 @@
                 .as_ref()
                 .is_some_and(|o| o.successions.values().any(|s| s.stage != Stage::Steady));
             let wait = if busy { 25 } else { 200 };
+            let wait = if self.pumping() { PUMP_MS } else { wait };
             let wait = self.hedge.due().since(now).clamp(1, wait);
             match rx.recv_timeout(Duration::from_millis(wait)) {
                 Ok(input) => {
@@ -2502,6 +2595,7 @@
             self.flush(now);
             self.reconcile(now);
             self.flush(now);
+            self.pump(now);
             if now.since(looked) > 1_000 {
                 looked = now;
                 if let Some(settings) = watched.poll(signals.take_hup()) {
@@ -2567,47 +2661,82 @@
             return;
         };
         let address = member.peer;
-        let link =
-            self.links.entry(to).or_insert(Link { stream: None, dialing: false, retry: now });
-        let frame = Frame::Raft { to, message: Box::new(message) };
-        if let Some(stream) = &mut link.stream {
-            if send(stream, &frame).is_ok() {
-                return;
+        let link = self.links.entry(to).or_insert(Link { line: None, dialing: false, retry: now });
+        // What a slow link has not taken yet is enough for now: entries that are left out here are
+        // asked for again.
+        let bulky = matches!(message.kind, RaftKind::Append { .. } | RaftKind::Snapshot { .. });
+        if bulky && link.line.as_ref().is_some_and(|l| !l.out.is_empty()) {
+            return;
+        }
+        let frame = encode(&Frame::Raft { to, message: Box::new(message) });
+        if let Some(line) = &mut link.line {
+            line.out.push(frame);
+            if line.pump().is_err() {
+                link.line = None;
             }
-            link.stream = None;
+            return;
         }
         if !link.dialing && now >= link.retry {
             link.dialing = true;
             link.retry = now.plus(100);
             let tx = self.tx.clone();
             std::thread::spawn(move || {
-                let stream = dial(address, REACH, Duration::from_secs(2))
-                    .and_then(|s| s.set_write_timeout(Some(Duration::from_millis(200))).map(|()| s))
-                    .and_then(|mut s| send(&mut s, &frame).map(|()| s));
+                let stream = dial(address, REACH, Duration::from_secs(2));
+                let line = stream.ok().map(|stream| {
+                    let mut line = Wire::new(stream);
+                    line.out.push(frame);
+                    line
+                });
                 // The core may have ended meanwhile.
-                let _ = tx.send(Input::Linked(to, stream.ok()));
+                let _ = tx.send(Input::Linked(to, line));
             });
         }
     }
 
+    /// Goes on with the peers that did not take everything at once.
+    fn pump(&mut self, now: Tick) {
+        for link in self.links.values_mut() {
+            if link.line.as_mut().is_some_and(|l| l.pump().is_err()) {
+                link.line = None;
+            }
+        }
+        let waiting: Vec<u64> =
+            self.conns.iter().filter(|(_, l)| !l.out.is_empty()).map(|(id, _)| *id).collect();
+        for conn in waiting {
+            self.pump_conn(conn);
+            self.catch_up(conn, now);
+        }
+    }
+    fn pump_conn(&mut self, conn: u64) {
+        if let Some(line) = self.conns.get_mut(&conn)
+            && line.pump().is_err()
+        {
+            line.close();
+        }
+    }
+    fn pumping(&self) -> bool {
+        self.conns.values().any(|l| !l.out.is_empty())
+            || self.links.values().any(|l| l.line.as_ref().is_some_and(|l| !l.out.is_empty()))
+    }
+
     fn take(&mut self, input: Input, now: Tick) {
         match input {
             Input::Opened(id, stream) => {
-                self.conns.insert(id, stream);
+                self.conns.insert(id, Wire::new(stream));
             }
             Input::Closed(id) => {
                 self.conns.remove(&id);
-                if let Some(node) = self.stiles.remove(&id)
+                if let Some(Guest { node, .. }) = self.stiles.remove(&id)
                     && let Some(office) = &mut self.office
                     && office.leases.lose(id, now).is_some()
                 {
                     info!(target: "stiles", "{node} lost");
                 }
             }
-            Input::Linked(member, stream) => {
+            Input::Linked(member, line) => {
                 if let Some(link) = self.links.get_mut(&member) {
                     link.dialing = false;
-                    link.stream = stream;
+                    link.line = line;
                 }
             }
             Input::Frame(_, Frame::Raft { to, message }) => {
@@ -2686,9 +2815,15 @@
         }
         if self.config.as_ref().map_or(Revision(0), |c| c.revision) != self.almanac.revision {
             info!(target: "almanac", "configuration {} is in force", self.almanac.revision);
-            self.config = Configuration::read(&self.almanac.body).ok();
-            if let Some(config) = self.config.clone() {
-                self.tell_stiles(&ToStile::Configured(Box::new(config)));
+            self.config = Configuration::read(&self.almanac.body).ok().map(Arc::new);
+            self.encoded.clear();
+            self.versions.extend(self.config.clone());
+            if self.versions.len() > VERSIONS_KEPT {
+                self.versions.pop_front();
+            }
+            let conns: Vec<u64> = self.stiles.keys().copied().collect();
+            for conn in conns {
+                self.catch_up(conn, now);
             }
         }
         let almanac = &self.almanac;
@@ -2788,6 +2923,11 @@
     /// Compares what is wanted with what is, and acts on the difference.
     fn reconcile(&mut self, now: Tick) {
         self.ask_to_join(now);
+        if !self.early.is_empty() && (self.office.is_none() || self.hedge.granting(now)) {
+            for (conn, message) in std::mem::take(&mut self.early) {
+                self.hear_stile(conn, message, now);
+            }
+        }
         if !self.hedge.granting(now) {
             return;
         }
@@ -2902,6 +3042,8 @@
         self.almanac = Almanac::default();
         self.applied = Index(0);
         self.config = None;
+        self.versions.clear();
+        self.encoded.clear();
         self.links.clear();
         self.joining.clear();
     }
@@ -2997,7 +3139,15 @@
                 self.propose(&change, now);
             }
             Deed::Revoke(term) => {
-                self.tell_stiles(&ToStile::Revoke { service: service.clone(), term });
+                // Ahead of whatever waits.
+                let frame =
+                    encode(&Frame::Steward(ToStile::Revoke { service: service.clone(), term }));
+                for conn in self.stiles.keys() {
+                    if let Some(line) = self.conns.get_mut(conn) {
+                        line.out.push_first(frame.clone());
+                    }
+                }
+                self.pump(now);
             }
             Deed::Ask(id, ask) => {
                 let Some(record) = self.almanac.instances.get(&id) else {
@@ -3047,19 +3197,63 @@
     // -- stiles --------------------------------------------------------------------------------
 
     fn send_conn(&mut self, conn: u64, frame: &Frame) {
-        if let Some(stream) = self.conns.get_mut(&conn)
-            && send(stream, frame).is_err()
-        {
-            // Its reader sees the end and reports it.
-            drop(stream.shutdown(std::net::Shutdown::Both));
+        self.send_bytes(conn, encode(frame));
+    }
+    fn send_bytes(&mut self, conn: u64, frame: Vec<u8>) {
+        if let Some(line) = self.conns.get_mut(&conn) {
+            line.out.push(frame);
+            self.pump_conn(conn);
         }
     }
+    /// Tells all stiles of a change of the directory; one that is far behind gets the whole later.
     fn tell_stiles(&mut self, message: &ToStile) {
-        let frame = Frame::Steward(message.clone());
+        let frame = encode(&Frame::Steward(message.clone()));
         let conns: Vec<u64> = self.stiles.keys().copied().collect();
         for conn in conns {
+            let waiting = self.conns.get(&conn).map_or(0, |l| l.out.waiting());
+            if waiting + frame.len() <= CHANGES_WAITING {
+                self.send_bytes(conn, frame.clone());
+            } else if let Some(guest) = self.stiles.get_mut(&conn) {
+                guest.directory_due = true;
+            }
+        }
+    }
+
+    /// Sends a stile what it is owed, as soon as nothing older waits for it.
+    fn catch_up(&mut self, conn: u64, now: Tick) {
+        if self.conns.get(&conn).is_none_or(|l| !l.out.is_empty()) {
+            return;
+        }
+        let Some(guest) = self.stiles.get_mut(&conn) else {
+            return;
+        };
+        if std::mem::take(&mut guest.directory_due) {
+            let whole = self.almanac.instances.iter();
+            let listed =
+                whole.map(|(id, r)| Listed { id: id.clone(), instance: r.instance.clone() });
+            let frame = Frame::Steward(ToStile::Directory(listed.collect()));
             self.send_conn(conn, &frame);
         }
+        if let Some(config) = &self.config
+            && let Some(guest) = self.stiles.get_mut(&conn)
+            && guest.revision < config.revision
+        {
+            let from = std::mem::replace(&mut guest.revision, config.revision);
+            let frame = self.encoded.entry(from).or_insert_with(|| {
+                let base = self.versions.iter().find(|c| c.revision == from);
+                encode(&Frame::Steward(match base {
+                    Some(base) => ToStile::Changed(Box::new(config.since(base))),
+                    None => ToStile::Configured(Box::new(Configuration::clone(config))),
+                }))
+            });
+            let frame = frame.clone();
+            self.send_bytes(conn, frame);
+        }
+        let renewal =
+            self.stiles.get_mut(&conn).and_then(|g| Some((g.renewal.take()?, g.node.clone())));
+        if let Some((seq, node)) = renewal {
+            self.grant(conn, &node, seq, now);
+        }
     }
 
     fn hear_stile(&mut self, conn: u64, message: ToSteward, now: Tick) {
@@ -3068,29 +3262,32 @@
             return self.send_conn(conn, &Frame::Steward(ToStile::Elsewhere(leader)));
         }
         if let ToSteward::Hello { node, life, revision } = message {
+            if !self.hedge.granting(now) || self.applied < self.hedge.commit {
+                // What this leader has may be older than what the stile already heard.
+                self.early.push((conn, ToSteward::Hello { node, life, revision }));
+                return;
+            }
             info!(target: "stiles", "{node} is here");
             if let Some(office) = &mut self.office {
                 office.leases.seat(&node, life, conn, now);
             }
-            self.stiles.insert(conn, node);
+            let guest = Guest { node, revision, directory_due: true, renewal: None };
+            self.stiles.insert(conn, guest);
             let stewards = self.hedge.members().iter().map(|m| m.peer).collect();
             self.send_conn(conn, &Frame::Steward(ToStile::Welcome { stewards }));
-            if let Some(config) = self.config.clone().filter(|c| c.revision > revision) {
-                self.send_conn(conn, &Frame::Steward(ToStile::Configured(Box::new(config))));
-            }
-            let listed = self
-                .almanac
-                .instances
-                .iter()
-                .map(|(id, r)| Listed { id: id.clone(), instance: r.instance.clone() })
-                .collect();
-            return self.send_conn(conn, &Frame::Steward(ToStile::Directory(listed)));
+            return self.catch_up(conn, now);
         }
-        let Some(node) = self.stiles.get(&conn).cloned() else {
+        let Some(node) = self.stiles.get(&conn).map(|g| g.node.clone()) else {
             return;
         };
         match message {
             ToSteward::Hello { .. } => {}
+            ToSteward::Whole => {
+                if let Some(guest) = self.stiles.get_mut(&conn) {
+                    guest.revision = Revision(0);
+                    self.catch_up(conn, now);
+                }
+            }
             ToSteward::Renew { seq, shares } => self.renew(conn, &node, seq, shares, now),
             ToSteward::Suspect { service, instance, why } => {
                 info!(target: "failover", "{service}: {node} doubts {instance} ({why:?})");
@@ -3119,11 +3316,20 @@
         shares: Vec<(ServiceName, u32)>,
         now: Tick,
     ) {
+        if let Some(office) = &mut self.office {
+            office.leases.report(node, shares, now);
+        }
+        if let Some(guest) = self.stiles.get_mut(&conn) {
+            guest.renewal = Some(seq);
+        }
+        self.catch_up(conn, now);
+    }
+
+    fn grant(&mut self, conn: u64, node: &NodeName, seq: u64, now: Tick) {
         if !self.hedge.granting(now) {
             return;
         }
         let Some(office) = &mut self.office else { return };
-        office.leases.report(node, shares, now);
         let mut grants = Vec::new();
         // Without a configuration there is nothing to grant, but the answer says that we lead.
         for service in self.config.iter().flat_map(|c| &c.services) {
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -956,16 +956,16 @@
     fn hear(&self, message: ToStile) {
         match message {
             ToStile::Elsewhere(_) | ToStile::Welcome { .. } => {}
-            ToStile::Configured(config) => {
-                let mut view = lock(&self.view);
-                if view.config.as_ref().is_some_and(|c| c.revision >= config.revision) {
+            ToStile::Configured(config) => self.configured(*config),
+            ToStile::Changed(changed) => {
+                let config = self.config();
+                if config.as_ref().is_some_and(|c| c.revision >= changed.revision) {
                     return;
                 }
-                info!(target: "stile", "configuration {} is in force", config.revision);
-                for service in &config.services {
-                    view.services.entry(service.name.clone()).or_default();
+                match config.and_then(|c| c.with(&changed)) {
+                    Some(config) => self.configured(config),
+                    None => self.tell(ToSteward::Whole),
                 }
-                view.config = Some(Arc::new(*config));
             }
             ToStile::Directory(listed) => {
                 let mut view = lock(&self.view);
@@ -991,6 +991,18 @@
         }
     }
 
+    /// A stile never goes back to an older version.
+    fn configured(&self, config: Configuration) {
+        let mut view = lock(&self.view);
+        if view.config.as_ref().is_some_and(|c| c.revision >= config.revision) {
+            return;
+        }
+        info!(target: "stile", "configuration {} is in force", config.revision);
+        for service in &config.services {
+            view.services.entry(service.name.clone()).or_default();
+        }
+        view.config = Some(Arc::new(config));
+    }
     fn upsert(view: &mut View, listed: Listed) {
         let share = view.services.get(&listed.instance.target_service).map_or(0, |s| s.share);
         let fits =
--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -2,7 +2,7 @@
 use serde_bytes::ByteBuf;
 use silvertack::common::ids::*;
 use silvertack::common::peer::*;
-use silvertack::steward::{Desk, Dirty, ELECTION_MIN_MS, Granary, Hedge, Kept, Sheaf};
+use silvertack::steward::{Desk, Dirty, ELECTION_MIN_MS, Granary, Hedge, Kept, Outbox, Sheaf};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 fn member(id: u64, voter: bool) -> Member {
@@ -226,7 +226,8 @@
     let newcomer =
         |id: u64, at: u64, can_vote| Member { id: MemberId(id), can_vote, ..member(at, false) };
     // (what happened, stewards at first, who is lost, who asks to join, members in the end)
-    let cases: [(&str, u64, bool, Option<Member>, Vec<(u64, bool)>); 5] = [
+    type Case = (&'static str, u64, bool, Option<Member>, Vec<(u64, bool)>);
+    let cases: [Case; 5] = [
         (
             "an empty disk at the old address",
             3,
@@ -525,3 +526,24 @@
         assert_eq!(!hedge.out.is_empty(), answered, "{asked} {led}");
     }
 }
+
+#[test]
+fn what_waits_for_a_slow_peer_leaves_whole_and_a_revoke_goes_first() {
+    let mut out = Outbox::default();
+    out.push(vec![1; 4]);
+    out.push(vec![2; 2]);
+    out.took(1);
+    // The first has begun to leave and must be finished.
+    out.push_first(vec![9; 2]);
+    let mut left = Vec::new();
+    assert_eq!(out.waiting(), 7);
+    while let Some(bytes) = out.next() {
+        left.push(bytes[0]);
+        out.took(1);
+    }
+    assert_eq!(left, [1, 1, 1, 9, 9, 2, 2]);
+    assert!(out.is_empty() && out.waiting() == 0);
+    out.push(vec![3]);
+    out.push_first(vec![4]);
+    assert_eq!(out.next(), Some(&[4][..]));
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,4 +1,5 @@
 //! Settings: what is refused and why, and what a changed file does.
+use silvertack::common::config::{Configuration, Run};
 use silvertack::common::settings::{Settings, Watched};
 
 const GOOD: &str = "node_name = \"one\"\nip_address = \"10.0.0.1\"\nzone = \"z\"\nport_range = [7440, 7455]\n\
@@ -37,3 +38,46 @@
     assert_eq!(new.timing_bounds.grace_s, 11);
     let _ = std::fs::remove_file(&file);
 }
+
+#[test]
+fn a_change_of_the_configuration_leads_from_one_version_to_the_next_and_from_no_other() {
+    let route = |host: &str, timeout: u64| {
+        serde_json::json!({ "name": host, "hostname": host, "route_type": "primary",
+            "timeout_ms": timeout, "target_service": "s" })
+    };
+    let config = |revision: u64, routes: &[(&str, u64)], services: &[&str]| {
+        let body = serde_json::json!({
+            "revision": revision,
+            "route_rules": routes.iter().map(|(h, t)| route(h, *t)).collect::<Vec<_>>(),
+            "services": services.iter().map(|s| serde_json::json!({ "name": s, "max_connections": 9 })).collect::<Vec<_>>(),
+        });
+        Configuration::read(body.to_string().as_bytes()).expect("valid")
+    };
+    let base = config(3, &[("a", 5), ("b", 5), ("c", 5), ("d", 5)], &["s", "t"]);
+    // (what changed, the new version, how many routes have to be sent)
+    let cases = [
+        ("nothing", config(5, &[("a", 5), ("b", 5), ("c", 5), ("d", 5)], &["s", "t"]), 0),
+        ("a time-out", config(5, &[("a", 5), ("b", 9), ("c", 5), ("d", 5)], &["s", "t"]), 1),
+        ("the order", config(5, &[("d", 5), ("a", 5), ("b", 5), ("c", 5)], &["s", "t"]), 0),
+        (
+            "one less, two more",
+            config(5, &[("a", 5), ("x", 5), ("c", 5), ("d", 5), ("y", 1)], &["s"]),
+            2,
+        ),
+        ("all", config(5, &[("p", 1)], &["s", "u"]), 1),
+    ];
+    for (what, new, sent) in cases {
+        let changed = new.since(&base);
+        let count: usize =
+            changed.routes.iter().map(|r| if let Run::New(n) = r { n.len() } else { 0 }).sum();
+        assert_eq!(count, sent, "{what}");
+        assert_eq!(base.with(&changed), Some(new), "{what}");
+        assert_eq!(config(4, &[("a", 5)], &["s"]).with(&changed), None, "{what}: of another base");
+    }
+    // A place that the base does not have makes nothing of it, and no mix.
+    let mut wrong = base.since(&base);
+    wrong.routes = vec![Run::Same { from: 3, count: 2 }];
+    assert_eq!(base.with(&wrong), None);
+    wrong.routes = vec![Run::Same { from: 1, count: usize::MAX }];
+    assert_eq!(base.with(&wrong), None);
+}
