Send stiles only the lanes of a configuration, and diskless stewards nothing

Change: a stile gets a lane for each database name (about 25 bytes instead of 100) and finds it by binary search; a steward without a disk is in no list, asks every quarter of a second who leads, and points callers there. Ruled out: pacing the frames (the bound for a configuration is shorter than that would need).

--- a/src/common/config.rs
+++ b/src/common/config.rs
@@ -12,7 +12,8 @@
     pub revision: Revision,
     #[validate(nested)]
     pub route_rules: Vec<Route>,
-    #[validate(nested)]
+    // Far more than any deployment has; a lane counts them with 16 bits.
+    #[validate(nested, length(max = 60_000))]
     pub services: Vec<Service>,
     #[serde(default)]
     #[validate(nested)]
@@ -111,36 +112,100 @@
         config.validate().map_err(|e| e.to_string().replace('\n', "; "))?;
         Ok(config)
     }
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.services.iter().find(|s| s.name == *name)
+    }
+}
+
+/// What a stile needs of a route. Links to stiles may be thin, and there may be thousands.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Lane {
+    pub hostname: String,
+    #[serde(with = "numbered")]
+    pub route_type: RouteType,
+    pub timeout_ms: u64,
+    pub priority: u8,
+    pub stale_ms: u64,
+    /// Its place among the services.
+    service: u16,
+}
+mod numbered {
+    use super::RouteType;
+    use serde::{Deserialize, Deserializer, Serializer, de::Error};
+    const ALL: [RouteType; 3] = [RouteType::Primary, RouteType::Bounded, RouteType::ReadYourWrites];
+    pub fn serialize<S: Serializer>(kind: &RouteType, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_u8(*kind as u8)
+    }
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<RouteType, D::Error> {
+        let number = u8::deserialize(from)?;
+        ALL.get(usize::from(number))
+            .copied()
+            .ok_or_else(|| D::Error::custom("no such type of route"))
+    }
+}
+
+/// What a stile needs of a configuration: a lane for each database name, in their order.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Lanes {
+    pub revision: Revision,
+    lanes: Vec<Lane>,
+    pub services: Vec<ServiceName>,
+    pub limits: SessionLimits,
+}
+impl Lanes {
+    pub fn of(config: &Configuration) -> Self {
+        let places: BTreeMap<&ServiceName, usize> =
+            config.services.iter().enumerate().map(|(at, s)| (&s.name, at)).collect();
+        let mut by_name: BTreeMap<&str, Lane> = BTreeMap::new();
+        for route in &config.route_rules {
+            let Some(service) = places.get(&route.target_service) else {
+                continue;
+            };
+            // Of several routes with a name, the first counts.
+            by_name.entry(&route.hostname).or_insert_with(|| Lane {
+                hostname: route.hostname.clone(),
+                route_type: route.route_type,
+                timeout_ms: route.timeout_ms,
+                priority: route.priority,
+                stale_ms: route.stale_ms,
+                service: *service as u16,
+            });
+        }
+        Self {
+            revision: config.revision,
+            lanes: by_name.into_values().collect(),
+            services: config.services.iter().map(|s| s.name.clone()).collect(),
+            limits: config.limits.clone(),
+        }
+    }
+    /// The lane of a database name, and the service it leads to.
+    pub fn lane(&self, hostname: &str) -> Option<(&Lane, &ServiceName)> {
+        let at = self.lanes.binary_search_by(|l| l.hostname.as_str().cmp(hostname)).ok()?;
+        let lane = &self.lanes[at];
+        Some((lane, self.services.get(usize::from(lane.service))?))
+    }
     /// What has to be known to come here from `base`.
-    pub fn since(&self, base: &Configuration) -> Changed {
-        let place = |r: &Route| (r.hostname.clone(), r.path_prefix.clone());
+    pub fn since(&self, base: &Lanes) -> Changed {
         Changed {
             base: base.revision,
             revision: self.revision,
-            routes: runs(&base.route_rules, &self.route_rules, place),
-            services: runs(&base.services, &self.services, |s| s.name.clone()),
+            lanes: runs(&base.lanes, &self.lanes, |l| l.hostname.clone()),
+            services: runs(&base.services, &self.services, |s| s.clone()),
             limits: self.limits.clone(),
         }
     }
     /// The version that `changed` leads to from this one; none if it is not meant for this one.
-    pub fn with(&self, changed: &Changed) -> Option<Configuration> {
+    pub fn with(&self, changed: &Changed) -> Option<Lanes> {
         if changed.base != self.revision {
             return None;
         }
-        Some(Configuration {
+        Some(Lanes {
             revision: changed.revision,
-            route_rules: laid_out(&self.route_rules, &changed.routes)?,
+            lanes: laid_out(&self.lanes, &changed.lanes)?,
             services: laid_out(&self.services, &changed.services)?,
             limits: changed.limits.clone(),
         })
     }
-    /// The route of a database name as clients know it.
-    pub fn route(&self, hostname: &str) -> Option<&Route> {
-        self.route_rules.iter().find(|r| r.hostname == hostname)
-    }
-    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
-        self.services.iter().find(|s| s.name == *name)
-    }
 }
 
 /// The way from one version to another.
@@ -148,8 +213,8 @@
 pub struct Changed {
     pub base: Revision,
     pub revision: Revision,
-    pub routes: Vec<Run<Route>>,
-    pub services: Vec<Run<Service>>,
+    pub lanes: Vec<Run<Lane>>,
+    pub services: Vec<Run<ServiceName>>,
     pub limits: SessionLimits,
 }
 /// A part of a list: as it stood in the old one, or new.
--- a/src/common/peer.rs
+++ b/src/common/peer.rs
@@ -1,5 +1,5 @@
 //! What the system's own processes say to each other: `rmp-serde` frames behind a length.
-use super::config::{Changed, Configuration, Listed};
+use super::config::{Changed, Lanes, Listed};
 use super::ids::{
     DbTerm, Epoch, Index, InstanceId, MemberId, NodeName, Position, Revision, ServiceName,
 };
@@ -40,7 +40,7 @@
     pub peer: SocketAddr,
     pub admin: SocketAddr,
     pub voter: bool,
-    /// It has a disk that counts. One without only passes on what was agreed.
+    /// It has a disk that counts. One without is in no list and only points at the leader.
     #[serde(default = "yes")]
     pub can_vote: bool,
 }
@@ -55,7 +55,7 @@
     Elsewhere(Option<SocketAddr>),
     /// It will be taken in.
     Noted,
-    /// It is a member.
+    /// It is a member, or needs to be none; the one that says so leads.
     Listed,
     /// It was one and is not any more.
     Removed,
@@ -171,7 +171,7 @@
     Welcome {
         stewards: Vec<SocketAddr>,
     },
-    Configured(Box<Configuration>),
+    Configured(Box<Lanes>),
     /// What differs from a version that the stile has.
     Changed(Box<Changed>),
     /// The whole directory, when a connection begins.
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2,7 +2,7 @@
 //!
 //! `Hedge`, `Almanac` and `Succession` are values moved on by events and a passed-in time; the
 //! program round them owns the sockets, the disk and the clock.
-use crate::common::config::{Beat, Configuration, Instance, Lifecycle, Listed, Role};
+use crate::common::config::{Beat, Configuration, Instance, Lanes, Lifecycle, Listed, Role};
 use crate::common::errors::Fatal;
 use crate::common::http::{self, Request, Response};
 use crate::common::ids::*;
@@ -749,7 +749,6 @@
         }
         let caught_up = |m: &&Member| {
             !m.voter
-                && m.can_vote
                 && self.silence(m.id, now) < PRESENT_MS
                 && self.peers.get(&m.id).is_some_and(|p| p.matched >= self.commit)
         };
@@ -774,6 +773,8 @@
             return Joined::Elsewhere(leader.and_then(at));
         }
         match (self.members.iter().any(|m| m.id == member.id), was) {
+            // One that can't vote is kept in no list; it only asks who leads.
+            _ if !member.can_vote => Joined::Listed,
             (true, _) => Joined::Listed,
             // An id is never used again, so one that is not listed now never will be.
             (false, true) if !self.members_pending() => Joined::Removed,
@@ -2104,7 +2105,7 @@
     Told(ServiceName, InstanceId, Ask, Told),
     Posted(ServiceName, InstanceId, Posted),
     /// What a steward said to the wish to join, or to the question whether this id still belongs.
-    Standing(MemberId, Joined),
+    Standing(MemberId, SocketAddr, Option<Joined>),
     /// The write under way has ended, with its error if it failed.
     Saved(Result<(), String>),
 }
@@ -2215,14 +2216,14 @@
     ailing: bool,
     almanac: Almanac,
     applied: Index,
-    config: Option<Arc<Configuration>>,
+    config: Option<Configuration>,
     links: HashMap<MemberId, Link>,
     conns: HashMap<u64, Wire>,
     stiles: HashMap<u64, Guest>,
     /// Stiles that came before this leader had applied all that was committed.
     early: Vec<(u64, ToSteward)>,
     /// The newest versions, the last one in force; what changed since an older one is enough.
-    versions: VecDeque<Arc<Configuration>>,
+    versions: VecDeque<Lanes>,
     /// The frame that brings a stile from a version to the one in force.
     encoded: HashMap<Revision, Vec<u8>>,
     /// Who asked to join, and when last.
@@ -2234,6 +2235,8 @@
     young_until: Option<Tick>,
     /// The one that this process told to found the hedge, as no seed has a disk.
     nominated: Option<MemberId>,
+    /// Without a disk this steward is in no list and only points at the one that leads.
+    pointed: Option<SocketAddr>,
     office: Option<Office>,
     waiting: BTreeMap<Index, Waiter>,
     tx: Sender<Input>,
@@ -2257,7 +2260,7 @@
 /// A seed without a disk waits this long for the first stewards before it names a founder.
 const NOMINATE_MS: u64 = 500;
 /// Versions of the configuration kept for telling what changed.
-const VERSIONS_KEPT: usize = 16;
+const VERSIONS_KEPT: usize = 8;
 /// Changes of the directory that wait for a slow stile; beyond it the whole is sent later.
 const CHANGES_WAITING: usize = 64 << 10;
 /// How often peers are looked at that did not take all at once.
@@ -2304,7 +2307,7 @@
     let http_tx = tx.clone();
     http::serve(listen(admin)?, "admin", move |request| ask_core(&http_tx, request))
         .map_err(|e| Fatal::Listen(admin.to_string(), e))?;
-    let config = Configuration::read(&almanac.body).ok().map(Arc::new);
+    let config = Configuration::read(&almanac.body).ok();
     let mut steward = Steward {
         hedge: Hedge::new(kept, restarted, now, rand::random::<u64>),
         settings,
@@ -2313,7 +2316,7 @@
         ailing: false,
         almanac,
         applied,
-        versions: config.iter().cloned().collect(),
+        versions: config.iter().map(Lanes::of).collect(),
         config,
         links: HashMap::new(),
         conns: HashMap::new(),
@@ -2325,6 +2328,7 @@
         join_at: None,
         young_until: (!restarted && founds).then(|| now.plus(YOUNG_MS)),
         nominated: None,
+        pointed: None,
         office: None,
         waiting: BTreeMap::new(),
         tx,
@@ -2754,7 +2758,7 @@
                 }
                 self.send_conn(conn, &Frame::Joined(answer));
             }
-            Input::Standing(asked, answer) => self.stand(asked, answer, now),
+            Input::Standing(asked, at, answer) => self.stand(asked, at, answer, now),
             Input::Frame(conn, Frame::Stile(message)) => self.hear_stile(conn, message, now),
             Input::Frame(..) => {}
             Input::Http(request, reply) => self.answer_http(request, reply, now),
@@ -2805,19 +2809,16 @@
             }
         }
         if let Some(members) = relisted {
-            let word = |m: &Member| match (m.voter, m.can_vote) {
-                (true, _) => m.node.to_string(),
-                (false, true) => format!("{} (learning)", m.node),
-                (false, false) => format!("{} (no vote)", m.node),
-            };
+            let word =
+                |m: &Member| format!("{}{}", m.node, if m.voter { "" } else { " (learning)" });
             let names: Vec<_> = members.iter().map(word).collect();
             info!(target: "hedge", "members: {}", names.join(", "));
         }
         if self.config.as_ref().map_or(Revision(0), |c| c.revision) != self.almanac.revision {
             info!(target: "almanac", "configuration {} is in force", self.almanac.revision);
-            self.config = Configuration::read(&self.almanac.body).ok().map(Arc::new);
+            self.config = Configuration::read(&self.almanac.body).ok();
             self.encoded.clear();
-            self.versions.extend(self.config.clone());
+            self.versions.extend(self.config.as_ref().map(Lanes::of));
             if self.versions.len() > VERSIONS_KEPT {
                 self.versions.pop_front();
             }
@@ -2906,7 +2907,7 @@
                     // Whether it will be in force is not known here; asked again it shows.
                     drop(waiter.reply.try_send(Response::refusal(503, "no longer the leader")));
                 }
-                let elsewhere = Frame::Steward(ToStile::Elsewhere(self.leader().map(|m| m.peer)));
+                let elsewhere = Frame::Steward(ToStile::Elsewhere(self.leads_at().map(|l| l.0)));
                 for (conn, _) in std::mem::take(&mut self.stiles) {
                     self.send_conn(conn, &elsewhere);
                 }
@@ -2915,6 +2916,12 @@
         }
     }
 
+    /// Where peers and callers find the leader.
+    fn leads_at(&self) -> Option<(SocketAddr, SocketAddr)> {
+        let admin = self.settings.listeners.admin;
+        let pointed = || Some((self.pointed?, SocketAddr::new(self.pointed?.ip(), admin?.port())));
+        self.leader().map(|m| (m.peer, m.admin)).or_else(pointed)
+    }
     fn leader(&self) -> Option<&Member> {
         let id = self.hedge.leader?;
         self.hedge.members().iter().find(|m| m.id == id)
@@ -2987,7 +2994,7 @@
         let member = as_member(&self.settings, admin, me);
         let mut at: BTreeSet<SocketAddr> = self.settings.seed_peers().into_iter().collect();
         at.extend(self.hedge.members().iter().map(|m| m.peer));
-        if let Some(leader) = self.join_at.take() {
+        if let Some(leader) = self.join_at.take().or(self.pointed) {
             at = BTreeSet::from([leader]);
         }
         at.remove(&member.peer);
@@ -2995,18 +3002,29 @@
             let (member, tx) = (member.clone(), self.tx.clone());
             std::thread::spawn(move || {
                 // Asked again soon; one that is down is no reason to stop.
-                if let Ok(answer) = ask_standing(to, member, was) {
-                    drop(tx.send(Input::Standing(me, answer)));
-                }
+                let answer = ask_standing(to, member, was).ok();
+                drop(tx.send(Input::Standing(me, to, answer)));
             });
         }
     }
 
-    fn stand(&mut self, asked: MemberId, answer: Joined, now: Tick) {
+    fn stand(&mut self, asked: MemberId, at: SocketAddr, answer: Option<Joined>, now: Tick) {
         let me = self.hedge.kept.me;
         if asked != me {
             return;
         }
+        if !self.settings.can_vote() {
+            match answer {
+                Some(Joined::Listed) if self.pointed != Some(at) => {
+                    info!(target: "hedge", "{at} leads");
+                    self.pointed = Some(at);
+                }
+                Some(Joined::Listed) => {}
+                _ if self.pointed == Some(at) => self.pointed = None,
+                _ => {}
+            }
+        }
+        let Some(answer) = answer else { return };
         let listed = self.hedge.members().iter().any(|m| m.id == me);
         match answer {
             Joined::Elsewhere(Some(leader)) if self.join_at.is_none() => {
@@ -3234,16 +3252,16 @@
             let frame = Frame::Steward(ToStile::Directory(listed.collect()));
             self.send_conn(conn, &frame);
         }
-        if let Some(config) = &self.config
+        if let Some(lanes) = self.versions.back()
             && let Some(guest) = self.stiles.get_mut(&conn)
-            && guest.revision < config.revision
+            && guest.revision < lanes.revision
         {
-            let from = std::mem::replace(&mut guest.revision, config.revision);
+            let from = std::mem::replace(&mut guest.revision, lanes.revision);
             let frame = self.encoded.entry(from).or_insert_with(|| {
                 let base = self.versions.iter().find(|c| c.revision == from);
                 encode(&Frame::Steward(match base {
-                    Some(base) => ToStile::Changed(Box::new(config.since(base))),
-                    None => ToStile::Configured(Box::new(Configuration::clone(config))),
+                    Some(base) => ToStile::Changed(Box::new(lanes.since(base))),
+                    None => ToStile::Configured(Box::new(lanes.clone())),
                 }))
             });
             let frame = frame.clone();
@@ -3258,7 +3276,7 @@
 
     fn hear_stile(&mut self, conn: u64, message: ToSteward, now: Tick) {
         if self.office.is_none() {
-            let leader = self.leader().map(|m| m.peer);
+            let leader = self.leads_at().map(|l| l.0);
             return self.send_conn(conn, &Frame::Steward(ToStile::Elsewhere(leader)));
         }
         if let ToSteward::Hello { node, life, revision } = message {
@@ -3398,8 +3416,8 @@
             _ => None,
         };
         if !self.hedge.is_leader() {
-            return say(match self.leader() {
-                Some(m) => Response::elsewhere(format!("http://{}{path}", m.admin)),
+            return say(match self.leads_at() {
+                Some((_, admin)) => Response::elsewhere(format!("http://{admin}{path}")),
                 None => Response::refusal(503, "no leader"),
             });
         }
@@ -3517,7 +3535,7 @@
             "role": "steward",
             "member": self.hedge.kept.me.0,
             "leader": self.leader().map(|m| m.node.0.clone()),
-            "leader_admin": self.leader().map(|m| m.admin),
+            "leader_admin": self.leads_at().map(|l| l.1),
             "leads": self.hedge.granting(now),
             "epoch": self.hedge.kept.epoch,
             "entry": self.hedge.last().1,
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -3,7 +3,7 @@
 //! `Graft` decides what a statement needs and what a loss means; it is a value without sockets.
 //! A `Scion` is a client's session and runs on a thread of its own, a `Rootstock` is a
 //! connection to a database that it borrows.
-use crate::common::config::{Configuration, Instance, Lifecycle, Listed, Route, RouteType};
+use crate::common::config::{Instance, Lane, Lanes, Lifecycle, Listed, RouteType};
 use crate::common::errors::{ErrorKind, Fatal};
 use crate::common::http::{self, Request, Response};
 use crate::common::ids::*;
@@ -767,7 +767,7 @@
 
 #[derive(Default)]
 struct View {
-    config: Option<Arc<Configuration>>,
+    config: Option<Arc<Lanes>>,
     listed: bool,
     pools: BTreeMap<InstanceId, Arc<Pool>>,
     services: BTreeMap<ServiceName, ServiceView>,
@@ -837,7 +837,7 @@
 const BEHIND: u8 = 100;
 
 impl Stile {
-    fn config(&self) -> Option<Arc<Configuration>> {
+    fn config(&self) -> Option<Arc<Lanes>> {
         lock(&self.view).config.clone()
     }
     /// The primary's pool and term, if a lease on it is held now.
@@ -992,14 +992,14 @@
     }
 
     /// A stile never goes back to an older version.
-    fn configured(&self, config: Configuration) {
+    fn configured(&self, config: Lanes) {
         let mut view = lock(&self.view);
         if view.config.as_ref().is_some_and(|c| c.revision >= config.revision) {
             return;
         }
         info!(target: "stile", "configuration {} is in force", config.revision);
         for service in &config.services {
-            view.services.entry(service.name.clone()).or_default();
+            view.services.entry(service.clone()).or_default();
         }
         view.config = Some(Arc::new(config));
     }
@@ -1129,8 +1129,9 @@
     graft: Graft,
     bound: Option<Bound>,
     database: String,
-    config: Arc<Configuration>,
-    route: Route,
+    config: Arc<Lanes>,
+    route: Lane,
+    service: ServiceName,
     /// The last position of this session's own commits.
     own: Option<Position>,
     last_position: Option<Position>,
@@ -1171,8 +1172,10 @@
         Err(NoLine::TooLarge) => return refuse(ErrorKind::TooLarge, "over 1 MiB"),
         Err(_) => return Ok(()),
     };
-    let found = stile.config().and_then(|c| c.route(&database).cloned().map(|r| (c, r)));
-    let Some((config, route)) = found else {
+    let config = stile.config();
+    let found = config.as_ref().and_then(|c| c.lane(&database));
+    let found = found.map(|(lane, service)| (lane.clone(), service.clone()));
+    let (Some(config), Some((route, service))) = (config.clone(), found) else {
         return refuse(ErrorKind::NoDatabase, "no such database");
     };
     client.write_all(b"READY I -\r\n")?;
@@ -1186,6 +1189,7 @@
         database,
         config,
         route,
+        service,
         own: None,
         last_position: None,
     };
@@ -1261,10 +1265,10 @@
             return false;
         };
         if !Arc::ptr_eq(&config, &self.config) {
-            let Some(route) = config.route(&self.database) else {
+            let Some((route, service)) = config.lane(&self.database) else {
                 return false;
             };
-            self.route = route.clone();
+            (self.route, self.service) = (route.clone(), service.clone());
             self.config = config;
         }
         true
@@ -1402,7 +1406,7 @@
     fn refuse(&mut self, kind: ErrorKind) -> Say {
         self.graft.give_up();
         self.unbind();
-        let after = self.stile.come_back_ms(&self.route.target_service);
+        let after = self.stile.come_back_ms(&self.service);
         Say::Error(kind, format!("retry_after_ms={after}"))
     }
 
@@ -1415,7 +1419,7 @@
     ) -> Result<Bound, ErrorKind> {
         let task = &asked.task;
         let stile = &self.stile;
-        let service = &self.route.target_service;
+        let service = &self.service;
         let began = self.graft.began(asked.arrived);
         let elsewhere = task.read_only && self.route.route_type != RouteType::Primary;
         loop {
@@ -1457,7 +1461,7 @@
 
     /// The position a replica must have for a read that began at `began`.
     fn need(&self, began: Tick) -> Option<Position> {
-        let floor = self.stile.floor(&self.route.target_service, began, self.route.stale_ms)?;
+        let floor = self.stile.floor(&self.service, began, self.route.stale_ms)?;
         Some(match self.route.route_type {
             RouteType::ReadYourWrites => self.own.map_or(floor, |own| own.max(floor)),
             _ => floor,
@@ -1482,7 +1486,7 @@
             _ => String::new(),
         };
         let stile = Arc::clone(&self.stile);
-        let service = self.route.target_service.clone();
+        let service = self.service.clone();
         let Some(bound) = &mut self.bound else {
             return Err((Loss::Broken, false));
         };
