Look at a service when something happens to it, and at all of them ten times a second

Every input made it go through all services, and for each through all databases, beats and seats. Change: only services that are stirred, by an event or by a change of primary under way, are stepped in every round; what is known of beats and leases is gathered for the service alone and only when a step needs it; a beat that says nothing new takes no step.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2206,6 +2206,10 @@
     /// When each database was last heard of, and its newest sequence.
     beats: HashMap<InstanceId, (Tick, u64)>,
     successions: BTreeMap<ServiceName, Succession>,
+    /// Services that something happened to, or that are on their way to another primary: these are
+    /// looked at in every round. All are, now and then.
+    stirred: BTreeSet<ServiceName>,
+    swept: Tick,
 }
 
 struct Steward {
@@ -2259,6 +2263,8 @@
 const LONELY_MS: u64 = 2_500;
 /// A seed without a disk waits this long for the first stewards before it names a founder.
 const NOMINATE_MS: u64 = 500;
+/// How often all services are looked at; those that something happens to are at once.
+const SWEEP_MS: u64 = 100;
 /// Versions of the configuration kept for telling what changed.
 const VERSIONS_KEPT: usize = 8;
 /// Changes of the directory that wait for a slow stile; beyond it the whole is sent later.
@@ -2576,10 +2582,7 @@
         let mut looked = Tick::now();
         loop {
             let now = Tick::now();
-            let busy = self
-                .office
-                .as_ref()
-                .is_some_and(|o| o.successions.values().any(|s| s.stage != Stage::Steady));
+            let busy = self.office.as_ref().is_some_and(|o| !o.stirred.is_empty());
             let wait = if busy { 25 } else { 200 };
             let wait = if self.pumping() { PUMP_MS } else { wait };
             let wait = self.hedge.due().since(now).clamp(1, wait);
@@ -2850,6 +2853,7 @@
                 self.tell_stiles(&ToStile::Upsert(listed));
                 let (service, role) = (&instance.target_service, instance.database_role);
                 self.move_on(service, now, |s, facts| s.beat(facts, id, role, now));
+                self.move_on(service, now, |s, facts| s.tick(facts, now));
             }
             Change::Gone { id, .. } => {
                 info!(target: "almanac", "{id} is gone");
@@ -2899,6 +2903,8 @@
                     leases: LeaseBook::new(now),
                     beats: beats.map(|(id, r)| (id.clone(), (now, r.sequence))).collect(),
                     successions: BTreeMap::new(),
+                    stirred: BTreeSet::new(),
+                    swept: Tick(0),
                 });
             }
             (false, true) => {
@@ -2944,6 +2950,19 @@
         if let Some(members) = self.hedge.wanted_members(joining, tolerated, silent, now) {
             self.hedge.propose(Body::Members(members), now);
         }
+        let Some(office) = &mut self.office else {
+            return;
+        };
+        let sweep = now.since(office.swept) >= SWEEP_MS;
+        if !sweep {
+            let stirred: Vec<ServiceName> = office.stirred.iter().cloned().collect();
+            for service in stirred {
+                self.move_on(&service, now, |s, facts| s.tick(facts, now));
+            }
+            return;
+        }
+        office.swept = now;
+        office.leases.forget_old(now);
         let services: BTreeSet<ServiceName> = self
             .almanac
             .instances
@@ -2951,9 +2970,6 @@
             .map(|r| r.instance.target_service.clone())
             .chain(self.almanac.leads.keys().cloned())
             .collect();
-        if let Some(office) = &mut self.office {
-            office.leases.forget_old(now);
-        }
         for service in services {
             self.move_on(&service, now, |s, facts| s.tick(facts, now));
         }
@@ -3107,13 +3123,15 @@
             lead,
         };
         if let Some(office) = &self.office {
-            facts.beating = office
-                .beats
-                .iter()
-                .filter(|(_, (at, _))| now.since(*at) < patience)
-                .map(|(id, _)| id.clone())
-                .collect();
-            if let Some(lead) = &facts.lead {
+            let beats = |id: &&InstanceId| {
+                office.beats.get(*id).is_some_and(|(at, _)| now.since(*at) < patience)
+            };
+            facts.beating =
+                facts.databases.iter().map(|(id, _)| id).filter(beats).cloned().collect();
+            let steady = |s: &Succession| s.stage == Stage::Steady;
+            if let Some(lead) = &facts.lead
+                && !office.successions.get(service).is_some_and(steady)
+            {
                 facts.leases_gone = office.leases.gone(service, lead.term, now);
                 facts.given_back = office.leases.given_back(service, lead.term, now);
             }
@@ -3143,6 +3161,11 @@
         });
         let before = std::mem::discriminant(&succession.stage);
         deeds.extend(step(succession, &facts));
+        let stirs = succession.stage != Stage::Steady || !deeds.is_empty();
+        match stirs {
+            true => office.stirred.insert(service.clone()),
+            false => office.stirred.remove(service),
+        };
         if before != std::mem::discriminant(&succession.stage) {
             info!(target: "failover", "{service}: now {}", stage_name(&succession.stage));
         }
@@ -3476,7 +3499,9 @@
             self.await_change(&Change::Beat { id, instance, sequence }, reply, now);
         } else {
             drop(reply.try_send(Response::ok()));
-            if newest {
+            // A replica, or the primary that is known, says nothing new by this.
+            let known = self.almanac.leads.get(&service).is_some_and(|l| l.primary == id);
+            if newest && role == Role::Primary && !known {
                 self.move_on(&service, now, |s, facts| s.beat(facts, &id, role, now));
             }
         }
