One lease for all services of a stile; only what changed is told

Change: an answer renews all that was told on its connection and tells only what changed; a stile reports only shares that changed; the sums are kept as they change. Share is now a value that says what is due to the pools, with a table test.

--- a/src/common/peer.rs
+++ b/src/common/peer.rs
@@ -144,7 +144,8 @@
     },
     Renew {
         seq: u64,
-        /// The share of connections this stile holds itself to, for each service.
+        /// The shares of connections this stile holds itself to, where they changed since it last
+        /// said so on this connection.
         shares: Vec<(ServiceName, u32)>,
     },
     Suspect {
@@ -181,6 +182,9 @@
     Granted {
         seq: u64,
         lease_ms: u64,
+        /// The first answer on a connection: nothing holds that is not in it.
+        whole: bool,
+        /// What changed. All else that was told on this connection is granted again.
         grants: Vec<Grant>,
     },
     Revoke {
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1966,47 +1966,125 @@
     pub life: u64,
     pub conn: Option<u64>,
     pub lost: Option<Tick>,
-    granted: BTreeMap<ServiceName, (DbTerm, Tick)>,
+    /// Its connections are counted no more, unless it comes back.
+    released: bool,
+    /// What it was last told. Whoever leads in here is leased to it as of `granted`.
+    told: BTreeMap<ServiceName, Grant>,
+    granted: Tick,
+    /// Leases that were not renewed further, and when they were last granted.
+    ended: BTreeMap<ServiceName, (DbTerm, Tick)>,
     given_back: BTreeMap<ServiceName, (DbTerm, Option<Position>)>,
-    shares: BTreeMap<ServiceName, u32>,
     reported: BTreeMap<ServiceName, u32>,
     heard: Tick,
 }
 
+impl Seat {
+    /// Connections it may have to a database of the service.
+    fn holds(&self, service: &ServiceName) -> u32 {
+        let told = self.told.get(service).map_or(0, |g| g.share);
+        told.max(self.reported.get(service).copied().unwrap_or(0))
+    }
+    fn holdings(&self) -> impl Iterator<Item = (&ServiceName, u32)> {
+        let names: BTreeSet<&ServiceName> = self.told.keys().chain(self.reported.keys()).collect();
+        names.into_iter().map(|name| (name, self.holds(name)))
+    }
+    /// The lease on this service is renewed no more; it runs out by itself.
+    fn end(&mut self, service: &ServiceName) {
+        if let Some(Grant { standing: Standing::Led { term, .. }, .. }) = self.told.get(service) {
+            self.ended.insert(service.clone(), (*term, self.granted));
+        }
+    }
+}
+
 /// Which stile may use what until when. A value; the leader keeps one while it leads.
+///
+/// One lease covers all services of a stile. An answer to a renewal renews whatever it was told
+/// before on the same connection, so only what changed is told.
 #[derive(Clone, Debug, Default)]
 pub struct LeaseBook {
     pub seats: BTreeMap<NodeName, Seat>,
     elected: Tick,
+    live: u32,
+    /// For each service, the connections that all stiles may have.
+    held: BTreeMap<ServiceName, u32>,
+    /// The most that any stile said it has.
+    most: BTreeMap<ServiceName, u32>,
 }
 
 impl LeaseBook {
     pub fn new(elected: Tick) -> Self {
-        Self { seats: BTreeMap::new(), elected }
+        Self { elected, ..Self::default() }
+    }
+    fn count(&mut self, service: &ServiceName, before: u32, now: u32) {
+        if before != now {
+            let held = self.held.entry(service.clone()).or_default();
+            *held = (*held + now).saturating_sub(before);
+        }
+    }
+    fn count_all(&mut self, seat: &Seat, add: bool) {
+        for (service, holds) in seat.holdings() {
+            let (before, now) = if add { (0, holds) } else { (holds, 0) };
+            self.count(service, before, now);
+        }
     }
     pub fn seat(&mut self, node: &NodeName, life: u64, conn: u64, now: Tick) {
-        let seat = self.seats.entry(node.clone()).or_default();
+        let mut seat = self.seats.remove(node).unwrap_or_default();
+        if seat.conn.is_none() {
+            self.live += 1;
+        }
         if seat.life != life {
             // The old process is gone and its connections with it; what it passed on is not known.
-            *seat = Seat { life, ..Seat::default() };
+            if !seat.released {
+                self.count_all(&seat, false);
+            }
+            seat = Seat { life, ..Seat::default() };
+        } else if seat.released {
+            self.count_all(&seat, true);
+        }
+        // On a new connection everything is told anew.
+        let known: Vec<ServiceName> = seat.told.keys().cloned().collect();
+        for service in known {
+            let before = seat.holds(&service);
+            seat.end(&service);
+            seat.reported.insert(service, before);
         }
-        seat.conn = Some(conn);
-        seat.lost = None;
-        seat.heard = now;
+        seat.told.clear();
+        (seat.conn, seat.lost, seat.released, seat.heard) = (Some(conn), None, false, now);
+        self.seats.insert(node.clone(), seat);
     }
     pub fn lose(&mut self, conn: u64, now: Tick) -> Option<NodeName> {
         let (node, seat) = self.seats.iter_mut().find(|(_, s)| s.conn == Some(conn))?;
         seat.conn = None;
         seat.lost = Some(now);
+        self.live = self.live.saturating_sub(1);
         Some(node.clone())
     }
     pub fn leave(&mut self, node: &NodeName) {
         if let Some(seat) = self.seats.get_mut(node) {
-            seat.granted.clear();
+            seat.ended.clear();
+            for grant in seat.told.values_mut() {
+                grant.standing = Standing::Unled;
+            }
         }
     }
+    /// Counts the connections of stiles that were lost long ago no more, and forgets the stiles
+    /// themselves later.
     pub fn forget_old(&mut self, now: Tick) {
-        self.seats.retain(|_, s| s.lost.is_none_or(|t| now.since(t) < UNTOLD_MS));
+        let over = |s: &Seat, ms| s.lost.is_some_and(|t| now.since(t) >= ms);
+        let names: Vec<NodeName> = self
+            .seats
+            .iter()
+            .filter(|(_, s)| !s.released && over(s, SHARE_HELD_MS))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in names {
+            if let Some(mut seat) = self.seats.remove(&name) {
+                self.count_all(&seat, false);
+                seat.released = true;
+                self.seats.insert(name, seat);
+            }
+        }
+        self.seats.retain(|_, s| !over(s, UNTOLD_MS));
     }
     pub fn give_back(
         &mut self,
@@ -2017,23 +2095,55 @@
     ) {
         if let Some(seat) = self.seats.get_mut(node) {
             seat.given_back.insert(service.clone(), (term, highest));
+            // It has dropped what it was told of this service.
+            seat.end(service);
+            if let Some(grant) = seat.told.get_mut(service) {
+                grant.standing = Standing::Unled;
+            }
         }
     }
-    pub fn granted(&mut self, node: &NodeName, service: &ServiceName, term: DbTerm, now: Tick) {
-        if let Some(seat) = self.seats.get_mut(node) {
-            seat.granted.insert(service.clone(), (term, now));
+    /// What a stile is to be told of a service now; none if that is what it was told last.
+    /// `renewed` follows once all services have been through.
+    pub fn tell(&mut self, node: &NodeName, grant: Grant) -> Option<Grant> {
+        let seat = self.seats.get_mut(node)?;
+        let service = grant.service.clone();
+        // A sealed position is true for the moment it is told in, so it is told each time.
+        let sealed = matches!(grant.standing, Standing::Sealed(_));
+        if !sealed && seat.told.get(&service) == Some(&grant) {
+            return None;
+        }
+        let before = seat.holds(&service);
+        if seat.told.get(&service).is_none_or(|old| old.standing != grant.standing) {
+            seat.end(&service);
+        }
+        if matches!(grant.standing, Standing::Led { .. }) {
             // A false alarm brings the same term again; what was given back before is old news.
-            seat.given_back.remove(service);
+            seat.given_back.remove(&service);
+        }
+        seat.told.insert(service.clone(), grant.clone());
+        let now = seat.holds(&service);
+        self.count(&service, before, now);
+        Some(grant)
+    }
+    /// The answer leaves: all that is told to lead is leased as of now.
+    pub fn renewed(&mut self, node: &NodeName, now: Tick) {
+        if let Some(seat) = self.seats.get_mut(node) {
+            seat.granted = now;
         }
     }
     /// No lease on `term` or an earlier one can still be in use.
     pub fn gone(&self, service: &ServiceName, term: DbTerm, now: Tick) -> bool {
         let over = |from: Tick| now.since(from) > LEASE_MS + LEASE_SLACK_MS;
-        over(self.elected)
-            && self.seats.values().all(|seat| {
-                seat.granted.get(service).is_none_or(|(held, at)| *held > term || over(*at))
-                    || seat.given_back.get(service).is_some_and(|(t, _)| *t >= term)
-            })
+        let free = |seat: &Seat| {
+            let ended = seat.ended.get(service);
+            let led = match seat.told.get(service).map(|g| &g.standing) {
+                Some(Standing::Led { term, .. }) => Some((*term, seat.granted)),
+                _ => None,
+            };
+            seat.given_back.get(service).is_some_and(|(t, _)| *t >= term)
+                || ended.copied().into_iter().chain(led).all(|(held, at)| held > term || over(at))
+        };
+        over(self.elected) && self.seats.values().all(free)
     }
     /// The furthest position passed on, once every stile has said it.
     pub fn given_back(
@@ -2053,39 +2163,34 @@
             })
             .try_fold(None, |most: Option<Position>, one| Some(most.max(one?)))
     }
-    /// A stile is heard of, with the shares it holds itself to.
+    /// A stile is heard of, with the shares it holds itself to where these changed.
     pub fn report(&mut self, node: &NodeName, shares: Vec<(ServiceName, u32)>, now: Tick) {
+        for (service, share) in shares {
+            let Some(seat) = self.seats.get_mut(node) else {
+                return;
+            };
+            let before = seat.holds(&service);
+            seat.reported.insert(service.clone(), share);
+            let after = seat.holds(&service);
+            self.count(&service, before, after);
+            let most = self.most.entry(service).or_default();
+            *most = share.max(*most);
+        }
         if let Some(seat) = self.seats.get_mut(node) {
             seat.heard = now;
-            seat.reported = shares.into_iter().collect();
         }
     }
     /// Divides `total` among the live stiles; what another still holds is not given twice.
-    pub fn share(&mut self, node: &NodeName, service: &ServiceName, total: u32, now: Tick) -> u32 {
-        let live = self.seats.values().filter(|s| s.conn.is_some()).count().max(1) as u32;
+    pub fn share(&self, node: &NodeName, service: &ServiceName, total: u32, now: Tick) -> u32 {
         let total = total.saturating_sub(RESERVE.min(total / 4));
-        let target = (total / live).max(1);
-        let held = |s: &Seat| {
-            let last = s.shares.get(service).copied().unwrap_or(0);
-            last.max(s.reported.get(service).copied().unwrap_or(0))
-        };
-        let others: u32 = self
-            .seats
-            .iter()
-            .filter(|(name, s)| {
-                *name != node && s.lost.is_none_or(|t| now.since(t) < SHARE_HELD_MS)
-            })
-            .map(|(_, s)| held(s))
-            .sum();
-        let mut share = target.min(total.saturating_sub(others));
+        let target = (total / self.live.max(1)).max(1);
+        let own = self.seats.get(node).filter(|s| !s.released).map_or(0, |s| s.holds(service));
+        let all = self.held.get(service).copied().unwrap_or(0);
+        let share = target.min(total.saturating_sub(all.saturating_sub(own)));
         // A new leader does not know all who hold something. Until it must, nobody gets more than
         // the most that one of them says it has: the leader before gave everyone the same.
         if now.since(self.elected) < SHARE_HELD_MS {
-            let reported = self.seats.values().filter_map(|s| s.reported.get(service)).max();
-            share = share.min(reported.copied().unwrap_or(0).max(YOUNG_SHARE));
-        }
-        if let Some(seat) = self.seats.get_mut(node) {
-            seat.shares.insert(service.clone(), share);
+            return share.min(self.most.get(service).copied().unwrap_or(0).max(YOUNG_SHARE));
         }
         share
     }
@@ -2192,6 +2297,8 @@
     directory_due: bool,
     /// The renewal to be answered once what waits has left.
     renewal: Option<u64>,
+    /// It was answered before, and so knows all but what changes.
+    granted: bool,
 }
 
 /// A caller whose change is on its way into the log.
@@ -3312,7 +3419,8 @@
             if let Some(office) = &mut self.office {
                 office.leases.seat(&node, life, conn, now);
             }
-            let guest = Guest { node, revision, directory_due: true, renewal: None };
+            let guest =
+                Guest { node, revision, directory_due: true, renewal: None, granted: false };
             self.stiles.insert(conn, guest);
             let stewards = self.hedge.members().iter().map(|m| m.peer).collect();
             self.send_conn(conn, &Frame::Steward(ToStile::Welcome { stewards }));
@@ -3321,6 +3429,11 @@
         let Some(node) = self.stiles.get(&conn).map(|g| g.node.clone()) else {
             return;
         };
+        // What an older connection of the same stile still brings is overtaken by the newer one.
+        let seat = self.office.as_ref().and_then(|o| o.leases.seats.get(&node));
+        if seat.is_none_or(|s| s.conn != Some(conn)) {
+            return;
+        }
         match message {
             ToSteward::Hello { .. } => {}
             ToSteward::Whole => {
@@ -3371,6 +3484,8 @@
             return;
         }
         let Some(office) = &mut self.office else { return };
+        let Some(guest) = self.stiles.get_mut(&conn) else { return };
+        let whole = !std::mem::replace(&mut guest.granted, true);
         let mut grants = Vec::new();
         // Without a configuration there is nothing to grant, but the answer says that we lead.
         for service in self.config.iter().flat_map(|c| &c.services) {
@@ -3381,15 +3496,16 @@
                     s.sealed.map_or(Standing::Unled, Standing::Sealed)
                 }
                 (Some(lead), Some(_)) => {
-                    office.leases.granted(node, &service.name, lead.term, now);
                     Standing::Led { term: lead.term, primary: lead.primary.clone() }
                 }
                 _ => Standing::Unled,
             };
             let share = office.leases.share(node, &service.name, service.max_connections, now);
-            grants.push(Grant { service: service.name.clone(), standing, share });
+            let grant = Grant { service: service.name.clone(), standing, share };
+            grants.extend(office.leases.tell(node, grant));
         }
-        let granted = ToStile::Granted { seq, lease_ms: LEASE_MS, grants };
+        office.leases.renewed(node, now);
+        let granted = ToStile::Granted { seq, lease_ms: LEASE_MS, whole, grants };
         self.send_conn(conn, &Frame::Steward(granted));
     }
 
@@ -3537,9 +3653,10 @@
                 "node": node,
                 "connected": seat.conn.is_some(),
                 "heard_ms_ago": now.since(seat.heard),
-                "shares": seat.shares,
-                "leases": seat.granted.iter().map(|(service, (term, at))| serde_json::json!({
-                    "service": service, "term": term, "left_ms": (at.0 + LEASE_MS).saturating_sub(now.0),
+                "lease_left_ms": (seat.granted.0 + LEASE_MS).saturating_sub(now.0),
+                "services": seat.told.values().map(|g| serde_json::json!({
+                    "service": g.service, "connections_allowed": g.share,
+                    "term": match &g.standing { Standing::Led { term, .. } => Some(term), _ => None },
                 })).collect::<Vec<_>>(),
             })
         }).collect();
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -729,6 +729,51 @@
     Led { term: DbTerm, primary: InstanceId, until: Tick },
 }
 
+/// The connections that this stile may have to each database of a service, as long as the leader
+/// keeps saying so.
+#[derive(Debug, Default)]
+pub struct Share {
+    pub size: u32,
+    until: Tick,
+    /// What the pools go by.
+    laid: u32,
+    /// What the leader was last told on this connection.
+    told: Option<u32>,
+}
+impl Share {
+    pub fn renew(&mut self, until: Tick) {
+        self.until = self.until.max(until);
+    }
+    /// What the pools are to go by from now on, if it is not what they do.
+    pub fn due(&mut self, now: Tick) -> Option<u32> {
+        let wanted = if self.until > now { self.size } else { 0 };
+        (wanted != self.laid).then(|| {
+            self.laid = wanted;
+            wanted
+        })
+    }
+    /// What the leader has to be told, if it was not told so before.
+    pub fn news(&mut self) -> Option<u32> {
+        (self.told != Some(self.size)).then(|| {
+            self.told = Some(self.size);
+            self.size
+        })
+    }
+}
+fn lay_share(
+    pools: &BTreeMap<InstanceId, Arc<Pool>>,
+    service: &ServiceName,
+    share: &mut Share,
+) -> bool {
+    let due = share.due(Tick::now());
+    if let Some(cap) = due {
+        for pool in pools.values().filter(|p| p.service == *service) {
+            pool.set_cap(cap);
+        }
+    }
+    due.is_some()
+}
+
 #[derive(Debug)]
 struct ServiceView {
     held: Held,
@@ -738,8 +783,7 @@
     floors: Floors,
     /// The furthest position passed on to a client or seen at the primary.
     highest: Option<Position>,
-    share: u32,
-    share_until: Tick,
+    share: Share,
     /// When the primary was last lost to this stile, for saying when to come back.
     unled_since: Option<Tick>,
 }
@@ -750,8 +794,7 @@
             revoked: None,
             floors: Floors::default(),
             highest: None,
-            share: 0,
-            share_until: Tick(0),
+            share: Share::default(),
             unled_since: None,
         }
     }
@@ -919,8 +962,10 @@
         // the leader in the order in which this stile thinks of them.
         let mut link = lock(&self.link);
         let shares = {
-            let view = lock(&self.view);
-            view.services.iter().map(|(name, s)| (name.clone(), s.share)).collect()
+            let mut view = lock(&self.view);
+            let told =
+                |(name, s): (&ServiceName, &mut ServiceView)| Some((name.clone(), s.share.news()?));
+            view.services.iter_mut().filter_map(told).collect()
         };
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
         {
@@ -985,7 +1030,9 @@
             }
             ToStile::Upsert(listed) => Self::upsert(&mut lock(&self.view), listed),
             ToStile::Remove(id) => Self::remove(&mut lock(&self.view), &id),
-            ToStile::Granted { seq, lease_ms, grants } => self.granted(seq, lease_ms, grants),
+            ToStile::Granted { seq, lease_ms, whole, grants } => {
+                self.granted(seq, lease_ms, whole, grants);
+            }
             ToStile::Revoke { service, term } => self.revoke(service, term),
             ToStile::Renew => self.renew(),
         }
@@ -1004,7 +1051,8 @@
         view.config = Some(Arc::new(config));
     }
     fn upsert(view: &mut View, listed: Listed) {
-        let share = view.services.get(&listed.instance.target_service).map_or(0, |s| s.share);
+        let seen = view.services.get(&listed.instance.target_service);
+        let share = seen.map_or(0, |s| s.share.laid);
         let fits =
             |p: &Arc<Pool>| p.address == listed.instance.address && p.zone == listed.instance.zone;
         let pool = match view.pools.get(&listed.id).filter(|p| fits(p)) {
@@ -1027,16 +1075,27 @@
         }
     }
 
-    fn granted(&self, seq: u64, lease_ms: u64, grants: Vec<Grant>) {
+    fn granted(&self, seq: u64, lease_ms: u64, whole: bool, grants: Vec<Grant>) {
         let asked = {
             let mut sent = lock(&self.sent);
             let found = sent.iter().find(|(s, _)| *s == seq).map(|(_, t)| *t);
             sent.retain(|(s, _)| *s >= seq);
             found
         };
-        let Some(asked) = asked else { return };
-        let mut view = lock(&self.view);
+        let mut guard = lock(&self.view);
+        let view = &mut *guard;
+        // What was told must be heard even if the renewal it answers is long forgotten; it is then
+        // as old as can be.
+        let asked = asked.unwrap_or(Tick(0));
+        if whole {
+            let named: BTreeSet<&ServiceName> = grants.iter().map(|g| &g.service).collect();
+            for (_, seen) in view.services.iter_mut().filter(|(name, _)| !named.contains(name)) {
+                seen.held = Held::None;
+            }
+        }
+        let mut changed = whole;
         for grant in grants {
+            changed = true;
             let seen = view.services.entry(grant.service.clone()).or_default();
             let led = matches!(seen.held, Held::Led { .. });
             match grant.standing {
@@ -1045,7 +1104,7 @@
                         if !matches!(&seen.held, Held::Led { term: t, .. } if *t == term) {
                             info!(target: "lease", "{}: {primary} leads term {term}", grant.service);
                         }
-                        seen.held = Held::Led { term, primary, until: asked.plus(lease_ms) };
+                        seen.held = Held::Led { term, primary, until: asked };
                         seen.unled_since = None;
                     }
                 }
@@ -1059,14 +1118,20 @@
                 seen.unled_since = Some(Tick::now());
                 info!(target: "lease", "{}: none is granted", grant.service);
             }
-            seen.share = grant.share;
-            seen.share_until = asked.plus(SHARE_KEPT_MS);
-            for pool in view.pools.values().filter(|p| p.service == grant.service) {
-                pool.set_cap(grant.share);
+            seen.share.size = grant.share;
+        }
+        // One lease covers all that was told on this connection.
+        for (name, seen) in &mut view.services {
+            if let Held::Led { until, .. } = &mut seen.held {
+                *until = asked.plus(lease_ms).max(*until);
             }
+            seen.share.renew(asked.plus(SHARE_KEPT_MS));
+            changed |= lay_share(&view.pools, name, &mut seen.share);
+        }
+        drop(guard);
+        if changed {
+            self.changed.notify_all();
         }
-        drop(view);
-        self.changed.notify_all();
     }
 
     fn ready(&self, now: Tick) -> bool {
@@ -1074,7 +1139,7 @@
             return false;
         }
         let view = lock(&self.view);
-        view.config.is_some() && view.listed && view.services.values().any(|s| s.share_until > now)
+        view.config.is_some() && view.listed && view.services.values().any(|s| s.share.until > now)
     }
     fn status(&self, now: Tick) -> serde_json::Value {
         let view = lock(&self.view);
@@ -1088,7 +1153,7 @@
                     "term": lease.map(|(t, _)| t),
                     "primary": lease.map(|(_, p)| p),
                     "lease_left_ms": match &s.held { Held::Led { until, .. } => until.since(now), Held::None => 0 },
-                    "connections_allowed": s.share,
+                    "connections_allowed": s.share.laid,
                     "highest": s.highest.map(|p| p.to_string()),
                 })
             })
@@ -1840,6 +1905,9 @@
             _ => return Err(io::ErrorKind::InvalidData.into()),
         }
         info!(target: "stile", "following {to}");
+        for seen in lock(&self.view).services.values_mut() {
+            seen.share.told = None;
+        }
         *lock(&self.link) = Some(stream);
         self.linked.store(true, Ordering::Relaxed);
         self.renew();
@@ -1948,11 +2016,10 @@
                 drop(keep_alive(&seen.stream, Duration::from_secs(30)));
             }
         }
-        let view = lock(&self.view);
-        for seen in view.services.iter().filter(|(_, s)| s.share > 0 && s.share_until <= now) {
-            for pool in view.pools.values().filter(|p| p.service == *seen.0) {
-                pool.set_cap(0);
-            }
+        let mut guard = lock(&self.view);
+        let view = &mut *guard;
+        for (name, seen) in &mut view.services {
+            lay_share(&view.pools, name, &mut seen.share);
         }
     }
 }
--- a/tests/graft.rs
+++ b/tests/graft.rs
@@ -2,7 +2,7 @@
 use silvertack::common::errors::{ANSWERS, ErrorKind};
 use silvertack::common::ids::{DbTerm, Position, Tick};
 use silvertack::common::wire::{self, Line, State};
-use silvertack::stile::{Admission, Fate, Floors, Graft, Kind, Pace, Task, Verdict};
+use silvertack::stile::{Admission, Fate, Floors, Graft, Kind, Pace, Share, Task, Verdict};
 
 const NOW: Tick = Tick(10_000);
 
@@ -212,3 +212,29 @@
     }
     assert_eq!(pace.patience(250), 250, "a slow database is not lost");
 }
+
+#[test]
+fn a_share_that_ran_out_is_laid_on_again_when_it_is_renewed() {
+    let now = Tick(100_000);
+    let mut share = Share::default();
+    assert_eq!(share.news(), Some(0));
+    share.size = 8;
+    // (after how long, renewed for how long from then, what the pools are told)
+    let cases = [
+        (0, None, None),
+        (10, Some(3_000), Some(8)),
+        (500, Some(3_000), None),
+        (3_600, None, Some(0)),
+        (3_700, None, None),
+        // Nothing new is said of its size, but it holds again.
+        (5_000, Some(3_000), Some(8)),
+    ];
+    for (after, renewed, laid) in cases {
+        let at = now.plus(after);
+        if let Some(ms) = renewed {
+            share.renew(at.plus(ms));
+        }
+        assert_eq!(share.due(at), laid, "after {after}");
+    }
+    assert_eq!((share.news(), share.news()), (Some(8), None));
+}
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -1,7 +1,7 @@
 //! Who leads a service: each case is a story of events with the deeds that must follow.
 use silvertack::common::config::{Instance, Lifecycle, Role};
 use silvertack::common::ids::*;
-use silvertack::common::peer::Doubt;
+use silvertack::common::peer::{Doubt, Grant, Standing};
 use silvertack::common::wire::Described;
 use silvertack::steward::{
     Almanac, Ask, Change, Deed, Effect, Facts, LEASE_MS, Lead, LeaseBook, Posted, Stage,
@@ -55,6 +55,16 @@
 const PAUSE: Ask = Ask::Pause(DbTerm(2));
 
 /// A primary that is doubted and does not answer: both replicas are being paused.
+fn grant(service: &ServiceName, term: Option<u64>, share: u32) -> Grant {
+    let led = |term| Standing::Led { term: DbTerm(term), primary: "a".into() };
+    Grant { service: service.clone(), standing: term.map_or(Standing::Unled, led), share }
+}
+/// A renewal is answered with this.
+fn granted(book: &mut LeaseBook, node: &NodeName, grant: Grant, now: Tick) -> Option<Grant> {
+    let told = book.tell(node, grant);
+    book.renewed(node, now);
+    told
+}
 fn fencing(facts: &Facts, now: Tick) -> Succession {
     let (mut s, first) = Succession::begin(facts, now);
     assert_eq!(
@@ -392,8 +402,8 @@
     assert!(book.gone(&s, DbTerm(1), now));
     book.seat(&n1, 1, 10, now);
     book.seat(&n2, 1, 11, now);
-    book.granted(&n1, &s, DbTerm(1), now);
-    book.granted(&n2, &s, DbTerm(1), now);
+    granted(&mut book, &n1, grant(&s, Some(1), 8), now);
+    granted(&mut book, &n2, grant(&s, Some(1), 8), now);
     book.give_back(&n1, &s, DbTerm(1), Some(at(5)));
     assert!(!book.gone(&s, DbTerm(1), now.plus(10)));
     assert_eq!(book.given_back(&s, DbTerm(1), now), None, "one has not said");
@@ -413,10 +423,13 @@
     let now = Tick(100_000);
     let mut book = LeaseBook::new(Tick(0));
     book.seat(&node, 1, 10, now);
-    book.granted(&node, &s, DbTerm(1), now);
+    let told = grant(&s, Some(1), 8);
+    assert_eq!(granted(&mut book, &node, told.clone(), now), Some(told.clone()));
+    assert_eq!(granted(&mut book, &node, told.clone(), now), None, "nothing changed");
     book.give_back(&node, &s, DbTerm(1), None);
     assert!(book.gone(&s, DbTerm(1), now.plus(10)));
-    book.granted(&node, &s, DbTerm(1), now.plus(20));
+    // The stile dropped it, so it has to be told in full again.
+    assert_eq!(granted(&mut book, &node, told.clone(), now.plus(20)), Some(told));
     assert!(!book.gone(&s, DbTerm(1), now.plus(30)));
     assert_eq!(book.given_back(&s, DbTerm(1), now.plus(30)), None);
 }
@@ -448,11 +461,16 @@
     // Stiles come one after the other, some leave, and each asks in turn.
     for round in 0..60u64 {
         now = now.plus(450);
+        book.forget_old(now);
         for (i, node) in nodes.iter().enumerate() {
             let here = (i as u64) < round / 2 + 1 && !(round > 40 && i % 3 == 0);
             if here {
-                book.seat(node, 1, i as u64, now);
+                if book.seats.get(node).is_none_or(|s| s.conn.is_none()) {
+                    book.seat(node, 1, i as u64, now);
+                }
+                book.report(node, vec![(s.clone(), held[i])], now);
                 held[i] = book.share(node, &s, 92, now);
+                granted(&mut book, node, grant(&s, None, held[i]), now);
             } else if held[i] > 0 {
                 book.lose(i as u64, now);
                 // Its connections end within three seconds of its loss.
@@ -495,3 +513,25 @@
     almanac.apply(&Change::Gone { id: "b".into(), sequence: 0 });
     assert!(!almanac.news(&"b".into(), &stays, 7) && almanac.news(&"b".into(), &stays, 8));
 }
+
+#[test]
+fn a_lease_that_is_not_renewed_runs_out_from_when_it_last_was() {
+    let (node, s, t) = (NodeName::from("n"), ServiceName::from("s"), ServiceName::from("t"));
+    let now = Tick(100_000);
+    // (what happens to the lease on s after its renewal at +500)
+    for (what, how) in [("told so", 0), ("a new connection", 1), ("given to another", 2)] {
+        let mut book = LeaseBook::new(Tick(0));
+        book.seat(&node, 1, 10, now);
+        granted(&mut book, &node, grant(&s, Some(1), 8), now);
+        granted(&mut book, &node, grant(&t, Some(1), 8), now.plus(500));
+        match how {
+            0 => drop(granted(&mut book, &node, grant(&s, None, 8), now.plus(1_000))),
+            1 => book.seat(&node, 1, 11, now.plus(1_000)),
+            _ => drop(granted(&mut book, &node, grant(&s, Some(2), 8), now.plus(1_000))),
+        }
+        let until = 500 + LEASE_MS;
+        assert!(!book.gone(&s, DbTerm(1), now.plus(until)), "{what}");
+        assert!(book.gone(&s, DbTerm(1), now.plus(until + 100)), "{what}");
+        assert_eq!(book.gone(&s, DbTerm(2), now.plus(until + 100)), how != 2, "{what}");
+    }
+}
