A stile whose lease is gone sends its idle sessions elsewhere

Their leases ran out, as they must, and from then on they refused whatever their sessions asked: 2,568 requests, though the platform had long stopped sending new clients there. Change: when no leader has answered for a lease and 200 ms, a stile closes sessions with nothing under way, those it has just refused, and new ones at once; clients come to a node that can serve. Ruled out: holding on to the lease (ONE), reading on at replicas (STALE). Conclusion: kept; a test with a steward that is killed and comes back with what it had.

--- a/src/stile.rs
+++ b/src/stile.rs
@@ -839,6 +839,8 @@
     sent: Mutex<VecDeque<(u64, Tick)>>,
     seq: AtomicU64,
     linked: AtomicBool,
+    /// When a leader last answered a renewal.
+    answered: AtomicU64,
     draining: AtomicBool,
     /// While draining, idle sessions are closed from this tick on.
     close_from: AtomicU64,
@@ -1082,6 +1084,7 @@
             sent.retain(|(s, _)| *s >= seq);
             found
         };
+        self.answered.store(Tick::now().0, Ordering::Relaxed);
         let mut guard = lock(&self.view);
         let view = &mut *guard;
         // What was told must be heard even if the renewal it answers is long forgotten; it is then
@@ -1320,7 +1323,12 @@
                     Say::Error(ErrorKind::Malformed, "not understood".to_owned())
                 }
             };
+            let refused = matches!(say, Say::Error(ErrorKind::Throttled, _));
             self.say(&mut client, say)?;
+            let idle = self.graft.state() == State::Idle && inbox.is_empty();
+            if refused && idle && self.stile.deaf(Tick::now()) {
+                return Ok(());
+            }
         }
     }
 
@@ -1827,6 +1835,8 @@
 const HELLO_MS: u64 = 10_000;
 /// A session that is older than this may stay for long.
 const LASTING_MS: u64 = 1_000;
+/// A lease, and a little: with it gone, only reads that may be old could still be served.
+const DEAF_MS: u64 = crate::steward::LEASE_MS + 200;
 /// Descriptors kept for connections to databases, the link and files.
 const SPARE_FILES: u64 = 400;
 
@@ -1848,6 +1858,11 @@
             _ => 500,
         }
     }
+    /// No leader has answered for so long that nothing can be served here. Others may well be able
+    /// to, so sessions with nothing under way are better off elsewhere.
+    fn deaf(&self, now: Tick) -> bool {
+        now.since(Tick(self.answered.load(Ordering::Relaxed))) > DEAF_MS
+    }
     /// While draining: whether idle sessions are to be closed by now.
     fn closing_idle(&self) -> bool {
         Tick::now().0 >= self.close_from.load(Ordering::Relaxed)
@@ -1928,7 +1943,8 @@
     /// Serves one client on a thread of its own, if there is room for it.
     fn admit(self: &Arc<Self>, stream: TcpStream) {
         let id = self.next_session.fetch_add(1, Ordering::Relaxed);
-        if lock(&self.sessions).len() >= self.max_sessions {
+        // Turned away at once, the client comes to another node.
+        if lock(&self.sessions).len() >= self.max_sessions || self.deaf(Tick::now()) {
             return;
         }
         // Many sessions serve one operation and go; what only the others need is left to `tend`.
@@ -2002,8 +2018,13 @@
     /// Ends transactions that rest for too long, and connections that nobody may hold any more.
     fn tend(&self, now: Tick) {
         let rest = self.config().map_or(3_000, |c| c.limits.txn_idle_ms);
+        let deaf = self.deaf(now);
         for seen in lock(&self.sessions).values() {
             let since = seen.resting.load(Ordering::Relaxed);
+            if deaf && since > 0 && !seen.open.load(Ordering::Relaxed) {
+                // Nothing is under way. Its client can go on with another node.
+                drop(seen.stream.shutdown(Shutdown::Read));
+            }
             if seen.open.load(Ordering::Relaxed) && since > 0 && now.0 > since + rest {
                 drop(seen.stream.shutdown(Shutdown::Both));
             }
@@ -2053,6 +2074,7 @@
         sent: Mutex::default(),
         seq: AtomicU64::new(0),
         linked: AtomicBool::new(false),
+        answered: AtomicU64::new(0),
         draining: AtomicBool::new(false),
         close_from: AtomicU64::new(u64::MAX),
         sessions: Mutex::default(),
--- a/tests/whole.rs
+++ b/tests/whole.rs
@@ -28,7 +28,7 @@
     peer: SocketAddr,
     databases: Arc<StandIn>,
     stile: Process,
-    _steward: Process,
+    steward: Option<Process>,
 }
 impl Drop for System {
     fn drop(&mut self) {
@@ -65,6 +65,12 @@
     }
 }
 
+fn run(role: &str, settings: &std::path::Path) -> Process {
+    let child =
+        Command::new(BINARY).args([role, "--settings"]).arg(settings).stderr(Stdio::null()).spawn();
+    Process(child.expect(role))
+}
+
 fn start() -> System {
     let databases = StandIn::start("ledger", 3).expect("databases");
     let ports: Vec<u16> = (0..4).map(|_| free_port()).collect();
@@ -86,22 +92,14 @@
     );
     let file = folder.join("node.toml");
     std::fs::write(&file, settings).expect("settings");
-    let run = |role: &str| {
-        let child = Command::new(BINARY)
-            .args([role, "--settings"])
-            .arg(&file)
-            .stderr(Stdio::null())
-            .spawn();
-        Process(child.expect(role))
-    };
     let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-    let steward = run("steward");
+    let steward = run("steward", &file);
     let system = System {
         admin: at(ports[1]),
         frontend: at(ports[2]),
         peer: at(ports[0]),
-        stile: run("stile"),
-        _steward: steward,
+        stile: run("stile", &file),
+        steward: Some(steward),
         folder,
         databases,
     };
@@ -168,6 +166,7 @@
 #[test]
 fn the_whole_path_and_all_kinds_of_bad_input() {
     let mut system = start();
+    let folder = system.folder.clone();
     bad_configurations(&system);
     bad_http(&system);
     bad_frames(&system);
@@ -177,6 +176,7 @@
     reroute(&system);
     status_and_commands(&system);
     assert!(system.databases.most_open.load(Ordering::SeqCst) <= 3 * 16, "never over the total");
+    without_a_leader(&mut system, &folder);
     // SIGTERM ends the stile in order, within its grace.
     let pid = system.stile.0.id().to_string();
     assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
@@ -395,3 +395,25 @@
     let (code, _, errors) = run(&["check", "settings", &bad.display().to_string()]);
     assert!(code == Some(2) && errors.contains("heartbeat_ms"), "{errors}");
 }
+
+/// With no leader nothing is confirmed, and sessions with nothing under way are sent elsewhere; the
+/// steward comes back with all that it had.
+fn without_a_leader(system: &mut System, folder: &std::path::Path) {
+    let mut idle = Client::ready(system, "strict");
+    assert_eq!(idle.ask("w1", "STORE kept yes"), "stamped I");
+    let (_, before) = http(system.admin, "GET", "/configuration", &[], "").expect("answer");
+    system.steward = None;
+    let start = Instant::now();
+    assert_eq!(idle.line(), "", "closed, not held");
+    assert!(start.elapsed() > Duration::from_millis(1_000), "not for a moment without a leader");
+    let mut new = Client::open(system, "strict");
+    assert_eq!(new.line(), "", "turned away at once");
+    system.steward = Some(run("steward", &folder.join("node.toml")));
+    eventually("the configuration again", || {
+        http(system.admin, "GET", "/configuration", &[], "").is_ok_and(|(_, body)| body == before)
+    });
+    eventually("sessions again", || {
+        let mut back = Client::open(system, "strict");
+        back.line() == "READY I -" && back.ask("r1", "FETCH kept").ends_with("stamped I")
+    });
+}
