Restarted voters are quiet only as long as their word could have counted

Their last answers to the old leader could keep it certain for 0.5 s only. Change: certainty lasts 450 ms, the silence 470 ms, and the first try follows within 150 ms.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -35,7 +35,11 @@
 const RETURN_MS: u64 = 50;
 /// The leader acts alone only while a quorum answered messages it sent within this time. It is
 /// less than `ELECTION_MIN_MS`, so no other steward can lead meanwhile.
-const QUORUM_FRESH_MS: u64 = ELECTION_MIN_MS - 100;
+const QUORUM_FRESH_MS: u64 = 450;
+/// Whatever a steward answered a leader before it was restarted counts no more after this, and a
+/// leader that is there was heard by then.
+const QUIET_MS: u64 = QUORUM_FRESH_MS + 20;
+const AFTER_QUIET_MS: u64 = 150;
 /// The log is folded into a snapshot when it is longer than this, or larger.
 const COMPACT_AFTER: usize = 256;
 const COMPACT_BYTES: usize = 1 << 20;
@@ -150,7 +154,7 @@
             heard: None,
             deadline: now,
             next_beat: now,
-            quiet_until: if quiet { now.plus(ELECTION_MIN_MS) } else { now },
+            quiet_until: if quiet { now.plus(QUIET_MS) } else { now },
             returning,
             peers: BTreeMap::new(),
             members: Vec::new(),
@@ -165,6 +169,9 @@
         hedge.durable = hedge.last().1;
         hedge.recall_members();
         hedge.rest(now);
+        if quiet {
+            hedge.deadline = hedge.quiet_until.plus(1 + spread() % AFTER_QUIET_MS);
+        }
         if hedge.voters() == [hedge.kept.me] {
             // Nobody else can lead, so there is nobody to wait for.
             hedge.deadline = now;
--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -508,7 +508,21 @@
         assert_eq!(stewards.leaders(), [old], "{who}");
         stewards.run(1_000);
     }
+    // Without that leader the others do not wait longer than its word could have counted.
+    stewards.cut.insert(old);
+    for id in (1..=4).filter(|i| *i != old) {
+        stewards.restart(id);
+    }
+    stewards.wire.clear();
+    stewards.run(400);
+    assert!(stewards.leaders().is_empty());
+    stewards.run(300);
+    let new = stewards.leaders();
+    assert!(new.len() == 1 && new != [old], "{new:?}");
+    stewards.cut.clear();
+    stewards.run(1_000);
     // One that led an epoch before the newest has nothing to go by.
+    let old = new[0];
     let epoch = stewards.hedges[&old].kept.epoch;
     let voter = (1..=4).find(|i| *i != old).expect("another");
     let (now, last) = (stewards.now, stewards.hedges[&old].last());
