--- a/src/common/settings.rs
+++ b/src/common/settings.rs
@@ -20,7 +20,7 @@
     pub zone: String,
     #[validate(custom(function = "ordered_ports"))]
     pub port_range: (u16, u16),
-    #[validate(length(min = 1))]
+    #[validate(length(min = 1), custom(function = "real_places"))]
     pub seed_nodes: Vec<SocketAddr>,
     #[serde(default)]
     pub bootstrap: bool,
@@ -107,6 +107,12 @@
     1000
 }
 
+fn real_places(seeds: &[SocketAddr]) -> Result<(), ValidationError> {
+    if seeds.iter().any(|s| s.port() == 0 || s.ip().is_unspecified()) {
+        return Err(ValidationError::new("seeds_with_address_and_port"));
+    }
+    Ok(())
+}
 fn ordered_ports(range: &(u16, u16)) -> Result<(), ValidationError> {
     if range.0 == 0 || range.1 < range.0 {
         return Err(ValidationError::new("ports_in_order"));
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -922,6 +922,18 @@
             }
             log.push(entry);
         }
+        let lists = log.iter().filter_map(|e| match &e.body {
+            Body::Members(members) => Some(members),
+            _ => None,
+        });
+        for members in lists.chain([&snapshot.members]) {
+            let ids: BTreeSet<MemberId> = members.iter().map(|m| m.id).collect();
+            let places: BTreeSet<SocketAddr> = members.iter().map(|m| m.admin).collect();
+            let twice = ids.len() < members.len() || places.len() < members.len();
+            if twice || (!members.is_empty() && members.iter().all(|m| !m.voter)) {
+                return Err(Fatal::State("left as it is: a list of members that can't be".into()));
+            }
+        }
         Ok(Some(Kept {
             me: MemberId(me as u64),
             epoch: Epoch(epoch as u64),
--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -388,6 +388,17 @@
     std::fs::write(&file, vec![7u8; 8192]).expect("damage");
     assert!(Granary::open(&folder).is_err(), "a damaged file is refused");
     assert_eq!(std::fs::read(&file).expect("bytes"), vec![7u8; 8192], "and left as it is");
+    // A list of members that can't be is refused too.
+    for wrong in [vec![member(1, true), member(1, true)], vec![member(1, false)]] {
+        let _ = std::fs::remove_dir_all(&folder);
+        let (mut granary, _) = Granary::open(&folder).expect("a new file");
+        let snapshot = Snapshot { members: wrong, ..Snapshot::default() };
+        let kept = Kept { me: MemberId(1), snapshot, ..Kept::default() };
+        granary.save(&Sheaf::of(&kept, &Dirty::all())).expect("saved");
+        drop(granary);
+        let refused = Granary::open(&folder).err().expect("refused").to_string();
+        assert!(refused.contains("can't be"), "{refused}");
+    }
     // A member's state that is gone is not taken for a new disk; an empty folder is.
     let _ = std::fs::remove_dir_all(&folder);
     let (granary, first, old) = Granary::found(&folder, || founder(1, 3)).expect("founded");
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -16,6 +16,7 @@
         ("[7440, 7455]", "[7455, 7440]", "port_range"),
         ("grace_s = 6", "grace_s = 0", "grace_s"),
         ("seed_nodes = [\"10.0.0.1:8782\"]", "seed_nodes = []", "seed_nodes"),
+        ("seed_nodes = [\"10.0.0.1:8782\"]", "seed_nodes = [\"10.0.0.1:0\"]", "seed_nodes"),
     ];
     for (old, new, field) in table {
         let text = GOOD.replace(old, new);
