--- a/src/common/mod.rs
+++ b/src/common/mod.rs
@@ -8,3 +8,13 @@
 pub mod settings;
 pub mod signals;
 pub mod wire;
+
+/// Starts a thread with a small stack. False if the machine has none left: that is no reason to
+/// end, and whoever wanted it tries again or refuses.
+pub fn start_thread(work: impl FnOnce() + Send + 'static) -> bool {
+    let started = std::thread::Builder::new().stack_size(256 << 10).spawn(work);
+    if let Err(e) = &started {
+        log::warn!(target: "threads", "none left: {e}");
+    }
+    started.is_ok()
+}
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -9,6 +9,7 @@
 use crate::common::peer::*;
 use crate::common::settings::{Settings, Watched};
 use crate::common::signals::Signals;
+use crate::common::start_thread;
 use crate::common::wire::{self, Described};
 use log::{error, info, warn};
 use rusqlite::{Connection, OptionalExtension, params};
@@ -2444,7 +2445,7 @@
         hedge: Hedge::new(kept, restarted, now, rand::random::<u64>),
         settings,
         desk: Desk::default(),
-        scribe: start_scribe(granary, tx.clone()),
+        scribe: start_scribe(granary, tx.clone())?,
         ailing: false,
         almanac,
         applied,
@@ -2471,9 +2472,9 @@
 }
 
 /// The thread that waits for the disk, so that nothing else does.
-fn start_scribe(mut granary: Granary, done: Sender<Input>) -> Sender<Sheaf> {
+fn start_scribe(mut granary: Granary, done: Sender<Input>) -> Result<Sender<Sheaf>, Fatal> {
     let (jobs, next) = channel::<Sheaf>();
-    std::thread::spawn(move || {
+    let started = start_thread(move || {
         for sheaf in next {
             let saved = granary.save(&sheaf).map_err(|e| e.to_string());
             if done.send(Input::Saved(saved)).is_err() {
@@ -2481,7 +2482,7 @@
             }
         }
     });
-    jobs
+    if started { Ok(jobs) } else { Err(Fatal::Call("no thread for the disk".into())) }
 }
 
 /// The first state of an empty disk. When the system starts for the first time, the first of the
@@ -2535,7 +2536,7 @@
     let next = AtomicU64::new(1);
     // Each connection holds a clone; the count of them is the bound.
     let open = Arc::new(());
-    std::thread::spawn(move || {
+    let started = start_thread(move || {
         for stream in listener.incoming() {
             let Ok(stream) = stream else {
                 std::thread::sleep(Duration::from_millis(50));
@@ -2582,7 +2583,7 @@
             }
         }
     });
-    Ok(())
+    if started { Ok(()) } else { Err(Fatal::Call("no thread for peers".into())) }
 }
 
 /// Asks a database one thing on a connection of its own.
@@ -2810,10 +2811,9 @@
             return;
         }
         if !link.dialing && now >= link.retry {
-            link.dialing = true;
             link.retry = now.plus(100);
             let tx = self.tx.clone();
-            std::thread::spawn(move || {
+            link.dialing = start_thread(move || {
                 let stream = dial(address, REACH, Duration::from_secs(2));
                 let line = stream.ok().map(|stream| {
                     let mut line = Wire::new(stream);
@@ -3142,7 +3142,7 @@
         at.remove(&member.peer);
         for to in at {
             let (member, tx) = (member.clone(), self.tx.clone());
-            std::thread::spawn(move || {
+            start_thread(move || {
                 // Asked again soon; one that is down is no reason to stop.
                 let answer = ask_standing(to, member, was).ok();
                 drop(tx.send(Input::Standing(me, to, answer)));
@@ -3326,7 +3326,8 @@
                 }
                 let (tx, asks) = (self.tx.clone(), Arc::clone(&self.asks));
                 let (service, address) = (service.clone(), record.instance.address);
-                std::thread::spawn(move || {
+                let under_way = Arc::clone(&asks);
+                let started = start_thread(move || {
                     // Of use only where a dark machine is to be told from a slow one.
                     let reached = || {
                         if ask == Ask::Describe {
@@ -3343,6 +3344,10 @@
                     // The core may have ended meanwhile.
                     drop(tx.send(Input::Told(service, id, ask, told)));
                 });
+                if !started {
+                    // Whoever needs the answer asks again.
+                    under_way.fetch_sub(1, Ordering::Relaxed);
+                }
             }
             Deed::Post(target) => {
                 let Some(provider) = &self.settings.provider else {
@@ -3352,11 +3357,16 @@
                 let (provider, holder) = (provider.address, self.settings.node_name.clone());
                 let (tx, service, fence) =
                     (self.tx.clone(), service.clone(), self.hedge.kept.epoch);
-                std::thread::spawn(move || {
+                let again = (self.tx.clone(), service.clone(), target.clone());
+                let started = start_thread(move || {
                     let posted = post_failover(provider, &holder, fence, &service, &target);
                     // The core may have ended meanwhile.
                     drop(tx.send(Input::Posted(service, target, posted)));
                 });
+                if !started {
+                    let (tx, service, target) = again;
+                    drop(tx.send(Input::Posted(service, target, Posted::Busy)));
+                }
             }
         }
     }
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -10,6 +10,7 @@
 use crate::common::peer::*;
 use crate::common::settings::{Settings, Watched};
 use crate::common::signals::Signals;
+use crate::common::start_thread;
 use crate::common::wire::{self, Inbox, Line, NoLine, Outcome, Reply, State, Statement, Verb};
 use log::{info, warn};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -2090,7 +2091,8 @@
     http::serve(listen(readiness)?, "readiness", move |request| answer(&asked, &request))
         .map_err(|e| Fatal::Listen(readiness.to_string(), e))?;
     let linking = Arc::clone(&stile);
-    std::thread::spawn(move || linking.keep_link());
+    let lost = || Fatal::Call("no thread left".into());
+    start_thread(move || linking.keep_link()).then_some(()).ok_or_else(lost)?;
     // Until it knows what to serve, a stile has no address: who is refused there goes on to
     // another node at once.
     while !stile.ready(Tick::now()) {
@@ -2106,7 +2108,7 @@
     }
     let listener = listen(frontend)?;
     let accepting = Arc::clone(&stile);
-    std::thread::spawn(move || {
+    let accepts = start_thread(move || {
         for stream in listener.incoming() {
             match stream {
                 Ok(stream) => accepting.admit(stream),
@@ -2114,6 +2116,7 @@
             }
         }
     });
+    accepts.then_some(()).ok_or_else(lost)?;
     info!(target: "stile", "{} serves {frontend}", settings.node_name);
     tend(&stile, &signals, watched, settings)
 }
