--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -568,3 +568,47 @@
     out.push_first(vec![4]);
     assert_eq!(out.next(), Some(&[4][..]));
 }
+
+#[test]
+fn a_state_that_was_half_written_is_recovered_up_to_what_was_synced_or_refused() {
+    let base = std::env::temp_dir().join(format!("silvertack-torn-{}", std::process::id()));
+    let (whole, torn) = (base.join("whole"), base.join("torn"));
+    let _ = std::fs::remove_dir_all(&base);
+    let (mut granary, mut kept, _) = Granary::found(&whole, || founder(1, 3)).expect("founded");
+    let wal = whole.join("hedge.sqlite-wal");
+    // What the file of the journal held after each write that was confirmed.
+    let mut synced = vec![std::fs::metadata(&wal).map_or(0, |m| m.len())];
+    for n in 1..=3u64 {
+        kept.log.push(Entry { epoch: Epoch(1), index: Index(n), body: change(n as u8) });
+        let dirty = Dirty { log_from: Some(Index(n)), ..Dirty::default() };
+        granary.save(&Sheaf::of(&kept, &dirty)).expect("saved");
+        synced.push(std::fs::metadata(&wal).expect("journal").len());
+    }
+    let journal = std::fs::read(&wal).expect("journal");
+    // (bytes that reached the disk, how many of them are garbage, entries that must be there)
+    let cases = [
+        (synced[3], 0, 3),
+        (synced[3] - 100, 0, 2),
+        (synced[3], 300, 2),
+        (synced[2] + 24, 0, 2),
+        (synced[1], 0, 1),
+    ];
+    for (length, garbage, entries) in cases {
+        let _ = std::fs::remove_dir_all(&torn);
+        std::fs::create_dir_all(&torn).expect("folder");
+        for name in ["hedge.sqlite", "member"] {
+            std::fs::copy(whole.join(name), torn.join(name)).expect("copied");
+        }
+        let mut bytes = journal[..length as usize].to_vec();
+        let from = bytes.len() - garbage;
+        bytes[from..].fill(0x5a);
+        std::fs::write(torn.join("hedge.sqlite-wal"), bytes).expect("torn");
+        let (_, found) = Granary::open(&torn).expect("recovered");
+        assert_eq!(found.expect("kept").log.len(), entries, "{length} bytes, {garbage} garbage");
+    }
+    // With nothing of it left, it is not taken for a new disk.
+    std::fs::write(torn.join("hedge.sqlite-wal"), b"").expect("gone");
+    std::fs::write(torn.join("hedge.sqlite"), b"").expect("gone");
+    assert!(Granary::open(&torn).err().expect("refused").to_string().contains("is gone"));
+    let _ = std::fs::remove_dir_all(&base);
+}
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -1,7 +1,7 @@
 //! Who leads a service: each case is a story of events with the deeds that must follow.
 use silvertack::common::config::{Instance, Lifecycle, Role};
 use silvertack::common::ids::*;
-use silvertack::common::peer::{Doubt, Grant, Standing};
+use silvertack::common::peer::{Doubt, Grant, Standing, pack, unpack};
 use silvertack::common::wire::Described;
 use silvertack::steward::{
     Almanac, Ask, Change, Deed, Effect, Facts, LEASE_MS, Lead, LeaseBook, Posted, Stage,
@@ -535,3 +535,37 @@
         assert_eq!(book.gone(&s, DbTerm(2), now.plus(until + 100)), how != 2, "{what}");
     }
 }
+
+#[test]
+fn a_taken_configuration_is_known_again_after_a_snapshot_and_only_one_of_two_wins() {
+    let body = |n: u8| serde_bytes::ByteBuf::from(vec![n; 40]);
+    let put = |base, revision, n| Change::Configure {
+        base: Revision(base),
+        revision: Revision(revision),
+        body: body(n),
+    };
+    let mut almanac = Almanac::default();
+    assert_eq!(almanac.apply(&put(0, 3, 1)), Effect::Done);
+    // Two built on the same version reach the log, one behind the other.
+    assert_eq!(almanac.apply(&put(3, 5, 2)), Effect::Done);
+    assert_eq!(almanac.apply(&put(3, 6, 9)), Effect::Outdated);
+    assert_eq!((almanac.revision, &almanac.body), (Revision(5), &body(2)));
+    // Another leader has it from a snapshot.
+    let bytes = pack(&almanac);
+    let mut other: Almanac = unpack(&bytes).expect("as it was packed");
+    assert_eq!(other, almanac);
+    // (base, revision, body, what comes of it)
+    let cases = [
+        (0, 3, 1, Effect::Nothing),
+        (3, 5, 2, Effect::Nothing),
+        (3, 5, 7, Effect::Outdated),
+        (3, 6, 9, Effect::Outdated),
+        (5, 5, 7, Effect::NotAbove),
+        (5, 4, 7, Effect::NotAbove),
+    ];
+    for (base, revision, n, effect) in cases {
+        assert_eq!(other.judge(Revision(base), Revision(revision), &body(n)), effect);
+        other.apply(&put(base, revision, n));
+        assert_eq!(other, almanac, "{base} {revision} {n} changes nothing");
+    }
+}
