--- a/src/common/mod.rs
+++ b/src/common/mod.rs
@@ -18,3 +18,8 @@
     }
     started.is_ok()
 }
+/// Starts a loop that a program can't do without.
+pub fn must_start(what: &str, work: impl FnOnce() + Send + 'static) -> Result<(), errors::Fatal> {
+    let lost = || errors::Fatal::Call(format!("no thread for {what}"));
+    start_thread(work).then_some(()).ok_or_else(lost)
+}
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -9,8 +9,8 @@
 use crate::common::peer::*;
 use crate::common::settings::{Settings, Watched};
 use crate::common::signals::Signals;
-use crate::common::start_thread;
 use crate::common::wire::{self, Described};
+use crate::common::{must_start, start_thread};
 use log::{error, info, warn};
 use rusqlite::{Connection, OptionalExtension, params};
 use serde::{Deserialize, Serialize};
@@ -104,6 +104,14 @@
     pub snapshot: Snapshot,
 }
 
+/// The list of members, if that is what an entry holds.
+fn listed(entry: &Entry) -> Option<&Vec<Member>> {
+    match &entry.body {
+        Body::Members(members) => Some(members),
+        _ => None,
+    }
+}
+
 /// About how many bytes an entry takes.
 fn size(entry: &Entry) -> usize {
     match &entry.body {
@@ -198,15 +206,11 @@
         &self.members
     }
     fn recall_members(&mut self) {
-        let listed = |e: &Entry| match &e.body {
-            Body::Members(members) => Some(members.clone()),
-            _ => None,
-        };
         let newest = self.kept.log.iter().rev().find_map(listed);
-        self.members = newest.unwrap_or_else(|| self.kept.snapshot.members.clone());
+        self.members = newest.unwrap_or(&self.kept.snapshot.members).clone();
     }
     fn members_pending(&self) -> bool {
-        self.kept.log.iter().any(|e| e.index > self.commit && matches!(e.body, Body::Members(_)))
+        self.kept.log.iter().any(|e| e.index > self.commit && listed(e).is_some())
     }
     fn voters(&self) -> Vec<MemberId> {
         self.members().iter().filter(|m| m.voter).map(|m| m.id).collect()
@@ -626,7 +630,7 @@
                 None => {}
             }
             self.dirty.mark_log(entry.index);
-            relisted |= matches!(entry.body, Body::Members(_));
+            relisted |= listed(&entry).is_some();
             self.kept.log.push(entry);
         }
         if relisted {
@@ -683,11 +687,9 @@
         let members = self.kept.log[..=at]
             .iter()
             .rev()
-            .find_map(|e| match &e.body {
-                Body::Members(members) => Some(members.clone()),
-                _ => None,
-            })
-            .unwrap_or_else(|| self.kept.snapshot.members.clone());
+            .find_map(listed)
+            .unwrap_or(&self.kept.snapshot.members)
+            .clone();
         let last = (self.kept.log[at].epoch, applied);
         self.kept.snapshot = Snapshot { last, members, state: ByteBuf::from(state()) };
         self.kept.log.drain(..=at);
@@ -719,7 +721,7 @@
     }
 
     /// The next single change that brings the members closer to what is wanted, if any: whoever
-    /// asks to join learns first and votes once it has caught up, if it can. Of more voters than
+    /// asks to join learns first and votes once it has caught up. Of more voters than
     /// are needed to bear the loss of `tolerated`, the one that has been silent longest goes.
     pub fn wanted_members<'a>(
         &self,
@@ -803,7 +805,6 @@
     CREATE TABLE IF NOT EXISTS led (only_one INTEGER PRIMARY KEY CHECK (only_one = 1), epoch INTEGER NOT NULL);
     CREATE TABLE IF NOT EXISTS snapshot (only_one INTEGER PRIMARY KEY CHECK (only_one = 1), body BLOB NOT NULL);
     CREATE TABLE IF NOT EXISTS log (place INTEGER PRIMARY KEY, body BLOB NOT NULL);
-    PRAGMA user_version = 1;
     COMMIT;";
 
 /// Says that a member's state was written here, should the state itself ever be missing.
@@ -833,28 +834,31 @@
 
     /// Opens or makes the file; gives what it holds, `None` if it was new.
     pub fn open(folder: &Path) -> Result<(Self, Option<Kept>), Fatal> {
-        let state = disk;
         std::fs::create_dir_all(folder).map_err(|e| Fatal::Disk(e.to_string()))?;
-        let db = Connection::open(folder.join("hedge.sqlite")).map_err(state)?;
+        let db = Connection::open(folder.join("hedge.sqlite")).map_err(disk)?;
         // Exclusive before WAL: the index of the log then lives on the heap.
-        db.pragma_update(None, "locking_mode", "EXCLUSIVE").map_err(state)?;
-        let format: i64 = db.query_row("PRAGMA user_version", [], |r| r.get(0)).map_err(state)?;
+        db.pragma_update(None, "locking_mode", "EXCLUSIVE").map_err(disk)?;
+        let format: i64 = db.query_row("PRAGMA user_version", [], |r| r.get(0)).map_err(disk)?;
         if format > FORMAT {
             return Err(Fatal::State(format!(
                 "format {format} is newer than {FORMAT}, left as it is"
             )));
         }
-        db.pragma_update(None, "journal_mode", "WAL").map_err(state)?;
-        db.pragma_update(None, "synchronous", "FULL").map_err(state)?;
-        db.pragma_update(None, "temp_store", "MEMORY").map_err(state)?;
-        db.pragma_update(None, "cache_size", -256).map_err(state)?;
+        db.pragma_update(None, "journal_mode", "WAL").map_err(disk)?;
+        db.pragma_update(None, "synchronous", "FULL").map_err(disk)?;
+        db.pragma_update(None, "temp_store", "MEMORY").map_err(disk)?;
+        db.pragma_update(None, "cache_size", -256).map_err(disk)?;
         let check: String =
-            db.query_row("PRAGMA quick_check(1)", [], |r| r.get(0)).map_err(state)?;
+            db.query_row("PRAGMA quick_check(1)", [], |r| r.get(0)).map_err(disk)?;
         if check != "ok" {
             return Err(Fatal::State(format!("damaged, left as it is: {check}")));
         }
-        // The table `led` came later than the rest; files without it are read as ever.
-        db.execute_batch(LAYOUT).map_err(state)?;
+        // Writes nothing where all is there. The table `led` came later than the rest; files
+        // without it are read as ever.
+        db.execute_batch(LAYOUT).map_err(disk)?;
+        if format == 0 {
+            db.pragma_update(None, "user_version", FORMAT).map_err(disk)?;
+        }
         let kept = Self::load(&db)?;
         if kept.is_none() && folder.join(MARK).exists() {
             return Err(Fatal::State(
@@ -888,33 +892,32 @@
     }
 
     fn load(db: &Connection) -> Result<Option<Kept>, Fatal> {
-        let state = disk;
         let broken = |e: std::io::Error| Fatal::State(format!("damaged, left as it is: {e}"));
         let hard = db
             .query_row("SELECT me, epoch, voted FROM hard", [], |r| {
                 Ok((r.get::<_, i64>(0)?, r.get::<_, i64>(1)?, r.get::<_, Option<i64>>(2)?))
             })
             .optional()
-            .map_err(state)?;
+            .map_err(disk)?;
         let Some((me, epoch, voted)) = hard else {
             return Ok(None);
         };
         let led = db
             .query_row("SELECT epoch FROM led", [], |r| r.get::<_, i64>(0))
             .optional()
-            .map_err(state)?;
+            .map_err(disk)?;
         let snapshot = db
             .query_row("SELECT body FROM snapshot", [], |r| r.get::<_, Vec<u8>>(0))
             .optional()
-            .map_err(state)?;
+            .map_err(disk)?;
         let snapshot: Snapshot = match snapshot {
             Some(body) => unpack(&body).map_err(broken)?,
             None => Snapshot::default(),
         };
         let mut log: Vec<Entry> = Vec::new();
-        let mut rows = db.prepare("SELECT body FROM log ORDER BY place").map_err(state)?;
-        for body in rows.query_map([], |r| r.get::<_, Vec<u8>>(0)).map_err(state)? {
-            let entry: Entry = unpack(&body.map_err(state)?).map_err(broken)?;
+        let mut rows = db.prepare("SELECT body FROM log ORDER BY place").map_err(disk)?;
+        for body in rows.query_map([], |r| r.get::<_, Vec<u8>>(0)).map_err(disk)? {
+            let entry: Entry = unpack(&body.map_err(disk)?).map_err(broken)?;
             let expected = log.last().map_or(snapshot.last.1.0, |e| e.index.0) + 1;
             if entry.index.0 != expected {
                 return Err(Fatal::State(format!(
@@ -923,11 +926,7 @@
             }
             log.push(entry);
         }
-        let lists = log.iter().filter_map(|e| match &e.body {
-            Body::Members(members) => Some(members),
-            _ => None,
-        });
-        for members in lists.chain([&snapshot.members]) {
+        for members in log.iter().filter_map(listed).chain([&snapshot.members]) {
             let ids: BTreeSet<MemberId> = members.iter().map(|m| m.id).collect();
             let places: BTreeSet<SocketAddr> = members.iter().map(|m| m.admin).collect();
             let twice = ids.len() < members.len() || places.len() < members.len();
@@ -2344,7 +2343,6 @@
     hedge: Hedge,
     desk: Desk,
     scribe: Sender<Sheaf>,
-    ailing: bool,
     almanac: Almanac,
     applied: Index,
     config: Option<Configuration>,
@@ -2446,7 +2444,6 @@
         settings,
         desk: Desk::default(),
         scribe: start_scribe(granary, tx.clone())?,
-        ailing: false,
         almanac,
         applied,
         versions: config.iter().map(Lanes::of).collect(),
@@ -2474,15 +2471,15 @@
 /// The thread that waits for the disk, so that nothing else does.
 fn start_scribe(mut granary: Granary, done: Sender<Input>) -> Result<Sender<Sheaf>, Fatal> {
     let (jobs, next) = channel::<Sheaf>();
-    let started = start_thread(move || {
+    must_start("the disk", move || {
         for sheaf in next {
             let saved = granary.save(&sheaf).map_err(|e| e.to_string());
             if done.send(Input::Saved(saved)).is_err() {
                 return;
             }
         }
-    });
-    if started { Ok(jobs) } else { Err(Fatal::Call("no thread for the disk".into())) }
+    })?;
+    Ok(jobs)
 }
 
 /// The first state of an empty disk. When the system starts for the first time, the first of the
@@ -2536,7 +2533,7 @@
     let next = AtomicU64::new(1);
     // Each connection holds a clone; the count of them is the bound.
     let open = Arc::new(());
-    let started = start_thread(move || {
+    must_start("peers", move || {
         for stream in listener.incoming() {
             let Ok(stream) = stream else {
                 std::thread::sleep(Duration::from_millis(50));
@@ -2582,8 +2579,7 @@
                 warn!(target: "peers", "no thread for a connection");
             }
         }
-    });
-    if started { Ok(()) } else { Err(Fatal::Call("no thread for peers".into())) }
+    })
 }
 
 /// Asks a database one thing on a connection of its own.
@@ -2753,8 +2749,7 @@
     /// Lets the messages leave that may, starts the next write, and applies what was agreed.
     fn flush(&mut self, now: Tick) {
         let troubled = self.desk.troubled(now);
-        if troubled != self.ailing {
-            self.ailing = troubled;
+        if troubled != self.hedge.ailing {
             match troubled {
                 true => warn!(target: "disk", "in trouble, another is to lead"),
                 false => info!(target: "disk", "well again"),
@@ -2781,7 +2776,7 @@
     fn saved(&mut self, saved: Result<(), String>, now: Tick) {
         // Tried again until it works; one line for the first failure is enough.
         if let Err(e) = &saved
-            && !self.ailing
+            && !self.hedge.ailing
         {
             error!(target: "disk", "cannot write: {e}");
         }
@@ -2908,7 +2903,9 @@
     // -- state ---------------------------------------------------------------------------------
 
     fn apply(&mut self, now: Tick) {
-        let before = self.applied;
+        if self.hedge.commit <= self.applied {
+            return;
+        }
         if self.hedge.kept.snapshot.last.1 > self.applied {
             match unpack::<Almanac>(&self.hedge.kept.snapshot.state) {
                 Ok(almanac) => self.almanac = almanac,
@@ -2916,9 +2913,6 @@
             }
             self.applied = self.hedge.kept.snapshot.last.1;
         }
-        if self.hedge.commit <= self.applied && before == self.applied {
-            return;
-        }
         let mut relisted = None;
         for entry in self.hedge.committed(self.applied) {
             self.applied = entry.index;
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -7,10 +7,10 @@
 use crate::common::errors::{ErrorKind, Fatal};
 use crate::common::http::{self, Request, Response};
 use crate::common::ids::*;
+use crate::common::must_start;
 use crate::common::peer::*;
 use crate::common::settings::{Settings, Watched};
 use crate::common::signals::Signals;
-use crate::common::start_thread;
 use crate::common::wire::{self, Inbox, Line, NoLine, Outcome, Reply, State, Statement, Verb};
 use log::{info, warn};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -830,6 +830,17 @@
     open: AtomicBool,
 }
 
+impl Seen {
+    /// Takes nothing more from a client that rests; what was already read is still answered. One
+    /// with a transaction open is left alone unless `open_too`.
+    fn send_off(&self, open_too: bool) {
+        let rests = self.resting.load(Ordering::Relaxed) > 0;
+        if rests && (open_too || !self.open.load(Ordering::Relaxed)) {
+            drop(self.stream.shutdown(Shutdown::Read));
+        }
+    }
+}
+
 struct Stile {
     node: NodeName,
     zone: String,
@@ -1241,10 +1252,12 @@
         Err(NoLine::TooLarge) => return refuse(ErrorKind::TooLarge, "over 1 MiB"),
         Err(_) => return Ok(()),
     };
-    let config = stile.config();
-    let found = config.as_ref().and_then(|c| c.lane(&database));
-    let found = found.map(|(lane, service)| (lane.clone(), service.clone()));
-    let (Some(config), Some((route, service))) = (config.clone(), found) else {
+    let found = stile.config().and_then(|config| {
+        let (lane, service) = config.lane(&database)?;
+        let (lane, service) = (lane.clone(), service.clone());
+        Some((config, lane, service))
+    });
+    let Some((config, route, service)) = found else {
         return refuse(ErrorKind::NoDatabase, "no such database");
     };
     client.write_all(b"READY I -\r\n")?;
@@ -2022,9 +2035,8 @@
         let deaf = self.deaf(now);
         for seen in lock(&self.sessions).values() {
             let since = seen.resting.load(Ordering::Relaxed);
-            if deaf && since > 0 && !seen.open.load(Ordering::Relaxed) {
-                // Nothing is under way. Its client can go on with another node.
-                drop(seen.stream.shutdown(Shutdown::Read));
+            if deaf {
+                seen.send_off(false);
             }
             if seen.open.load(Ordering::Relaxed) && since > 0 && now.0 > since + rest {
                 drop(seen.stream.shutdown(Shutdown::Both));
@@ -2091,8 +2103,7 @@
     http::serve(listen(readiness)?, "readiness", move |request| answer(&asked, &request))
         .map_err(|e| Fatal::Listen(readiness.to_string(), e))?;
     let linking = Arc::clone(&stile);
-    let lost = || Fatal::Call("no thread left".into());
-    start_thread(move || linking.keep_link()).then_some(()).ok_or_else(lost)?;
+    must_start("the link", move || linking.keep_link())?;
     // Until it knows what to serve, a stile has no address: who is refused there goes on to
     // another node at once.
     while !stile.ready(Tick::now()) {
@@ -2108,15 +2119,14 @@
     }
     let listener = listen(frontend)?;
     let accepting = Arc::clone(&stile);
-    let accepts = start_thread(move || {
+    must_start("clients", move || {
         for stream in listener.incoming() {
             match stream {
                 Ok(stream) => accepting.admit(stream),
                 Err(_) => std::thread::sleep(Duration::from_millis(20)),
             }
         }
-    });
-    accepts.then_some(()).ok_or_else(lost)?;
+    })?;
     info!(target: "stile", "{} serves {frontend}", settings.node_name);
     tend(&stile, &signals, watched, settings)
 }
@@ -2171,11 +2181,7 @@
         let late = waited > grace / 2;
         let sessions: Vec<Arc<Seen>> = lock(&stile.sessions).values().cloned().collect();
         for seen in &sessions {
-            let rests = seen.resting.load(Ordering::Relaxed) > 0;
-            if rests && (late || !seen.open.load(Ordering::Relaxed)) {
-                // What was already read is still answered; nothing more is taken.
-                drop(seen.stream.shutdown(Shutdown::Read));
-            }
+            seen.send_off(late);
         }
         if sessions.is_empty() || waited + 300 > grace {
             stile.tell(ToSteward::Bye);
