--- a/src/common/config.rs
+++ b/src/common/config.rs
@@ -112,9 +112,6 @@
         config.validate().map_err(|e| e.to_string().replace('\n', "; "))?;
         Ok(config)
     }
-    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
-        self.services.iter().find(|s| s.name == *name)
-    }
 }
 
 /// What a stile needs of a route. Links to stiles may be thin, and there may be thousands.
@@ -291,9 +288,24 @@
     pub sequence: u64,
 }
 
-/// One entry of the directory as stiles are told of it.
+/// One entry of the directory as stiles are told of it: no more than they need, as there are hundreds
+/// of either.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Listed {
     pub id: InstanceId,
-    pub instance: Instance,
+    pub service: ServiceName,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub draining: bool,
+}
+impl Listed {
+    pub fn of(id: &InstanceId, instance: &Instance) -> Self {
+        Self {
+            id: id.clone(),
+            service: instance.target_service.clone(),
+            address: instance.address,
+            zone: instance.zone.clone(),
+            draining: instance.lifecycle_state == Lifecycle::Draining,
+        }
+    }
 }
--- a/src/common/peer.rs
+++ b/src/common/peer.rs
@@ -7,6 +7,7 @@
 use serde_bytes::ByteBuf;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The largest frame; a snapshot with a whole configuration fits well within it.
@@ -144,9 +145,15 @@
     },
     Renew {
         seq: u64,
+        /// The last answer that came on this connection; none yet if 0.
+        heard: u64,
         /// The shares of connections this stile holds itself to, where they changed since it last
         /// said so on this connection.
         shares: Vec<(ServiceName, u32)>,
+        /// How far primaries were seen, where that moved.
+        saw: Vec<Saw>,
+        /// Services whose reads want a newer floor than this stile has.
+        asks: Vec<ServiceName>,
     },
     Suspect {
         service: ServiceName,
@@ -186,6 +193,8 @@
         whole: bool,
         /// What changed. All else that was told on this connection is granted again.
         grants: Vec<Grant>,
+        /// The floors that were asked for.
+        fresh: Vec<Fresh>,
     },
     Revoke {
         service: ServiceName,
@@ -195,6 +204,24 @@
     Renew,
 }
 
+/// A position that the primary of a term told under a lease that still held: it covers every commit
+/// acknowledged before its statement was sent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Saw {
+    pub service: ServiceName,
+    pub term: DbTerm,
+    pub position: Position,
+    /// The statement was sent at least so many ms after the answer that is named as heard.
+    pub after: u64,
+}
+/// A position that covers every commit acknowledged up to `age` ms before the renewal was asked for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fresh {
+    pub service: ServiceName,
+    pub position: Position,
+    pub age: u64,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
     pub service: ServiceName,
@@ -213,7 +240,7 @@
     Unled,
 }
 
-pub fn encode(frame: &Frame) -> Vec<u8> {
+pub fn encode(frame: &Frame) -> Arc<[u8]> {
     let mut bytes = vec![0; 4];
     // Only a type that has no encoding could fail here, and frames are plain data.
     if let Err(e) = rmp_serde::encode::write(&mut bytes, frame) {
@@ -221,7 +248,7 @@
     }
     let length = (bytes.len() - 4) as u32;
     bytes[..4].copy_from_slice(&length.to_be_bytes());
-    bytes
+    bytes.into()
 }
 
 pub fn send(to: &mut impl Write, frame: &Frame) -> io::Result<()> {
--- a/src/common/wire.rs
+++ b/src/common/wire.rs
@@ -254,6 +254,8 @@
     /// The far end closed, with nothing half sent.
     Closed,
     TooLarge,
+    /// Nothing came within the time that the socket waits; what is half there is kept.
+    Quiet,
     Io(io::Error),
 }
 
@@ -284,8 +286,16 @@
                 return Err(NoLine::TooLarge);
             }
             let dropped = self.start;
-            if self.fill(from).map_err(NoLine::Io)? == 0 {
-                return Err(NoLine::Closed);
+            match self.fill(from) {
+                Ok(0) => return Err(NoLine::Closed),
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) =>
+                {
+                    return Err(NoLine::Quiet);
+                }
+                Err(e) => return Err(NoLine::Io(e)),
             }
             looked -= dropped;
         }
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2,7 +2,9 @@
 //!
 //! `Hedge`, `Almanac` and `Succession` are values moved on by events and a passed-in time; the
 //! program round them owns the sockets, the disk and the clock.
-use crate::common::config::{Beat, Configuration, Instance, Lanes, Lifecycle, Listed, Role};
+use crate::common::config::{
+    Beat, Configuration, Instance, Lanes, Lifecycle, Listed, Role, Service,
+};
 use crate::common::errors::Fatal;
 use crate::common::http::{self, Request, Response};
 use crate::common::ids::*;
@@ -1090,6 +1092,9 @@
     /// Length and hash of each configuration ever taken, so that a resend is known again.
     taken: BTreeMap<Revision, (u64, u64)>,
     pub instances: BTreeMap<InstanceId, Record>,
+    /// The same by service; made anew when a state is read.
+    #[serde(skip)]
+    by_service: BTreeMap<ServiceName, BTreeSet<InstanceId>>,
     /// Databases that left, with their last sequence: a late beat must not bring them back.
     gone: VecDeque<(InstanceId, u64)>,
     pub leads: BTreeMap<ServiceName, Lead>,
@@ -1163,6 +1168,26 @@
 }
 
 impl Almanac {
+    /// The state that a snapshot holds.
+    pub fn read(bytes: &[u8]) -> std::io::Result<Self> {
+        let mut almanac: Self = unpack(bytes)?;
+        for (id, record) in &almanac.instances {
+            let service = record.instance.target_service.clone();
+            almanac.by_service.entry(service).or_default().insert(id.clone());
+        }
+        Ok(almanac)
+    }
+    fn unlist(&mut self, id: &InstanceId) -> Option<Record> {
+        let record = self.instances.remove(id)?;
+        let service = &record.instance.target_service;
+        if let Some(ids) = self.by_service.get_mut(service) {
+            ids.remove(id);
+            if ids.is_empty() {
+                self.by_service.remove(service);
+            }
+        }
+        Some(record)
+    }
     /// What `Configure` would come to now.
     pub fn judge(&self, base: Revision, revision: Revision, body: &[u8]) -> Effect {
         if self.taken.get(&revision) == Some(&digest(body)) {
@@ -1203,11 +1228,14 @@
                 if !self.news(id, instance, *sequence) {
                     return Effect::Nothing;
                 }
+                self.unlist(id);
+                let service = instance.target_service.clone();
+                self.by_service.entry(service).or_default().insert(id.clone());
                 let record = Record { instance: instance.clone(), sequence: *sequence };
                 self.instances.insert(id.clone(), record);
             }
             Change::Gone { id, sequence } => {
-                let Some(record) = self.instances.remove(id) else {
+                let Some(record) = self.unlist(id) else {
                     return Effect::Nothing;
                 };
                 self.gone.push_back((id.clone(), record.sequence.max(*sequence)));
@@ -1235,14 +1263,9 @@
         }
         Effect::Done
     }
-    fn of_service<'a>(
-        &'a self,
-        service: &'a ServiceName,
-    ) -> impl Iterator<Item = (&'a InstanceId, &'a Instance)> {
-        self.instances
-            .iter()
-            .filter(move |(_, r)| r.instance.target_service == *service)
-            .map(|(id, r)| (id, &r.instance))
+    fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = (&InstanceId, &Instance)> {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.instances.get_key_value(id)).map(|(id, r)| (id, &r.instance))
     }
 }
 
@@ -1449,6 +1472,11 @@
         (this, deeds)
     }
 
+    /// What stiles are to know: whether leases are being taken back, and what is sealed.
+    pub fn standing(&self) -> (bool, Option<Position>) {
+        (self.revoking, self.sealed)
+    }
+
     fn post(&mut self, target: InstanceId, now: Tick, deeds: &mut Vec<Deed>) {
         deeds.push(Deed::Post(target.clone()));
         self.stage =
@@ -2087,8 +2115,8 @@
         }
     }
     /// Counts the connections of stiles that were lost long ago no more, and forgets the stiles
-    /// themselves later.
-    pub fn forget_old(&mut self, now: Tick) {
+    /// themselves later. True if some connections are free for others now.
+    pub fn forget_old(&mut self, now: Tick) -> bool {
         let over = |s: &Seat, ms| s.lost.is_some_and(|t| now.since(t) >= ms);
         let names: Vec<NodeName> = self
             .seats
@@ -2096,6 +2124,7 @@
             .filter(|(_, s)| !s.released && over(s, SHARE_HELD_MS))
             .map(|(name, _)| name.clone())
             .collect();
+        let freed = !names.is_empty();
         for name in names {
             if let Some(mut seat) = self.seats.remove(&name) {
                 self.count_all(&seat, false);
@@ -2104,6 +2133,7 @@
             }
         }
         self.seats.retain(|_, s| !over(s, UNTOLD_MS));
+        freed
     }
     pub fn give_back(
         &mut self,
@@ -2183,21 +2213,34 @@
             .try_fold(None, |most: Option<Position>, one| Some(most.max(one?)))
     }
     /// A stile is heard of, with the shares it holds itself to where these changed.
-    pub fn report(&mut self, node: &NodeName, shares: Vec<(ServiceName, u32)>, now: Tick) {
+    /// Tells of which services others may get more now.
+    pub fn report(
+        &mut self,
+        node: &NodeName,
+        shares: Vec<(ServiceName, u32)>,
+        now: Tick,
+    ) -> Vec<ServiceName> {
+        let mut stirred = Vec::new();
+        let Some(seat) = self.seats.get_mut(node) else {
+            return stirred;
+        };
+        seat.heard = now;
         for (service, share) in shares {
             let Some(seat) = self.seats.get_mut(node) else {
-                return;
+                break;
             };
             let before = seat.holds(&service);
             seat.reported.insert(service.clone(), share);
             let after = seat.holds(&service);
             self.count(&service, before, after);
-            let most = self.most.entry(service).or_default();
+            let most = self.most.entry(service.clone()).or_default();
+            let more = share > *most;
             *most = share.max(*most);
+            if after < before || more {
+                stirred.push(service);
+            }
         }
-        if let Some(seat) = self.seats.get_mut(node) {
-            seat.heard = now;
-        }
+        stirred
     }
     /// Divides `total` among the live stiles; what another still holds is not given twice.
     pub fn share(&self, node: &NodeName, service: &ServiceName, total: u32, now: Tick) -> u32 {
@@ -2215,6 +2258,61 @@
     }
 }
 
+/// How far the primaries were seen, by whichever stile saw it last: a pair (s, p) says that p covers
+/// every commit acknowledged before s, on this leader's clock. A value; kept while this one leads.
+#[derive(Clone, Debug, Default)]
+pub struct Freshness {
+    newest: BTreeMap<ServiceName, (Tick, Position)>,
+}
+impl Freshness {
+    /// A stile saw something at least `saw.after` ms after an answer that left here at `answered`.
+    /// What can't be, or is of a term that does not lead, changes nothing.
+    pub fn learn(&mut self, lead: Option<&Lead>, answered: Tick, saw: &Saw, now: Tick) {
+        let seen = answered.plus(saw.after);
+        let fits = lead.is_some_and(|l| l.term == saw.term) && saw.position.term <= saw.term;
+        let newer = self.newest.get(&saw.service).is_none_or(|(at, _)| seen > *at);
+        if fits && newer && seen <= now {
+            self.newest.insert(saw.service.clone(), (seen, saw.position));
+        }
+    }
+    /// For an answer that leaves now, to a stile that asked before.
+    pub fn tell(&self, service: &ServiceName, now: Tick) -> Option<Fresh> {
+        let (seen, position) = *self.newest.get(service)?;
+        // Times are cut to whole milliseconds, so one is kept in hand.
+        Some(Fresh { service: service.clone(), position, age: now.since(seen) + 1 })
+    }
+}
+
+/// Which services there is something new to tell of, and since when.
+#[derive(Clone, Debug, Default)]
+pub struct Tidings {
+    newest: u64,
+    /// Up to here everybody must look at all services.
+    all: u64,
+    order: BTreeMap<u64, ServiceName>,
+    places: BTreeMap<ServiceName, u64>,
+}
+impl Tidings {
+    pub fn stir(&mut self, service: &ServiceName) {
+        self.newest += 1;
+        if let Some(old) = self.places.insert(service.clone(), self.newest) {
+            self.order.remove(&old);
+        }
+        self.order.insert(self.newest, service.clone());
+    }
+    pub fn stir_all(&mut self) {
+        self.newest += 1;
+        self.all = self.newest;
+    }
+    pub fn newest(&self) -> u64 {
+        self.newest
+    }
+    /// The services stirred after `told`; none if all of them may have been.
+    pub fn since(&self, told: u64) -> Option<impl Iterator<Item = &ServiceName>> {
+        (told >= self.all).then(|| self.order.range(told + 1..).map(|(_, name)| name))
+    }
+}
+
 // ---------------------------------------------------------------------------------------------
 // The program
 
@@ -2244,18 +2342,18 @@
 /// Frames on their way to one peer, as a value: which bytes go next, and how many wait.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    frames: VecDeque<Vec<u8>>,
+    frames: VecDeque<Arc<[u8]>>,
     /// Bytes of the first frame that have left.
     left: usize,
     waiting: usize,
 }
 impl Outbox {
-    pub fn push(&mut self, frame: Vec<u8>) {
+    pub fn push(&mut self, frame: Arc<[u8]>) {
         self.waiting += frame.len();
         self.frames.push_back(frame);
     }
     /// Ahead of all that has not begun to leave.
-    pub fn push_first(&mut self, frame: Vec<u8>) {
+    pub fn push_first(&mut self, frame: Arc<[u8]>) {
         self.waiting += frame.len();
         self.frames.insert(usize::from(self.left > 0), frame);
     }
@@ -2314,10 +2412,14 @@
     revision: Revision,
     /// The whole directory is due, instead of the changes that did not fit.
     directory_due: bool,
-    /// The renewal to be answered once what waits has left.
-    renewal: Option<u64>,
-    /// It was answered before, and so knows all but what changes.
-    granted: bool,
+    /// The renewal to be answered once what waits has left, and the floors it asks for.
+    renewal: Option<(u64, Vec<ServiceName>)>,
+    /// Up to where in the tidings it was answered; not at all yet.
+    told: Option<u64>,
+    /// What it gave back by itself has to be told again.
+    owed: BTreeSet<ServiceName>,
+    /// When the newest answers left.
+    answers: VecDeque<(u64, Tick)>,
 }
 
 /// A caller whose change is on its way into the log.
@@ -2336,6 +2438,11 @@
     /// looked at in every round. All are, now and then.
     stirred: BTreeSet<ServiceName>,
     swept: Tick,
+    tidings: Tidings,
+    sealed: BTreeSet<ServiceName>,
+    freshness: Freshness,
+    /// Leases and shares of before the election are over.
+    settled: bool,
 }
 
 struct Steward {
@@ -2354,7 +2461,11 @@
     /// The newest versions, the last one in force; what changed since an older one is enough.
     versions: VecDeque<Lanes>,
     /// The frame that brings a stile from a version to the one in force.
-    encoded: HashMap<Revision, Vec<u8>>,
+    encoded: HashMap<Revision, Arc<[u8]>>,
+    /// The frame that brings a stile the whole directory, until that changes.
+    listing: Option<Arc<[u8]>>,
+    /// The services of the configuration in force, by name.
+    services: BTreeMap<ServiceName, Service>,
     /// Who asked to join, and when last.
     joining: BTreeMap<MemberId, (Member, Tick)>,
     next_join: Tick,
@@ -2394,6 +2505,8 @@
 const VERSIONS_KEPT: usize = 8;
 /// Changes of the directory that wait for a slow stile; beyond it the whole is sent later.
 const CHANGES_WAITING: usize = 64 << 10;
+/// Answers to a stile that it may still tell of what it saw since.
+const ANSWERS_KEPT: usize = 4;
 /// How often peers are looked at that did not take all at once.
 const PUMP_MS: u64 = 5;
 /// One that stays silent this long is dropped from the directory.
@@ -2425,10 +2538,10 @@
     let now = Tick::now();
     info!(target: "hedge", "member {} starts at epoch {}, entry {}", kept.me, kept.epoch,
         kept.log.last().map_or(kept.snapshot.last.1, |e| e.index));
-    let almanac: Almanac = if kept.snapshot.state.is_empty() {
+    let almanac = if kept.snapshot.state.is_empty() {
         Almanac::default()
     } else {
-        unpack(&kept.snapshot.state)
+        Almanac::read(&kept.snapshot.state)
             .map_err(|e| Fatal::State(format!("damaged, left as it is: {e}")))?
     };
     let applied = kept.snapshot.last.1;
@@ -2447,12 +2560,14 @@
         almanac,
         applied,
         versions: config.iter().map(Lanes::of).collect(),
-        config,
+        config: None,
         links: HashMap::new(),
         conns: HashMap::new(),
         stiles: HashMap::new(),
         early: Vec::new(),
         encoded: HashMap::new(),
+        listing: None,
+        services: BTreeMap::new(),
         joining: BTreeMap::new(),
         next_join: now,
         join_at: None,
@@ -2465,6 +2580,7 @@
         known_leader: None,
         asks: Arc::default(),
     };
+    steward.configure(config);
     steward.serve(rx, &signals, Watched::new(path))
 }
 
@@ -2858,6 +2974,7 @@
                     && let Some(office) = &mut self.office
                     && office.leases.lose(id, now).is_some()
                 {
+                    office.tidings.stir_all();
                     info!(target: "stiles", "{node} lost");
                 }
             }
@@ -2907,10 +3024,11 @@
             return;
         }
         if self.hedge.kept.snapshot.last.1 > self.applied {
-            match unpack::<Almanac>(&self.hedge.kept.snapshot.state) {
+            match Almanac::read(&self.hedge.kept.snapshot.state) {
                 Ok(almanac) => self.almanac = almanac,
                 Err(e) => error!(target: "hedge", "unreadable snapshot: {e}"),
             }
+            self.listing = None;
             self.applied = self.hedge.kept.snapshot.last.1;
         }
         let mut relisted = None;
@@ -2939,8 +3057,7 @@
         }
         if self.config.as_ref().map_or(Revision(0), |c| c.revision) != self.almanac.revision {
             info!(target: "almanac", "configuration {} is in force", self.almanac.revision);
-            self.config = Configuration::read(&self.almanac.body).ok();
-            self.encoded.clear();
+            self.configure(Configuration::read(&self.almanac.body).ok());
             self.versions.extend(self.config.as_ref().map(Lanes::of));
             if self.versions.len() > VERSIONS_KEPT {
                 self.versions.pop_front();
@@ -2954,6 +3071,16 @@
         self.hedge.compact(self.applied, || pack(almanac));
     }
 
+    fn configure(&mut self, config: Option<Configuration>) {
+        let services = config.iter().flat_map(|c| &c.services);
+        self.services = services.map(|s| (s.name.clone(), s.clone())).collect();
+        self.config = config;
+        self.encoded.clear();
+        if let Some(office) = &mut self.office {
+            office.tidings.stir_all();
+        }
+    }
+
     fn apply_change(&mut self, change: &Change, waiter: Option<Waiter>, now: Tick) {
         let effect = self.almanac.apply(change);
         if let Some(Waiter { reply, .. }) = waiter {
@@ -2967,7 +3094,8 @@
             // Read and told once all that is committed is applied: see `apply`.
             Change::Configure { .. } => {}
             Change::Beat { id, instance, .. } => {
-                let listed = Listed { id: id.clone(), instance: instance.clone() };
+                let listed = Listed::of(id, instance);
+                self.listing = None;
                 info!(target: "almanac", "{id} of {}: {:?}, {:?}", instance.target_service,
                     instance.database_role, instance.lifecycle_state);
                 self.tell_stiles(&ToStile::Upsert(listed));
@@ -2977,6 +3105,7 @@
             }
             Change::Gone { id, .. } => {
                 info!(target: "almanac", "{id} is gone");
+                self.listing = None;
                 self.tell_stiles(&ToStile::Remove(id.clone()));
             }
             Change::Led { service, term, primary } => {
@@ -2994,6 +3123,9 @@
         | Change::Abandon { service, .. } = change
         {
             self.move_on(service, now, |s, facts| s.applied(facts, change, now));
+            if let Some(office) = &mut self.office {
+                office.tidings.stir(service);
+            }
             if matches!(change, Change::Led { .. }) {
                 self.tell_stiles(&ToStile::Renew);
             }
@@ -3025,6 +3157,10 @@
                     successions: BTreeMap::new(),
                     stirred: BTreeSet::new(),
                     swept: Tick(0),
+                    tidings: Tidings::default(),
+                    sealed: BTreeSet::new(),
+                    freshness: Freshness::default(),
+                    settled: false,
                 });
             }
             (false, true) => {
@@ -3082,14 +3218,13 @@
             return;
         }
         office.swept = now;
-        office.leases.forget_old(now);
-        let services: BTreeSet<ServiceName> = self
-            .almanac
-            .instances
-            .values()
-            .map(|r| r.instance.target_service.clone())
-            .chain(self.almanac.leads.keys().cloned())
-            .collect();
+        let settled = now.since(office.leases.elected) >= SHARE_HELD_MS;
+        if office.leases.forget_old(now) || settled != office.settled {
+            office.settled = settled;
+            office.tidings.stir_all();
+        }
+        let known = self.almanac.by_service.keys().chain(self.almanac.leads.keys());
+        let services: BTreeSet<ServiceName> = known.cloned().collect();
         for service in services {
             self.move_on(&service, now, |s, facts| s.tick(facts, now));
         }
@@ -3195,9 +3330,9 @@
         self.desk.forget();
         self.almanac = Almanac::default();
         self.applied = Index(0);
-        self.config = None;
+        self.configure(None);
         self.versions.clear();
-        self.encoded.clear();
+        self.listing = None;
         self.links.clear();
         self.joining.clear();
     }
@@ -3233,11 +3368,7 @@
                 .map(|(id, i)| (id.clone(), i.clone()))
                 .collect(),
             beating: BTreeSet::new(),
-            sync_replicas: self
-                .config
-                .as_ref()
-                .and_then(|c| c.service(service))
-                .map_or(0, |s| s.sync_replicas),
+            sync_replicas: self.services.get(service).map_or(0, |s| s.sync_replicas),
             leases_gone: false,
             given_back: None,
             lead,
@@ -3274,6 +3405,7 @@
             return;
         };
         let mut deeds = Vec::new();
+        let known = office.successions.get(service).map(Succession::standing);
         let succession = office.successions.entry(service.clone()).or_insert_with(|| {
             let (begun, first) = Succession::begin(&facts, now);
             deeds = first;
@@ -3281,6 +3413,15 @@
         });
         let before = std::mem::discriminant(&succession.stage);
         deeds.extend(step(succession, &facts));
+        let standing = succession.standing();
+        if known != Some(standing) {
+            office.tidings.stir(service);
+            // A sealed position is true for the moment it is told in, so it is told each time.
+            match standing {
+                (true, Some(_)) => office.sealed.insert(service.clone()),
+                _ => office.sealed.remove(service),
+            };
+        }
         let stirs = succession.stage != Stage::Steady || !deeds.is_empty();
         match stirs {
             true => office.stirred.insert(service.clone()),
@@ -3370,7 +3511,7 @@
     fn send_conn(&mut self, conn: u64, frame: &Frame) {
         self.send_bytes(conn, encode(frame));
     }
-    fn send_bytes(&mut self, conn: u64, frame: Vec<u8>) {
+    fn send_bytes(&mut self, conn: u64, frame: Arc<[u8]>) {
         if let Some(line) = self.conns.get_mut(&conn) {
             line.out.push(frame);
             self.pump_conn(conn);
@@ -3399,11 +3540,13 @@
             return;
         };
         if std::mem::take(&mut guest.directory_due) {
-            let whole = self.almanac.instances.iter();
-            let listed =
-                whole.map(|(id, r)| Listed { id: id.clone(), instance: r.instance.clone() });
-            let frame = Frame::Steward(ToStile::Directory(listed.collect()));
-            self.send_conn(conn, &frame);
+            let instances = &self.almanac.instances;
+            let whole = || {
+                let listed = instances.iter().map(|(id, r)| Listed::of(id, &r.instance));
+                encode(&Frame::Steward(ToStile::Directory(listed.collect())))
+            };
+            let frame = Arc::clone(self.listing.get_or_insert_with(whole));
+            self.send_bytes(conn, frame);
         }
         if let Some(lanes) = self.versions.back()
             && let Some(guest) = self.stiles.get_mut(&conn)
@@ -3420,10 +3563,9 @@
             let frame = frame.clone();
             self.send_bytes(conn, frame);
         }
-        let renewal =
-            self.stiles.get_mut(&conn).and_then(|g| Some((g.renewal.take()?, g.node.clone())));
-        if let Some((seq, node)) = renewal {
-            self.grant(conn, &node, seq, now);
+        let renewal = self.stiles.get_mut(&conn).and_then(|g| g.renewal.take());
+        if let Some((seq, asks)) = renewal {
+            self.grant(conn, seq, &asks, now);
         }
     }
 
@@ -3441,9 +3583,17 @@
             info!(target: "stiles", "{node} is here");
             if let Some(office) = &mut self.office {
                 office.leases.seat(&node, life, conn, now);
-            }
-            let guest =
-                Guest { node, revision, directory_due: true, renewal: None, granted: false };
+                office.tidings.stir_all();
+            }
+            let guest = Guest {
+                node,
+                revision,
+                directory_due: true,
+                renewal: None,
+                told: None,
+                owed: BTreeSet::new(),
+                answers: VecDeque::new(),
+            };
             self.stiles.insert(conn, guest);
             let stewards = self.hedge.members().iter().map(|m| m.peer).collect();
             self.send_conn(conn, &Frame::Steward(ToStile::Welcome { stewards }));
@@ -3465,7 +3615,18 @@
                     self.catch_up(conn, now);
                 }
             }
-            ToSteward::Renew { seq, shares } => self.renew(conn, &node, seq, shares, now),
+            ToSteward::Renew { seq, heard, shares, saw, asks } => {
+                if let Some(office) = &mut self.office {
+                    for service in office.leases.report(&node, shares, now) {
+                        office.tidings.stir(&service);
+                    }
+                }
+                self.hear_saw(conn, heard, &saw, now);
+                if let Some(guest) = self.stiles.get_mut(&conn) {
+                    guest.renewal = Some((seq, asks));
+                }
+                self.catch_up(conn, now);
+            }
             ToSteward::Suspect { service, instance, why } => {
                 info!(target: "failover", "{service}: {node} doubts {instance} ({why:?})");
                 self.move_on(&service, now, |s, facts| {
@@ -3476,6 +3637,9 @@
                 if let Some(office) = &mut self.office {
                     office.leases.give_back(&node, &service, term, highest);
                 }
+                if let Some(guest) = self.stiles.get_mut(&conn) {
+                    guest.owed.insert(service);
+                }
             }
             ToSteward::Bye => {
                 if let Some(office) = &mut self.office {
@@ -3485,36 +3649,37 @@
         }
     }
 
-    fn renew(
-        &mut self,
-        conn: u64,
-        node: &NodeName,
-        seq: u64,
-        shares: Vec<(ServiceName, u32)>,
-        now: Tick,
-    ) {
-        if let Some(office) = &mut self.office {
-            office.leases.report(node, shares, now);
-        }
-        if let Some(guest) = self.stiles.get_mut(&conn) {
-            guest.renewal = Some(seq);
+    /// What a stile saw at primaries, told from the answer that it had heard before.
+    fn hear_saw(&mut self, conn: u64, heard: u64, saw: &[Saw], now: Tick) {
+        let answers = self.stiles.get(&conn).map(|g| &g.answers);
+        let answered = answers.and_then(|all| all.iter().find(|(seq, _)| *seq == heard));
+        if let (Some((_, answered)), Some(office)) = (answered, &mut self.office) {
+            for saw in saw {
+                let lead = self.almanac.leads.get(&saw.service);
+                office.freshness.learn(lead, *answered, saw, now);
+            }
         }
-        self.catch_up(conn, now);
     }
 
-    fn grant(&mut self, conn: u64, node: &NodeName, seq: u64, now: Tick) {
+    /// Answers a renewal: all that was told on this connection is granted again, and what is new
+    /// is told.
+    fn grant(&mut self, conn: u64, seq: u64, asks: &[ServiceName], now: Tick) {
         if !self.hedge.granting(now) {
             return;
         }
         let Some(office) = &mut self.office else { return };
         let Some(guest) = self.stiles.get_mut(&conn) else { return };
-        let whole = !std::mem::replace(&mut guest.granted, true);
+        let whole = guest.told.is_none();
+        let owed = std::mem::take(&mut guest.owed);
+        let due: BTreeSet<&ServiceName> =
+            match guest.told.and_then(|told| office.tidings.since(told)) {
+                None => self.services.keys().collect(),
+                Some(stirred) => stirred.chain(&owed).chain(&office.sealed).collect(),
+            };
         let mut grants = Vec::new();
-        // Without a configuration there is nothing to grant, but the answer says that we lead.
-        for service in self.config.iter().flat_map(|c| &c.services) {
+        for service in due.into_iter().filter_map(|name| self.services.get(name)) {
             let lead = self.almanac.leads.get(&service.name);
-            let succession = office.successions.get(&service.name);
-            let standing = match (lead, succession) {
+            let standing = match (lead, office.successions.get(&service.name)) {
                 (Some(_), Some(s)) if s.revoking => {
                     s.sealed.map_or(Standing::Unled, Standing::Sealed)
                 }
@@ -3523,12 +3688,19 @@
                 }
                 _ => Standing::Unled,
             };
-            let share = office.leases.share(node, &service.name, service.max_connections, now);
+            let share =
+                office.leases.share(&guest.node, &service.name, service.max_connections, now);
             let grant = Grant { service: service.name.clone(), standing, share };
-            grants.extend(office.leases.tell(node, grant));
+            grants.extend(office.leases.tell(&guest.node, grant));
+        }
+        office.leases.renewed(&guest.node, now);
+        guest.told = Some(office.tidings.newest());
+        if guest.answers.len() == ANSWERS_KEPT {
+            guest.answers.pop_front();
         }
-        office.leases.renewed(node, now);
-        let granted = ToStile::Granted { seq, lease_ms: LEASE_MS, whole, grants };
+        guest.answers.push_back((seq, now));
+        let fresh = asks.iter().filter_map(|name| office.freshness.tell(name, now)).collect();
+        let granted = ToStile::Granted { seq, lease_ms: LEASE_MS, whole, grants, fresh };
         self.send_conn(conn, &Frame::Steward(granted));
     }
 
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -1,9 +1,9 @@
 //! The stile: clients' sessions, the pool of database connections, and the reroute design.
 //!
 //! `Graft` decides what a statement needs and what a loss means; it is a value without sockets.
-//! A `Scion` is a client's session and runs on a thread of its own, a `Rootstock` is a
-//! connection to a database that it borrows.
-use crate::common::config::{Instance, Lane, Lanes, Lifecycle, Listed, RouteType};
+//! A `Scion` is a client's session; a thread serves it while its client talks, and all that rest are
+//! waited for by one. A `Rootstock` is a connection to a database that it borrows.
+use crate::common::config::{Lane, Lanes, Listed, RouteType};
 use crate::common::errors::{ErrorKind, Fatal};
 use crate::common::http::{self, Request, Response};
 use crate::common::ids::*;
@@ -13,9 +13,12 @@
 use crate::common::signals::Signals;
 use crate::common::wire::{self, Inbox, Line, NoLine, Outcome, Reply, State, Statement, Verb};
 use log::{info, warn};
+use rustix::event::epoll;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::hash::BuildHasher;
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -293,6 +296,10 @@
             self.kept.push_back((sent, position));
         }
     }
+    /// Whether reads that begin within `ahead` ms from now will find a floor.
+    pub fn lasts(&self, now: Tick, stale_ms: u64, ahead: u64) -> bool {
+        self.newest.is_some_and(|(s, _)| s.plus(stale_ms) > now.plus(ahead + 1))
+    }
     /// The least demanding position that is no older than `stale_ms` for a read begun at `began`.
     pub fn needed(&self, began: Tick, stale_ms: u64) -> Option<Position> {
         // Times are cut to whole milliseconds, so one is kept in hand.
@@ -302,6 +309,13 @@
     }
 }
 
+/// How long after the answer at `heard` something was sent, as the leader may count it from its own
+/// sending of that answer: never more than it was. None for what was sent before.
+pub fn after(heard: Tick, sent: Tick) -> Option<u64> {
+    // Times are cut to whole milliseconds, so one is kept in hand.
+    sent.0.checked_sub(heard.0)?.checked_sub(1)
+}
+
 // ---------------------------------------------------------------------------------------------
 // Connections to databases
 
@@ -499,12 +513,12 @@
 }
 
 impl Pool {
-    fn new(id: InstanceId, instance: &Instance) -> Self {
+    fn new(listed: &Listed) -> Self {
         Self {
-            id,
-            service: instance.target_service.clone(),
-            address: instance.address,
-            zone: instance.zone.clone(),
+            id: listed.id.clone(),
+            service: listed.service.clone(),
+            address: listed.address,
+            zone: listed.zone.clone(),
             inner: Mutex::default(),
             freed: Condvar::new(),
             heard: AtomicU64::new(0),
@@ -527,11 +541,13 @@
     fn heard(&self, now: Tick) {
         self.heard.store(now.0, Ordering::Relaxed);
     }
-    /// Work that this stile has there or holds for it.
-    fn load(&self) -> (usize, bool) {
+    /// Work that this stile has there or holds for it, whether a connection is at rest, and
+    /// whether none may be used.
+    fn load(&self) -> (usize, bool, bool) {
         let inner = lock(&self.inner);
         let busy = (inner.admission.open as usize).saturating_sub(inner.idle.len());
-        (busy + inner.admission.waiting(), inner.draining || inner.gone || inner.admission.cap == 0)
+        let closed = inner.draining || inner.gone || inner.admission.cap == 0;
+        (busy + inner.admission.waiting(), !inner.idle.is_empty(), closed)
     }
     fn set_cap(&self, cap: u32) {
         let mut inner = lock(&self.inner);
@@ -761,21 +777,7 @@
         })
     }
 }
-fn lay_share(
-    pools: &BTreeMap<InstanceId, Arc<Pool>>,
-    service: &ServiceName,
-    share: &mut Share,
-) -> bool {
-    let due = share.due(Tick::now());
-    if let Some(cap) = due {
-        for pool in pools.values().filter(|p| p.service == *service) {
-            pool.set_cap(cap);
-        }
-    }
-    due.is_some()
-}
 
-#[derive(Debug)]
 struct ServiceView {
     held: Held,
     /// Terms up to this were taken back; only a renewal asked for after that one may bring them
@@ -787,6 +789,12 @@
     share: Share,
     /// When the primary was last lost to this stile, for saying when to come back.
     unled_since: Option<Tick>,
+    /// The databases of the service.
+    pools: Vec<Arc<Pool>>,
+    /// A newer floor than the leader was told of, and the term of the lease it was seen under.
+    news: Option<(DbTerm, Tick, Position)>,
+    /// When a read last came that replicas may serve, and how old its rows may be.
+    read: Option<(Tick, u64)>,
 }
 impl Default for ServiceView {
     fn default() -> Self {
@@ -797,6 +805,9 @@
             highest: None,
             share: Share::default(),
             unled_since: None,
+            pools: Vec::new(),
+            news: None,
+            read: None,
         }
     }
 }
@@ -807,6 +818,14 @@
             _ => None,
         }
     }
+    /// Has the pools go by the share as it is now. True if that is news to them.
+    fn lay_share(&mut self) -> bool {
+        let due = self.share.due(Tick::now());
+        if let Some(cap) = due {
+            self.pools.iter().for_each(|pool| pool.set_cap(cap));
+        }
+        due.is_some()
+    }
 }
 
 #[derive(Default)]
@@ -821,8 +840,10 @@
 struct Seen {
     stream: TcpStream,
     came: Tick,
-    /// It stayed, and its connection is watched by the kernel.
+    /// It stayed, and the kernel looks after its connection.
     lasting: AtomicBool,
+    /// It has rested before, so that the kernel knows whom to wake.
+    watched: AtomicBool,
     /// It has said CONNECT.
     connected: AtomicBool,
     /// When the session began to wait for its client; 0 while it works.
@@ -849,6 +870,8 @@
     changed: Condvar,
     link: Mutex<Option<TcpStream>>,
     sent: Mutex<VecDeque<(u64, Tick)>>,
+    /// The last answer to a renewal on this connection, and when it was in hand.
+    heard: Mutex<Option<(u64, Tick)>>,
     seq: AtomicU64,
     linked: AtomicBool,
     /// When a leader last answered a renewal.
@@ -860,6 +883,9 @@
     next_session: AtomicU64,
     bench: Mutex<Bench>,
     wanted: Condvar,
+    /// Sessions whose clients say nothing, and what wakes when one does.
+    parked: Mutex<HashMap<u64, Session>>,
+    watch: OwnedFd,
     doubted: Mutex<HashMap<InstanceId, Tick>>,
     hasher: std::hash::RandomState,
     max_sessions: usize,
@@ -871,7 +897,7 @@
 #[derive(Default)]
 struct Bench {
     resting: usize,
-    waiting: VecDeque<(u64, Arc<Seen>)>,
+    waiting: VecDeque<Session>,
 }
 
 /// A connection in a session's hands.
@@ -883,6 +909,12 @@
 }
 
 const RENEW_MS: u64 = 450;
+/// Fresh floors are asked for with each renewal while reads came within this time.
+const READ_LATELY_MS: u64 = 10_000;
+/// A floor should serve until what the next renewal brings is there.
+const FLOOR_AHEAD_MS: u64 = 2 * RENEW_MS;
+/// Reads that can be had nowhere ask for floors this often.
+const ASK_MS: u64 = 100;
 /// With no word from a leader for this long, the share of connections is no longer ours.
 const SHARE_KEPT_MS: u64 = 3_000;
 /// Silent reruns of one statement.
@@ -893,6 +925,16 @@
 /// Added to the priority of a read that is at the primary only because no replica can have it.
 const BEHIND: u8 = 100;
 
+/// How good a replica is to read from; the least is the best. Where a connection has to be opened,
+/// each stile has an order of its own: all of them spread over all replicas, and each keeps few.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Standby {
+    load: usize,
+    /// A connection would have to be opened.
+    fresh: bool,
+    tie: u64,
+}
+
 impl Stile {
     fn config(&self) -> Option<Arc<Lanes>> {
         lock(&self.view).config.clone()
@@ -908,38 +950,56 @@
         let view = lock(&self.view);
         view.services.get(service).and_then(|s| s.lease(now)).is_some_and(|(t, _)| t == term)
     }
-    /// An answer of the primary came under a lease that still holds.
-    fn learn(&self, service: &ServiceName, sent: Tick, position: Position) {
+    /// An answer of the primary came under a lease on this term that still holds.
+    fn learn(&self, service: &ServiceName, term: DbTerm, sent: Tick, position: Position) {
         let mut view = lock(&self.view);
         if let Some(seen) = view.services.get_mut(service) {
             seen.floors.learn(sent, position);
             seen.highest = seen.highest.max(Some(position));
+            if seen.news.is_none_or(|(_, s, _)| sent > s) {
+                seen.news = Some((term, sent, position));
+            }
         }
     }
     fn floor(&self, service: &ServiceName, began: Tick, stale_ms: u64) -> Option<Position> {
-        lock(&self.view).services.get(service)?.floors.needed(began, stale_ms)
+        let mut view = lock(&self.view);
+        let seen = view.services.get_mut(service)?;
+        let stale = seen.read.map_or(stale_ms, |(_, stale)| stale.min(stale_ms));
+        seen.read = Some((Tick::now(), stale));
+        seen.floors.needed(began, stale_ms)
+    }
+    /// Without a floor and a primary, reads wait for what other stiles saw: the leader is asked at
+    /// once, though not more often than it may help.
+    fn ask_for_floor(&self, now: Tick) {
+        let last = lock(&self.sent).back().map(|(_, t)| *t);
+        if last.is_none_or(|t| now.since(t) >= ASK_MS) && self.linked.load(Ordering::Relaxed) {
+            self.renew();
+        }
     }
     /// Replicas to read from, the best first. The zone's own costs nothing between zones, so it is
     /// taken until it has clearly more to do.
     fn replicas(&self, service: &ServiceName, now: Tick) -> Vec<Arc<Pool>> {
         let view = lock(&self.view);
-        let primary = match view.services.get(service).map(|s| &s.held) {
-            Some(Held::Led { primary, .. }) => Some(primary),
-            _ => None,
+        let Some(seen) = view.services.get(service) else {
+            return Vec::new();
         };
-        let mut found: Vec<(usize, u64, Arc<Pool>)> = view
+        let primary = match &seen.held {
+            Held::Led { primary, .. } => Some(primary),
+            Held::None => None,
+        };
+        let mut found: Vec<(Standby, Arc<Pool>)> = seen
             .pools
-            .values()
-            .filter(|p| p.service == *service && Some(&p.id) != primary)
-            .filter(|p| !p.is_down(now) && !p.lags(now))
+            .iter()
+            .filter(|p| Some(&p.id) != primary && !p.is_down(now) && !p.lags(now))
             .filter_map(|p| {
-                let (load, closed) = p.load();
+                let (load, idle, closed) = p.load();
                 let far = if p.zone == self.zone { 0 } else { 3 };
-                (!closed).then(|| (load + far, rand::random(), Arc::clone(p)))
+                let tie = if idle { rand::random() } else { self.hasher.hash_one(&p.id) };
+                (!closed).then(|| (Standby { load: load + far, fresh: !idle, tie }, Arc::clone(p)))
             })
             .collect();
-        found.sort_by_key(|(load, tie, _)| (*load, *tie));
-        found.into_iter().map(|(_, _, pool)| pool).collect()
+        found.sort_by_key(|(standby, _)| *standby);
+        found.into_iter().map(|(_, pool)| pool).collect()
     }
 
     fn tell(&self, message: ToSteward) {
@@ -975,21 +1035,36 @@
         // Numbered and sent under the link's lock, so that a lease given back and a renewal reach
         // the leader in the order in which this stile thinks of them.
         let mut link = lock(&self.link);
-        let shares = {
-            let mut view = lock(&self.view);
-            let told =
-                |(name, s): (&ServiceName, &mut ServiceView)| Some((name.clone(), s.share.news()?));
-            view.services.iter_mut().filter_map(told).collect()
-        };
+        let now = Tick::now();
+        let heard = *lock(&self.heard);
+        let (mut shares, mut saw, mut asks) = (Vec::new(), Vec::new(), Vec::new());
+        for (name, seen) in &mut lock(&self.view).services {
+            shares.extend(seen.share.news().map(|share| (name.clone(), share)));
+            if let Some((term, sent, position)) = seen.news.take()
+                && let Some(after) = heard.and_then(|(_, at)| after(at, sent))
+            {
+                saw.push(Saw { service: name.clone(), term, position, after });
+            }
+            let lately = seen.read.filter(|(at, _)| now.since(*at) < READ_LATELY_MS);
+            match lately {
+                Some((_, stale)) if !seen.floors.lasts(now, stale, FLOOR_AHEAD_MS) => {
+                    asks.push(name.clone());
+                }
+                Some(_) => {}
+                None => seen.read = None,
+            }
+        }
+        let heard = heard.map_or(0, |(seq, _)| seq);
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
         {
             let mut sent = lock(&self.sent);
-            sent.push_back((seq, Tick::now()));
+            // Before it leaves, and no later than what it asks for is looked up.
+            sent.push_back((seq, now));
             if sent.len() > 16 {
                 sent.pop_front();
             }
         }
-        self.tell_under(&mut link, ToSteward::Renew { seq, shares });
+        self.tell_under(&mut link, ToSteward::Renew { seq, heard, shares, saw, asks });
     }
     /// The leader takes a term back: nothing is sent or passed on under it from here on.
     fn revoke(&self, service: ServiceName, term: DbTerm) {
@@ -1044,8 +1119,8 @@
             }
             ToStile::Upsert(listed) => Self::upsert(&mut lock(&self.view), listed),
             ToStile::Remove(id) => Self::remove(&mut lock(&self.view), &id),
-            ToStile::Granted { seq, lease_ms, whole, grants } => {
-                self.granted(seq, lease_ms, whole, grants);
+            ToStile::Granted { seq, lease_ms, whole, grants, fresh } => {
+                self.granted(seq, lease_ms, whole, grants, fresh);
             }
             ToStile::Revoke { service, term } => self.revoke(service, term),
             ToStile::Renew => self.renew(),
@@ -1065,31 +1140,34 @@
         view.config = Some(Arc::new(config));
     }
     fn upsert(view: &mut View, listed: Listed) {
-        let seen = view.services.get(&listed.instance.target_service);
-        let share = seen.map_or(0, |s| s.share.laid);
-        let fits =
-            |p: &Arc<Pool>| p.address == listed.instance.address && p.zone == listed.instance.zone;
+        let fits = |p: &Arc<Pool>| p.address == listed.address && p.zone == listed.zone;
         let pool = match view.pools.get(&listed.id).filter(|p| fits(p)) {
             Some(pool) => Arc::clone(pool),
             None => {
                 Self::remove(view, &listed.id);
-                let pool = Arc::new(Pool::new(listed.id.clone(), &listed.instance));
-                pool.set_cap(share);
+                let pool = Arc::new(Pool::new(&listed));
+                let seen = view.services.entry(pool.service.clone()).or_default();
+                pool.set_cap(seen.share.laid);
+                seen.pools.push(Arc::clone(&pool));
                 view.pools.insert(listed.id.clone(), Arc::clone(&pool));
                 pool
             }
         };
         // News of a database: whatever kept it from being tried may be over.
         pool.down_until.store(0, Ordering::Relaxed);
-        pool.retire(listed.instance.lifecycle_state == Lifecycle::Draining, false);
+        pool.retire(listed.draining, false);
     }
     fn remove(view: &mut View, id: &InstanceId) {
         if let Some(pool) = view.pools.remove(id) {
+            if let Some(seen) = view.services.get_mut(&pool.service) {
+                seen.pools.retain(|p| p.id != *id);
+            }
             pool.retire(true, true);
         }
     }
 
-    fn granted(&self, seq: u64, lease_ms: u64, whole: bool, grants: Vec<Grant>) {
+    fn granted(&self, seq: u64, lease_ms: u64, whole: bool, grants: Vec<Grant>, fresh: Vec<Fresh>) {
+        *lock(&self.heard) = Some((seq, Tick::now()));
         let asked = {
             let mut sent = lock(&self.sent);
             let found = sent.iter().find(|(s, _)| *s == seq).map(|(_, t)| *t);
@@ -1108,7 +1186,14 @@
                 seen.held = Held::None;
             }
         }
-        let mut changed = whole;
+        let mut changed = whole || !fresh.is_empty();
+        for Fresh { service, position, age } in fresh {
+            if let Some(seen) = view.services.get_mut(&service)
+                && let Some(sent) = asked.0.checked_sub(age)
+            {
+                seen.floors.learn(Tick(sent), position);
+            }
+        }
         for grant in grants {
             changed = true;
             let seen = view.services.entry(grant.service.clone()).or_default();
@@ -1136,12 +1221,12 @@
             seen.share.size = grant.share;
         }
         // One lease covers all that was told on this connection.
-        for (name, seen) in &mut view.services {
+        for seen in view.services.values_mut() {
             if let Held::Led { until, .. } = &mut seen.held {
                 *until = asked.plus(lease_ms).max(*until);
             }
             seen.share.renew(asked.plus(SHARE_KEPT_MS));
-            changed |= lay_share(&view.pools, name, &mut seen.share);
+            changed |= seen.lay_share();
         }
         drop(guard);
         if changed {
@@ -1236,54 +1321,96 @@
     Error(ErrorKind, String),
 }
 
-fn session(stile: &Arc<Stile>, seen: Arc<Seen>, id: u64) -> io::Result<()> {
-    let mut client = &seen.stream;
-    let mut inbox = Inbox::default();
-    let refuse = |kind: ErrorKind, text: &str| {
-        let mut client = &seen.stream;
-        client.write_all(format!("ERROR {kind} {text}\r\n").as_bytes())
-    };
-    let database = match inbox.line(&mut client) {
-        Ok(line) => match wire::parse(line) {
-            Ok(Line::Connect { database }) => database.to_owned(),
-            Ok(Line::Close) => return Ok(()),
-            _ => return refuse(ErrorKind::Malformed, "CONNECT comes first"),
-        },
-        Err(NoLine::TooLarge) => return refuse(ErrorKind::TooLarge, "over 1 MiB"),
-        Err(_) => return Ok(()),
-    };
-    let found = stile.config().and_then(|config| {
-        let (lane, service) = config.lane(&database)?;
-        let (lane, service) = (lane.clone(), service.clone());
-        Some((config, lane, service))
-    });
-    let Some((config, route, service)) = found else {
-        return refuse(ErrorKind::NoDatabase, "no such database");
-    };
-    client.write_all(b"READY I -\r\n")?;
-    seen.connected.store(true, Ordering::Relaxed);
-    let mut scion = Scion {
-        stile: Arc::clone(stile),
-        seen: Arc::clone(&seen),
-        id,
-        graft: Graft::default(),
-        bound: None,
-        database,
-        config,
-        route,
-        service,
-        own: None,
-        last_position: None,
-    };
-    let ended = scion.converse(&mut inbox);
-    scion.unbind();
-    ended
+/// What a session does once its client has nothing more to say for the moment.
+enum Next {
+    Rest,
+    End,
+}
+
+/// A client's connection. Between two lines it is no thread's: see `Stile::watch`.
+struct Session {
+    id: u64,
+    stile: Arc<Stile>,
+    seen: Arc<Seen>,
+    inbox: Inbox,
+    /// There once the client has said CONNECT.
+    scion: Option<Scion>,
+}
+
+impl Session {
+    /// Serves the client until it pauses or the session is over.
+    fn serve(&mut self) -> io::Result<Next> {
+        if self.scion.is_none()
+            && let Some(next) = self.greet()?
+        {
+            return Ok(next);
+        }
+        match &mut self.scion {
+            Some(scion) => scion.converse(&mut self.inbox),
+            None => Ok(Next::End),
+        }
+    }
+
+    /// Takes the client's CONNECT; goes on with its statements unless told otherwise.
+    fn greet(&mut self) -> io::Result<Option<Next>> {
+        let mut client = &self.seen.stream;
+        let refuse = |kind: ErrorKind, text: &str| {
+            let mut client = &self.seen.stream;
+            client.write_all(format!("ERROR {kind} {text}\r\n").as_bytes())?;
+            Ok(Some(Next::End))
+        };
+        let database = match self.inbox.line(&mut client) {
+            Ok(line) => match wire::parse(line) {
+                Ok(Line::Connect { database }) => database.to_owned(),
+                Ok(Line::Close) => return Ok(Some(Next::End)),
+                _ => return refuse(ErrorKind::Malformed, "CONNECT comes first"),
+            },
+            Err(NoLine::TooLarge) => return refuse(ErrorKind::TooLarge, "over 1 MiB"),
+            Err(NoLine::Quiet) => return Ok(Some(Next::Rest)),
+            Err(_) => return Ok(Some(Next::End)),
+        };
+        let found = self.stile.config().and_then(|config| {
+            let (lane, service) = config.lane(&database)?;
+            let (lane, service) = (lane.clone(), service.clone());
+            Some((config, lane, service))
+        });
+        let Some((config, route, service)) = found else {
+            return refuse(ErrorKind::NoDatabase, "no such database");
+        };
+        client.write_all(b"READY I -\r\n")?;
+        self.seen.connected.store(true, Ordering::Relaxed);
+        self.scion = Some(Scion {
+            stile: Arc::clone(&self.stile),
+            seen: Arc::clone(&self.seen),
+            id: self.id,
+            graft: Graft::default(),
+            bound: None,
+            database,
+            config,
+            route,
+            service,
+            own: None,
+            last_position: None,
+        });
+        Ok(None)
+    }
+}
+
+/// However a session ends, it lets go of its connection and is taken off the list.
+impl Drop for Session {
+    fn drop(&mut self) {
+        if let Some(scion) = &mut self.scion {
+            scion.unbind();
+        }
+        lock(&self.stile.sessions).remove(&self.id);
+    }
 }
 
 impl Scion {
-    fn converse(&mut self, inbox: &mut Inbox) -> io::Result<()> {
+    fn converse(&mut self, inbox: &mut Inbox) -> io::Result<Next> {
         let seen = Arc::clone(&self.seen);
         let mut client = &seen.stream;
+        let mut served = false;
         loop {
             let state = self.graft.state();
             if state == State::Idle
@@ -1291,26 +1418,34 @@
                 && self.stile.draining.load(Ordering::Relaxed)
                 && self.stile.closing_idle()
             {
-                return Ok(());
+                return Ok(Next::End);
             }
             seen.open.store(state != State::Idle, Ordering::Relaxed);
             seen.resting.store(Tick::now().0, Ordering::Relaxed);
-            let line = inbox.line(&mut client);
-            seen.resting.store(0, Ordering::Relaxed);
-            let line = match line {
+            // A session that stays has usually said all for now; another most likely goes on.
+            let lasting = seen.lasting.load(Ordering::Relaxed);
+            if served && lasting && state == State::Idle && inbox.is_empty() {
+                return Ok(Next::Rest);
+            }
+            let line = match inbox.line(&mut client) {
                 Ok(line) => line,
                 Err(NoLine::TooLarge) => {
-                    return client.write_all(b"ERROR TOOLARGE over 1 MiB\r\n");
+                    client.write_all(b"ERROR TOOLARGE over 1 MiB\r\n")?;
+                    return Ok(Next::End);
                 }
-                Err(NoLine::Closed) => return Ok(()),
+                Err(NoLine::Quiet) => return Ok(Next::Rest),
+                Err(NoLine::Closed) => return Ok(Next::End),
                 Err(NoLine::Io(e)) => return Err(e),
             };
+            seen.resting.store(0, Ordering::Relaxed);
+            served = true;
             let arrived = Tick::now();
             let say = match wire::parse(line) {
-                Ok(Line::Close) => return Ok(()),
+                Ok(Line::Close) => return Ok(Next::End),
                 Ok(Line::Query { id, text, statement }) => {
                     if state == State::Idle && !self.rebind_route() {
-                        return client.write_all(b"ERROR NODATABASE no such database any more\r\n");
+                        client.write_all(b"ERROR NODATABASE no such database any more\r\n")?;
+                        return Ok(Next::End);
                     }
                     match self.graft.hear(&statement, arrived) {
                         Verdict::Settled => Say::Complete,
@@ -1341,7 +1476,7 @@
             self.say(&mut client, say)?;
             let idle = self.graft.state() == State::Idle && inbox.is_empty();
             if refused && idle && self.stile.deaf(Tick::now()) {
-                return Ok(());
+                return Ok(Next::End);
             }
         }
     }
@@ -1540,6 +1675,9 @@
             if now >= hold {
                 return Err(ErrorKind::Throttled);
             }
+            if elsewhere {
+                stile.ask_for_floor(now);
+            }
             stile.wait_for_news(hold.since(now).clamp(1, 50));
             // A replica that lagged may have caught up.
             avoid.clear();
@@ -1661,7 +1799,7 @@
         if let Some(term) = term {
             if stile.still(&service, term, now) {
                 if let Some(position) = reply.position {
-                    stile.learn(&service, sent, position);
+                    stile.learn(&service, term, sent, position);
                 }
             } else if reply.outcome == Outcome::Complete {
                 // Another primary may lead by now: a success of the old one is not passed on.
@@ -1777,7 +1915,6 @@
 }
 
 fn shape_id(hasher: &std::hash::RandomState, shape: &Shape) -> u64 {
-    use std::hash::BuildHasher;
     hasher.hash_one(shape)
 }
 
@@ -1845,6 +1982,13 @@
 const STACK: usize = 128 << 10;
 /// How long a thread waits for another session.
 const REST_MS: u64 = 2_000;
+/// So many threads wait on, since a later one may not be had.
+const WORKERS_KEPT: usize = 1;
+const IDLE_MS: u64 = 60_000;
+/// How long a thread waits for the next line of the session it has just served.
+const LINGER_MS: u64 = 20;
+/// Resting clients that are woken in one round.
+const EVENTS: usize = 64;
 /// A client has this long to say CONNECT.
 const HELLO_MS: u64 = 10_000;
 /// A session that is older than this may stay for long.
@@ -1937,6 +2081,7 @@
         for seen in lock(&self.view).services.values_mut() {
             seen.share.told = None;
         }
+        *lock(&self.heard) = None;
         *lock(&self.link) = Some(stream);
         self.linked.store(true, Ordering::Relaxed);
         self.renew();
@@ -1954,7 +2099,7 @@
         ended
     }
 
-    /// Serves one client on a thread of its own, if there is room for it.
+    /// Takes in a client, if there is room for it.
     fn admit(self: &Arc<Self>, stream: TcpStream) {
         let id = self.next_session.fetch_add(1, Ordering::Relaxed);
         // Turned away at once, the client comes to another node.
@@ -1963,6 +2108,7 @@
         }
         // Many sessions serve one operation and go; what only the others need is left to `tend`.
         let ready = tune(&stream, Duration::from_secs(10))
+            .and_then(|()| stream.set_read_timeout(Some(Duration::from_millis(LINGER_MS))))
             .and_then(|()| stream.set_write_timeout(Some(Duration::from_secs(5))));
         if ready.is_err() {
             return;
@@ -1972,43 +2118,49 @@
             stream,
             came: now,
             lasting: AtomicBool::new(false),
+            watched: AtomicBool::new(false),
             connected: AtomicBool::new(false),
             resting: AtomicU64::new(now.0),
             open: AtomicBool::new(false),
         });
         lock(&self.sessions).insert(id, Arc::clone(&seen));
-        {
+        let stile = Arc::clone(self);
+        self.hand(Session { id, stile, seen, inbox: Inbox::default(), scion: None });
+    }
+
+    /// Has a thread serve the session: one that rests, or a new one. Where the machine has none
+    /// left, the session waits for one that gets free.
+    fn hand(self: &Arc<Self>, session: Session) {
+        let short = {
             let mut bench = lock(&self.bench);
-            if bench.resting > bench.waiting.len() {
-                bench.waiting.push_back((id, seen));
-                drop(bench);
-                self.wanted.notify_one();
-                return;
-            }
+            bench.waiting.push_back(session);
+            bench.waiting.len() > bench.resting
+        };
+        if !short || !self.start_worker() {
+            self.wanted.notify_one();
         }
+    }
+    fn start_worker(self: &Arc<Self>) -> bool {
         let stile = Arc::clone(self);
-        let started = std::thread::Builder::new().stack_size(STACK).spawn(move || {
-            let mut next = Some((id, seen));
-            while let Some((id, seen)) = next {
-                stile.attend(id, seen);
-                next = stile.rest();
-            }
-        });
-        if started.is_err() {
-            lock(&self.sessions).remove(&id);
-        }
+        let thread = std::thread::Builder::new().stack_size(STACK);
+        thread.spawn(move || while stile.attend() {}).is_ok()
     }
 
-    fn attend(self: &Arc<Self>, id: u64, seen: Arc<Seen>) {
-        let _gone = Leaves { stile: self, id };
-        // How a client's connection ends is not worth a line each.
-        if let Err(e) = session(self, seen, id) {
-            log::debug!(target: "session", "{id}: {e}");
+    /// Serves the next session that something came for. False when there was none for long, and
+    /// enough others wait for one.
+    fn attend(self: &Arc<Self>) -> bool {
+        let Some(mut session) = self.next() else {
+            return false;
+        };
+        match session.serve() {
+            Ok(Next::Rest) => self.park(session),
+            Ok(Next::End) => {}
+            // How a client's connection ends is not worth a line each.
+            Err(e) => log::debug!(target: "session", "{}: {e}", session.id),
         }
+        true
     }
-
-    /// A thread whose session ended waits a little for the next one; a new thread costs more.
-    fn rest(&self) -> Option<(u64, Arc<Seen>)> {
+    fn next(&self) -> Option<Session> {
         let mut bench = lock(&self.bench);
         bench.resting += 1;
         let until = Tick::now().plus(REST_MS);
@@ -2018,17 +2170,54 @@
                 return Some(next);
             }
             let left = until.since(Tick::now());
-            if left == 0 {
+            if left == 0 && bench.resting > WORKERS_KEPT {
                 bench.resting -= 1;
                 return None;
             }
-            bench = match self.wanted.wait_timeout(bench, Duration::from_millis(left)) {
+            let wait = Duration::from_millis(if left == 0 { IDLE_MS } else { left });
+            bench = match self.wanted.wait_timeout(bench, wait) {
                 Ok((guard, _)) => guard,
                 Err(poisoned) => poisoned.into_inner().0,
             };
         }
     }
 
+    /// The session waits for its client without a thread.
+    fn park(&self, session: Session) {
+        let (id, seen) = (session.id, Arc::clone(&session.seen));
+        // First the list, then the watch: what comes at once must find it.
+        lock(&self.parked).insert(id, session);
+        let what = epoll::EventFlags::IN | epoll::EventFlags::RDHUP | epoll::EventFlags::ONESHOT;
+        let token = epoll::EventData::new_u64(id);
+        let watched = match seen.watched.swap(true, Ordering::Relaxed) {
+            true => epoll::modify(&self.watch, &seen.stream, token, what),
+            false => epoll::add(&self.watch, &seen.stream, token, what),
+        };
+        if let Err(e) = watched {
+            warn!(target: "session", "a resting client can't be watched: {e}");
+            drop(lock(&self.parked).remove(&id));
+        }
+    }
+    /// Waits for all resting clients at once, and hands over those that said something or left.
+    fn watch(self: &Arc<Self>) {
+        let mut events = Vec::with_capacity(EVENTS);
+        loop {
+            match epoll::wait(&self.watch, rustix::buffer::spare_capacity(&mut events), None) {
+                Ok(_) | Err(rustix::io::Errno::INTR) => {}
+                Err(e) => {
+                    warn!(target: "session", "waiting for clients: {e}");
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            }
+            for event in events.drain(..) {
+                let found = lock(&self.parked).remove(&event.data.u64());
+                if let Some(session) = found {
+                    self.hand(session);
+                }
+            }
+        }
+    }
+
     /// Ends transactions that rest for too long, and connections that nobody may hold any more.
     fn tend(&self, now: Tick) {
         let rest = self.config().map_or(3_000, |c| c.limits.txn_idle_ms);
@@ -2050,25 +2239,12 @@
                 drop(keep_alive(&seen.stream, Duration::from_secs(30)));
             }
         }
-        let mut guard = lock(&self.view);
-        let view = &mut *guard;
-        for (name, seen) in &mut view.services {
-            lay_share(&view.pools, name, &mut seen.share);
+        for seen in lock(&self.view).services.values_mut() {
+            seen.lay_share();
         }
     }
 }
 
-/// Takes a session off the list however its thread ends.
-struct Leaves<'a> {
-    stile: &'a Stile,
-    id: u64,
-}
-impl Drop for Leaves<'_> {
-    fn drop(&mut self) {
-        lock(&self.stile.sessions).remove(&self.id);
-    }
-}
-
 pub fn run(path: PathBuf, mut settings: Settings) -> Result<(), Fatal> {
     let mut watched = Watched::new(path);
     let needed = |at: Option<SocketAddr>, name: &str| {
@@ -2085,6 +2261,7 @@
         changed: Condvar::new(),
         link: Mutex::new(None),
         sent: Mutex::default(),
+        heard: Mutex::default(),
         seq: AtomicU64::new(0),
         linked: AtomicBool::new(false),
         answered: AtomicU64::new(0),
@@ -2094,6 +2271,9 @@
         next_session: AtomicU64::new(1),
         bench: Mutex::default(),
         wanted: Condvar::new(),
+        parked: Mutex::default(),
+        watch: epoll::create(epoll::CreateFlags::CLOEXEC)
+            .map_err(|e| Fatal::Call(e.to_string()))?,
         doubted: Mutex::default(),
         hasher: std::hash::RandomState::new(),
         seeds: Mutex::new(settings.seed_peers()),
@@ -2118,6 +2298,10 @@
         stile.renew_when_due();
     }
     let listener = listen(frontend)?;
+    let watching = Arc::clone(&stile);
+    must_start("resting clients", move || watching.watch())?;
+    let serving = Arc::clone(&stile);
+    must_start("sessions", move || while serving.attend() {})?;
     let accepting = Arc::clone(&stile);
     must_start("clients", move || {
         for stream in listener.incoming() {
--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -531,11 +531,11 @@
 #[test]
 fn what_waits_for_a_slow_peer_leaves_whole_and_a_revoke_goes_first() {
     let mut out = Outbox::default();
-    out.push(vec![1; 4]);
-    out.push(vec![2; 2]);
+    out.push(vec![1; 4].into());
+    out.push(vec![2; 2].into());
     out.took(1);
     // The first has begun to leave and must be finished.
-    out.push_first(vec![9; 2]);
+    out.push_first(vec![9; 2].into());
     let mut left = Vec::new();
     assert_eq!(out.waiting(), 7);
     while let Some(bytes) = out.next() {
@@ -544,8 +544,8 @@
     }
     assert_eq!(left, [1, 1, 1, 9, 9, 2, 2]);
     assert!(out.is_empty() && out.waiting() == 0);
-    out.push(vec![3]);
-    out.push_first(vec![4]);
+    out.push(vec![3].into());
+    out.push_first(vec![4].into());
     assert_eq!(out.next(), Some(&[4][..]));
 }
 
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -1,11 +1,11 @@
 //! Who leads a service: each case is a story of events with the deeds that must follow.
 use silvertack::common::config::{Instance, Lifecycle, Role};
 use silvertack::common::ids::*;
-use silvertack::common::peer::{Doubt, Grant, Standing, pack, unpack};
+use silvertack::common::peer::{Doubt, Grant, Saw, Standing, pack};
 use silvertack::common::wire::Described;
 use silvertack::steward::{
-    Almanac, Ask, Change, Deed, Effect, Facts, LEASE_MS, Lead, LeaseBook, Posted, Stage,
-    Succession, Told,
+    Almanac, Ask, Change, Deed, Effect, Facts, Freshness, LEASE_MS, Lead, LeaseBook, Posted, Stage,
+    Succession, Tidings, Told,
 };
 use std::collections::BTreeSet;
 
@@ -552,7 +552,7 @@
     assert_eq!((almanac.revision, &almanac.body), (Revision(5), &body(2)));
     // Another leader has it from a snapshot.
     let bytes = pack(&almanac);
-    let mut other: Almanac = unpack(&bytes).expect("as it was packed");
+    let mut other = Almanac::read(&bytes).expect("as it was packed");
     assert_eq!(other, almanac);
     // (base, revision, body, what comes of it)
     let cases = [
@@ -569,3 +569,101 @@
         assert_eq!(other, almanac, "{base} {revision} {n} changes nothing");
     }
 }
+
+#[test]
+fn a_floor_from_another_stile_is_never_newer_than_it_was() {
+    let s = ServiceName::from("s");
+    let lead = Lead { term: DbTerm(4), primary: "a".into(), intent: None };
+    // On one true clock, in tenths of a millisecond; each process counts whole milliseconds from a
+    // start of its own.
+    let (leader, one, other) = (
+        |t: u64| Tick((t + 317) / 10),
+        |t: u64| Tick((t + 9_004) / 10),
+        |t: u64| Tick((t + 55) / 10),
+    );
+    // (an answer leaves, is in hand, the statement is sent; another asks, is answered)
+    let cases = [
+        (10_000, 10_009, 10_019, 12_000, 12_009),
+        (10_000, 14_000, 14_003, 14_500, 19_000),
+        (10_001, 10_018, 14_449, 14_449, 14_450),
+        (10_009, 10_010, 10_020, 10_021, 10_031),
+        // The one that tells was frozen before it had the answer in hand.
+        (10_000, 60_000, 60_020, 60_030, 60_040),
+    ];
+    for (left, in_hand, sent, asked, answered) in cases {
+        let told = silvertack::stile::after(one(in_hand), one(sent)).map(|after| {
+            let mut known = Freshness::default();
+            let saw = Saw { service: s.clone(), term: DbTerm(4), position: at(7), after };
+            known.learn(Some(&lead), leader(left), &saw, leader(answered));
+            known.tell(&s, leader(answered)).expect("told")
+        });
+        let Some(fresh) = told else {
+            assert!(sent - in_hand < 20, "only what is too close to tell is left out");
+            continue;
+        };
+        // What the other takes for the time of sending, on the true clock.
+        let seen = (other(asked).0 - fresh.age) * 10;
+        assert!(seen <= sent + 55, "{left} {in_hand} {sent} {asked}");
+    }
+    // Sent before the answer was in hand: nothing is known of when.
+    assert_eq!(silvertack::stile::after(Tick(100), Tick(99)), None);
+}
+
+#[test]
+fn what_a_stile_saw_counts_only_if_it_can_be() {
+    let (s, now) = (ServiceName::from("s"), Tick(50_000));
+    let lead = Lead { term: DbTerm(4), primary: "a".into(), intent: None };
+    let position = |term, number| Position { term: DbTerm(term), number };
+    let first = position(4, 7);
+    let kept = Some((first, 301));
+    // (what, lead, term of the lease, position, when the answer left, ms after it, what is known then)
+    let cases = [
+        ("newer", Some(&lead), 4, position(4, 9), 49_900, 50, Some((position(4, 9), 51))),
+        (
+            "of the term before, seen under the present one",
+            Some(&lead),
+            4,
+            position(3, 9),
+            49_900,
+            50,
+            Some((position(3, 9), 51)),
+        ),
+        ("older", Some(&lead), 4, position(4, 9), 49_600, 50, kept),
+        ("as old", Some(&lead), 4, position(4, 9), 49_600, 100, kept),
+        ("from the future", Some(&lead), 4, position(4, 9), 49_900, 101, kept),
+        ("from far in the future", Some(&lead), 4, position(4, 9), 49_900, u64::MAX, kept),
+        ("under an older lease", Some(&lead), 3, position(3, 9), 49_900, 50, kept),
+        ("under a lease of a term to come", Some(&lead), 5, position(5, 1), 49_900, 50, kept),
+        ("a position of a term to come", Some(&lead), 4, position(5, 1), 49_900, 50, kept),
+        ("of a service that nobody leads", None, 4, position(4, 9), 49_900, 50, kept),
+    ];
+    for (what, lead_now, term, position, answered, after, known) in cases {
+        let mut freshness = Freshness::default();
+        let before = Saw { service: s.clone(), term: DbTerm(4), position: first, after: 100 };
+        freshness.learn(Some(&lead), Tick(49_600), &before, now);
+        let saw = Saw { service: s.clone(), term: DbTerm(term), position, after };
+        freshness.learn(lead_now, Tick(answered), &saw, now);
+        let told = freshness.tell(&s, now).map(|f| (f.position, f.age));
+        assert_eq!(told, known, "{what}");
+        assert_eq!(freshness.tell(&"other".into(), now), None);
+    }
+}
+
+#[test]
+fn tidings_name_what_was_stirred_since_and_everything_when_all_was() {
+    let mut tidings = Tidings::default();
+    let (a, b) = (ServiceName::from("a"), ServiceName::from("b"));
+    let since = |t: &Tidings, told| t.since(told).map(|names| names.cloned().collect::<Vec<_>>());
+    assert_eq!(since(&tidings, 0), Some(vec![]));
+    tidings.stir(&a);
+    let first = tidings.newest();
+    tidings.stir(&b);
+    tidings.stir(&a);
+    assert_eq!(since(&tidings, first), Some(vec![b.clone(), a.clone()]), "each once");
+    assert_eq!(since(&tidings, tidings.newest()), Some(vec![]));
+    tidings.stir_all();
+    assert_eq!(since(&tidings, first), None);
+    let all = tidings.newest();
+    tidings.stir(&b);
+    assert_eq!(since(&tidings, all), Some(vec![b]));
+}
