A caller for each database at the leader, beats without a detour, one listing for all stiles

The directory is encoded once for all stiles and holds only what they need; changes of 20 ms travel together.

--- a/src/common/http.rs
+++ b/src/common/http.rs
@@ -8,7 +8,6 @@
 const MAX_HEAD: usize = 16 << 10;
 /// Bodies may be larger than any configuration that can be taken, so that the answer can say so.
 pub const MAX_BODY: usize = 1 << 20;
-const MAX_CONNECTIONS: usize = 256;
 const IDLE: Duration = Duration::from_secs(15);
 
 #[derive(Debug, Default)]
@@ -57,8 +56,8 @@
     }
 }
 
-/// Serves each connection on a thread of its own, a bounded number of them.
-pub fn serve<F>(listener: TcpListener, name: &'static str, handle: F) -> io::Result<()>
+/// Serves each connection on a thread of its own, no more than `most` at once.
+pub fn serve<F>(listener: TcpListener, name: &'static str, most: usize, handle: F) -> io::Result<()>
 where
     F: Fn(Request) -> Response + Send + Sync + 'static,
 {
@@ -70,7 +69,7 @@
                 std::thread::sleep(Duration::from_millis(50));
                 continue;
             };
-            if open.fetch_add(1, Ordering::Relaxed) >= MAX_CONNECTIONS {
+            if open.fetch_add(1, Ordering::Relaxed) >= most {
                 open.fetch_sub(1, Ordering::Relaxed);
                 continue;
             }
--- a/src/common/peer.rs
+++ b/src/common/peer.rs
@@ -184,8 +184,11 @@
     Changed(Box<Changed>),
     /// The whole directory, when a connection begins.
     Directory(Vec<Listed>),
-    Upsert(Listed),
-    Remove(InstanceId),
+    /// Changes of the directory, those of a moment at once.
+    Moved {
+        listed: Vec<Listed>,
+        gone: Vec<InstanceId>,
+    },
     Granted {
         seq: u64,
         lease_ms: u64,
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2464,6 +2464,9 @@
     encoded: HashMap<Revision, Arc<[u8]>>,
     /// The frame that brings a stile the whole directory, until that changes.
     listing: Option<Arc<[u8]>>,
+    /// Databases that stiles have to be told of, and since when.
+    moved: BTreeSet<InstanceId>,
+    moved_since: Option<Tick>,
     /// The services of the configuration in force, by name.
     services: BTreeMap<ServiceName, Service>,
     /// Who asked to join, and when last.
@@ -2507,6 +2510,8 @@
 const CHANGES_WAITING: usize = 64 << 10;
 /// Answers to a stile that it may still tell of what it saw since.
 const ANSWERS_KEPT: usize = 4;
+/// Changes of the directory are gathered for so long.
+const GATHER_MS: u64 = 20;
 /// How often peers are looked at that did not take all at once.
 const PUMP_MS: u64 = 5;
 /// One that stays silent this long is dropped from the directory.
@@ -2549,7 +2554,9 @@
     let peer = SocketAddr::new(settings.ip_address, settings.peer_port());
     accept_peers(peer, tx.clone())?;
     let http_tx = tx.clone();
-    http::serve(listen(admin)?, "admin", move |request| ask_core(&http_tx, request))
+    // Each database may keep a connection for its beats, and all of them come to the leader.
+    let callers = settings.limits.max_open_files as usize / 4;
+    http::serve(listen(admin)?, "admin", callers, move |request| ask_core(&http_tx, request))
         .map_err(|e| Fatal::Listen(admin.to_string(), e))?;
     let config = Configuration::read(&almanac.body).ok();
     let mut steward = Steward {
@@ -2567,6 +2574,8 @@
         early: Vec::new(),
         encoded: HashMap::new(),
         listing: None,
+        moved: BTreeSet::new(),
+        moved_since: None,
         services: BTreeMap::new(),
         joining: BTreeMap::new(),
         next_join: now,
@@ -2823,6 +2832,7 @@
             let now = Tick::now();
             let busy = self.office.as_ref().is_some_and(|o| !o.stirred.is_empty());
             let wait = if busy { 25 } else { 200 };
+            let wait = if self.moved_since.is_some() { wait.min(GATHER_MS) } else { wait };
             let wait = if self.pumping() { PUMP_MS } else { wait };
             let wait = self.hedge.due().since(now).clamp(1, wait);
             match rx.recv_timeout(Duration::from_millis(wait)) {
@@ -2841,6 +2851,7 @@
             self.flush(now);
             self.reconcile(now);
             self.flush(now);
+            self.tell_moved(now);
             self.pump(now);
             if now.since(looked) > 1_000 {
                 looked = now;
@@ -3085,7 +3096,11 @@
         let effect = self.almanac.apply(change);
         if let Some(Waiter { reply, .. }) = waiter {
             // A caller that no longer waits is none of our business.
-            drop(reply.try_send(judged(&effect)));
+            let answer = match change {
+                Change::Beat { .. } => self.beaten(),
+                _ => judged(&effect),
+            };
+            drop(reply.try_send(answer));
         }
         if effect != Effect::Done {
             return;
@@ -3094,19 +3109,16 @@
             // Read and told once all that is committed is applied: see `apply`.
             Change::Configure { .. } => {}
             Change::Beat { id, instance, .. } => {
-                let listed = Listed::of(id, instance);
-                self.listing = None;
+                self.moved(id, now);
                 info!(target: "almanac", "{id} of {}: {:?}, {:?}", instance.target_service,
                     instance.database_role, instance.lifecycle_state);
-                self.tell_stiles(&ToStile::Upsert(listed));
                 let (service, role) = (&instance.target_service, instance.database_role);
                 self.move_on(service, now, |s, facts| s.beat(facts, id, role, now));
                 self.move_on(service, now, |s, facts| s.tick(facts, now));
             }
             Change::Gone { id, .. } => {
                 info!(target: "almanac", "{id} is gone");
-                self.listing = None;
-                self.tell_stiles(&ToStile::Remove(id.clone()));
+                self.moved(id, now);
             }
             Change::Led { service, term, primary } => {
                 info!(target: "failover", "{service}: {primary} leads term {term}");
@@ -3127,7 +3139,7 @@
                 office.tidings.stir(service);
             }
             if matches!(change, Change::Led { .. }) {
-                self.tell_stiles(&ToStile::Renew);
+                self.tell_stiles(ToStile::Renew);
             }
         }
     }
@@ -3165,6 +3177,8 @@
             }
             (false, true) => {
                 self.office = None;
+                self.moved.clear();
+                self.moved_since = None;
                 for (_, waiter) in std::mem::take(&mut self.waiting) {
                     // Whether it will be in force is not known here; asked again it shows.
                     drop(waiter.reply.try_send(Response::refusal(503, "no longer the leader")));
@@ -3518,8 +3532,8 @@
         }
     }
     /// Tells all stiles of a change of the directory; one that is far behind gets the whole later.
-    fn tell_stiles(&mut self, message: &ToStile) {
-        let frame = encode(&Frame::Steward(message.clone()));
+    fn tell_stiles(&mut self, message: ToStile) {
+        let frame = encode(&Frame::Steward(message));
         let conns: Vec<u64> = self.stiles.keys().copied().collect();
         for conn in conns {
             let waiting = self.conns.get(&conn).map_or(0, |l| l.out.waiting());
@@ -3531,6 +3545,29 @@
         }
     }
 
+    /// The directory changed: stiles are told of all that does so within a moment.
+    fn moved(&mut self, id: &InstanceId, now: Tick) {
+        self.listing = None;
+        if self.office.is_some() {
+            self.moved.insert(id.clone());
+            self.moved_since.get_or_insert(now);
+        }
+    }
+    fn tell_moved(&mut self, now: Tick) {
+        if self.moved_since.is_none_or(|t| now.since(t) < GATHER_MS) {
+            return;
+        }
+        self.moved_since = None;
+        let (mut listed, mut gone) = (Vec::new(), Vec::new());
+        for id in std::mem::take(&mut self.moved) {
+            match self.almanac.instances.get(&id) {
+                Some(record) => listed.push(Listed::of(&id, &record.instance)),
+                None => gone.push(id),
+            }
+        }
+        self.tell_stiles(ToStile::Moved { listed, gone });
+    }
+
     /// Sends a stile what it is owed, as soon as nothing older waits for it.
     fn catch_up(&mut self, conn: u64, now: Tick) {
         if self.conns.get(&conn).is_none_or(|l| !l.out.is_empty()) {
@@ -3788,6 +3825,17 @@
         }
     }
 
+    /// The answer to a beat: later ones are to come here at once, without another steward between.
+    fn beaten(&self) -> Response {
+        match self.settings.listeners.admin {
+            Some(admin) => {
+                let body = serde_json::json!({ "heartbeat_url": admin }).to_string();
+                Response::json(200, body.into_bytes())
+            }
+            None => Response::ok(),
+        }
+    }
+
     fn take_beat(
         &mut self,
         id: InstanceId,
@@ -3809,7 +3857,7 @@
         if self.almanac.news(&id, &instance, sequence) {
             self.await_change(&Change::Beat { id, instance, sequence }, reply, now);
         } else {
-            drop(reply.try_send(Response::ok()));
+            drop(reply.try_send(self.beaten()));
             // A replica, or the primary that is known, says nothing new by this.
             let known = self.almanac.leads.get(&service).is_some_and(|l| l.primary == id);
             if newest && role == Role::Primary && !known {
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -1117,8 +1117,11 @@
                 }
                 view.listed = true;
             }
-            ToStile::Upsert(listed) => Self::upsert(&mut lock(&self.view), listed),
-            ToStile::Remove(id) => Self::remove(&mut lock(&self.view), &id),
+            ToStile::Moved { listed, gone } => {
+                let mut view = lock(&self.view);
+                gone.iter().for_each(|id| Self::remove(&mut view, id));
+                listed.into_iter().for_each(|one| Self::upsert(&mut view, one));
+            }
             ToStile::Granted { seq, lease_ms, whole, grants, fresh } => {
                 self.granted(seq, lease_ms, whole, grants, fresh);
             }
@@ -1995,6 +1998,8 @@
 const LASTING_MS: u64 = 1_000;
 /// A lease, and a little: with it gone, only reads that may be old could still be served.
 const DEAF_MS: u64 = crate::steward::LEASE_MS + 200;
+/// Calls to the readiness address at once.
+const PROBES: usize = 64;
 /// Descriptors kept for connections to databases, the link and files.
 const SPARE_FILES: u64 = 400;
 
@@ -2280,7 +2285,7 @@
         max_sessions: settings.limits.max_open_files.saturating_sub(SPARE_FILES).max(16) as usize,
     });
     let asked = Arc::clone(&stile);
-    http::serve(listen(readiness)?, "readiness", move |request| answer(&asked, &request))
+    http::serve(listen(readiness)?, "readiness", PROBES, move |request| answer(&asked, &request))
         .map_err(|e| Fatal::Listen(readiness.to_string(), e))?;
     let linking = Arc::clone(&stile);
     must_start("the link", move || linking.keep_link())?;
