Lend what the division of connections leaves over to stiles whose sessions wait

A total divided by 300 stiles leaves two or three. A stile that waits at its share says so at once and is lent from the remainder for 3 s. A smaller share counts only once no more connections are open, where before it counted as soon as it was told: the sum could pass the total while transactions ended.

--- a/src/common/peer.rs
+++ b/src/common/peer.rs
@@ -150,6 +150,8 @@
         /// The shares of connections this stile holds itself to, where they changed since it last
         /// said so on this connection.
         shares: Vec<(ServiceName, u32)>,
+        /// How many connections more would be used now, where sessions wait for one.
+        wants: Vec<(ServiceName, u32)>,
         /// How far primaries were seen, where that moved.
         saw: Vec<Saw>,
         /// Services whose reads want a newer floor than this stile has.
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2004,6 +2004,8 @@
 const UNTOLD_MS: u64 = 10_000;
 /// What a stile gets from a new leader that has not heard of any share yet.
 const YOUNG_SHARE: u32 = 4;
+/// What was lent beyond a stile's part is taken back when it wanted no more for so long.
+const LENT_MS: u64 = 3_000;
 /// Connections to each database kept back for the stewards' own questions.
 const RESERVE: u32 = 4;
 
@@ -2022,6 +2024,8 @@
     ended: BTreeMap<ServiceName, (DbTerm, Tick)>,
     given_back: BTreeMap<ServiceName, (DbTerm, Option<Position>)>,
     reported: BTreeMap<ServiceName, u32>,
+    /// Connections it could use beyond its part, and when it said so.
+    wants: BTreeMap<ServiceName, (u32, Tick)>,
     heard: Tick,
 }
 
@@ -2242,10 +2246,38 @@
         }
         stirred
     }
-    /// Divides `total` among the live stiles; what another still holds is not given twice.
-    pub fn share(&self, node: &NodeName, service: &ServiceName, total: u32, now: Tick) -> u32 {
+    /// A stile has sessions that wait for more connections than its part.
+    pub fn want(&mut self, node: &NodeName, service: &ServiceName, more: u32, now: Tick) {
+        if let Some(seat) = self.seats.get_mut(node) {
+            let more = more.saturating_add(seat.holds(service));
+            seat.wants.insert(service.clone(), (more, now));
+        }
+    }
+    /// The services of which a stile has more than its part, or wants to. Whatever is lent has to be
+    /// looked at until it is back.
+    pub fn lent(&self, node: &NodeName) -> impl Iterator<Item = &ServiceName> {
+        self.seats.get(node).into_iter().flat_map(|s| s.wants.keys())
+    }
+    /// Divides `total` among the live stiles; what another still holds is not given twice. What the
+    /// division leaves over is lent to those who lately wanted more.
+    pub fn share(&mut self, node: &NodeName, service: &ServiceName, total: u32, now: Tick) -> u32 {
         let total = total.saturating_sub(RESERVE.min(total / 4));
-        let target = (total / self.live.max(1)).max(1);
+        let part = (total / self.live.max(1)).max(1);
+        let mut target = part;
+        if let Some(seat) = self.seats.get_mut(node)
+            && let Some((wanted, at)) = seat.wants.get(service).copied()
+        {
+            if now.since(at) < LENT_MS {
+                let over = |s: &Seat| s.holds(service).saturating_sub(part);
+                let others = self.seats.iter().filter(|(name, _)| *name != node);
+                let lent: u32 = others.map(|(_, s)| over(s)).sum();
+                let left =
+                    total.saturating_sub(part.saturating_mul(self.live)).saturating_sub(lent);
+                target = part.saturating_add(left).min(wanted.max(part));
+            } else if seat.holds(service) <= part {
+                seat.wants.remove(service);
+            }
+        }
         let own = self.seats.get(node).filter(|s| !s.released).map_or(0, |s| s.holds(service));
         let all = self.held.get(service).copied().unwrap_or(0);
         let share = target.min(total.saturating_sub(all.saturating_sub(own)));
@@ -3652,11 +3684,16 @@
                     self.catch_up(conn, now);
                 }
             }
-            ToSteward::Renew { seq, heard, shares, saw, asks } => {
+            ToSteward::Renew { seq, heard, shares, wants, saw, asks } => {
                 if let Some(office) = &mut self.office {
                     for service in office.leases.report(&node, shares, now) {
                         office.tidings.stir(&service);
                     }
+                    for (service, more) in wants {
+                        if self.services.contains_key(&service) {
+                            office.leases.want(&node, &service, more, now);
+                        }
+                    }
                 }
                 self.hear_saw(conn, heard, &saw, now);
                 if let Some(guest) = self.stiles.get_mut(&conn) {
@@ -3707,7 +3744,8 @@
         let Some(office) = &mut self.office else { return };
         let Some(guest) = self.stiles.get_mut(&conn) else { return };
         let whole = guest.told.is_none();
-        let owed = std::mem::take(&mut guest.owed);
+        let mut owed = std::mem::take(&mut guest.owed);
+        owed.extend(office.leases.lent(&guest.node).cloned());
         let due: BTreeSet<&ServiceName> =
             match guest.told.and_then(|told| office.tidings.since(told)) {
                 None => self.services.keys().collect(),
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -448,6 +448,10 @@
     pub fn waiting(&self) -> usize {
         self.waiting.len()
     }
+    /// Waiters that a larger share would serve.
+    pub fn short(&self) -> u32 {
+        if self.open < self.cap { 0 } else { self.waiting.len() as u32 }
+    }
     pub fn over(&self) -> bool {
         self.open > self.cap
     }
@@ -576,13 +580,15 @@
         }
     }
 
-    /// Borrows a connection, the one that needs the least to be laid on; opens one if it may.
+    /// Borrows a connection, the one that needs the least to be laid on; opens one if it may. Having to
+    /// wait for one is told by `waits`.
     fn borrow(
         &self,
         graft: &Graft,
         session: u64,
         priority: u8,
         until: Tick,
+        waits: impl Fn(),
     ) -> Result<Rootstock, NoRoom> {
         let mut inner = lock(&self.inner);
         let mut turn: Option<Turn> = None;
@@ -613,6 +619,12 @@
             }
             if turn.is_none() {
                 turn = Some(inner.admission.queue(priority, until));
+                if inner.admission.short() > 0 {
+                    drop(inner);
+                    waits();
+                    inner = lock(&self.inner);
+                    continue;
+                }
             }
             let wait = Duration::from_millis(until.since(now).clamp(1, 500));
             inner = match self.freed.wait_timeout(inner, wait) {
@@ -769,11 +781,14 @@
             wanted
         })
     }
-    /// What the leader has to be told, if it was not told so before.
-    pub fn news(&mut self) -> Option<u32> {
-        (self.told != Some(self.size)).then(|| {
-            self.told = Some(self.size);
-            self.size
+    /// What the leader has to be told, if it was not told so before. A smaller share is in force only
+    /// once no more connections are open.
+    pub fn news(&mut self, open: impl FnOnce() -> u32) -> Option<u32> {
+        let shrinks = self.told.is_none_or(|told| told > self.size);
+        let held = if shrinks { open().max(self.size) } else { self.size };
+        (self.told != Some(held)).then(|| {
+            self.told = Some(held);
+            held
         })
     }
 }
@@ -818,6 +833,11 @@
             _ => None,
         }
     }
+    /// How many more connections sessions wait for that may not be opened.
+    fn short(&self) -> u32 {
+        let short = |p: &Arc<Pool>| lock(&p.inner).admission.short();
+        self.pools.iter().map(short).max().unwrap_or(0)
+    }
     /// Has the pools go by the share as it is now. True if that is news to them.
     fn lay_share(&mut self) -> bool {
         let due = self.share.due(Tick::now());
@@ -968,9 +988,9 @@
         seen.read = Some((Tick::now(), stale));
         seen.floors.needed(began, stale_ms)
     }
-    /// Without a floor and a primary, reads wait for what other stiles saw: the leader is asked at
-    /// once, though not more often than it may help.
-    fn ask_for_floor(&self, now: Tick) {
+    /// Something waits that the leader may help with, a floor without a primary or a larger share: it
+    /// is asked at once, though not more often than makes sense.
+    fn ask_now(&self, now: Tick) {
         let last = lock(&self.sent).back().map(|(_, t)| *t);
         if last.is_none_or(|t| now.since(t) >= ASK_MS) && self.linked.load(Ordering::Relaxed) {
             self.renew();
@@ -1037,9 +1057,16 @@
         let mut link = lock(&self.link);
         let now = Tick::now();
         let heard = *lock(&self.heard);
-        let (mut shares, mut saw, mut asks) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut shares, mut wants) = (Vec::new(), Vec::new());
+        let (mut saw, mut asks) = (Vec::new(), Vec::new());
         for (name, seen) in &mut lock(&self.view).services {
-            shares.extend(seen.share.news().map(|share| (name.clone(), share)));
+            let pools = &seen.pools;
+            let open = || pools.iter().map(|p| lock(&p.inner).admission.open).max().unwrap_or(0);
+            shares.extend(seen.share.news(open).map(|share| (name.clone(), share)));
+            let short = seen.short();
+            if short > 0 {
+                wants.push((name.clone(), short));
+            }
             if let Some((term, sent, position)) = seen.news.take()
                 && let Some(after) = heard.and_then(|(_, at)| after(at, sent))
             {
@@ -1064,7 +1091,7 @@
                 sent.pop_front();
             }
         }
-        self.tell_under(&mut link, ToSteward::Renew { seq, heard, shares, saw, asks });
+        self.tell_under(&mut link, ToSteward::Renew { seq, heard, shares, wants, saw, asks });
     }
     /// The leader takes a term back: nothing is sent or passed on under it from here on.
     fn revoke(&self, service: ServiceName, term: DbTerm) {
@@ -1647,6 +1674,7 @@
         let service = &self.service;
         let began = self.graft.began(asked.arrived);
         let elsewhere = task.read_only && self.route.route_type != RouteType::Primary;
+        let waits = || stile.ask_now(Tick::now());
         loop {
             let now = Tick::now();
             if elsewhere && self.need(began).is_some() {
@@ -1654,8 +1682,8 @@
                     if avoid.contains(&pool.id) {
                         continue;
                     }
-                    if let Ok(stock) = pool.borrow(&self.graft, self.id, self.route.priority, hold)
-                    {
+                    let priority = self.route.priority;
+                    if let Ok(stock) = pool.borrow(&self.graft, self.id, priority, hold, waits) {
                         return Ok(Bound { stock, pool, term: None });
                     }
                 }
@@ -1664,7 +1692,7 @@
                 // Reads that belong on replicas wait behind the work only a primary can do.
                 let behind = if elsewhere { BEHIND } else { 0 };
                 let priority = self.route.priority.saturating_add(behind);
-                match pool.borrow(&self.graft, self.id, priority, hold) {
+                match pool.borrow(&self.graft, self.id, priority, hold, waits) {
                     // The lease may have run out while waiting.
                     Ok(stock) if stile.still(service, term, Tick::now()) => {
                         return Ok(Bound { stock, pool, term: Some(term) });
@@ -1679,7 +1707,7 @@
                 return Err(ErrorKind::Throttled);
             }
             if elsewhere {
-                stile.ask_for_floor(now);
+                stile.ask_now(now);
             }
             stile.wait_for_news(hold.since(now).clamp(1, 50));
             // A replica that lagged may have caught up.
--- a/tests/graft.rs
+++ b/tests/graft.rs
@@ -217,7 +217,7 @@
 fn a_share_that_ran_out_is_laid_on_again_when_it_is_renewed() {
     let now = Tick(100_000);
     let mut share = Share::default();
-    assert_eq!(share.news(), Some(0));
+    assert_eq!(share.news(|| 0), Some(0));
     share.size = 8;
     // (after how long, renewed for how long from then, what the pools are told)
     let cases = [
@@ -236,5 +236,9 @@
         }
         assert_eq!(share.due(at), laid, "after {after}");
     }
-    assert_eq!((share.news(), share.news()), (Some(8), None));
+    assert_eq!((share.news(|| 0), share.news(|| 9)), (Some(8), None));
+    // A smaller one counts only once the connections beyond it are closed.
+    share.size = 2;
+    let told = [7, 7, 3, 1, 1].map(|open| share.news(|| open));
+    assert_eq!(told, [Some(7), None, Some(3), Some(2), None]);
 }
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -667,3 +667,41 @@
     tidings.stir(&b);
     assert_eq!(since(&tidings, all), Some(vec![b]));
 }
+
+#[test]
+fn what_the_division_leaves_over_is_lent_and_comes_back() {
+    let s = ServiceName::from("s");
+    let node = |i: u64| NodeName(format!("n{i}"));
+    let mut book = LeaseBook::new(Tick(0));
+    let start = Tick(100_000);
+    for i in 0..4 {
+        book.seat(&node(i), 1, i, start);
+        granted(&mut book, &node(i), grant(&s, None, 2), start);
+        book.report(&node(i), vec![(s.clone(), 2)], start);
+    }
+    // Nine to give in all. (when, who, how many more it wants or what it says it has, its share)
+    let cases = [
+        (0, 0, Some(3), None, 3),
+        (10, 1, Some(1), None, 2),
+        (20, 0, None, Some(3), 3),
+        (2_000, 0, Some(2), None, 3),
+        (4_000, 1, Some(1), None, 2),
+        // It wanted no more for long, and has to give back what it still has.
+        (5_100, 0, None, None, 2),
+        (5_110, 1, Some(1), None, 2),
+        (5_200, 0, None, Some(2), 2),
+        (5_210, 1, Some(1), None, 3),
+        (5_220, 2, Some(9), None, 2),
+    ];
+    for (after, who, wants, says, share) in cases {
+        let (now, who) = (start.plus(after), node(who));
+        if let Some(more) = wants {
+            book.want(&who, &s, more, now);
+        }
+        book.report(&who, says.map(|n| (s.clone(), n)).into_iter().collect(), now);
+        let given = book.share(&who, &s, 12, now);
+        granted(&mut book, &who, grant(&s, None, given), now);
+        assert_eq!(given, share, "{who} at {after}");
+    }
+    assert_eq!(book.lent(&node(0)).count(), 0, "and is looked at no more");
+}
