--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2378,6 +2378,8 @@
     /// Bytes of the first frame that have left.
     left: usize,
     waiting: usize,
+    /// Bytes that ever left.
+    gone: u64,
 }
 impl Outbox {
     pub fn push(&mut self, frame: Arc<[u8]>) {
@@ -2395,6 +2397,7 @@
     pub fn took(&mut self, bytes: usize) {
         self.left += bytes;
         self.waiting -= bytes;
+        self.gone += bytes as u64;
         if self.frames.front().is_some_and(|f| f.len() <= self.left) {
             self.frames.pop_front();
             self.left = 0;
@@ -2412,10 +2415,25 @@
 struct Wire {
     stream: TcpStream,
     out: Outbox,
+    /// What had left when it was last looked at and something had, or nothing waited.
+    gone: u64,
+    moved: Tick,
+    /// When the far end last said something, if it ever did.
+    heard: Option<Tick>,
+    opened: Tick,
 }
 impl Wire {
-    fn new(stream: TcpStream) -> Self {
-        Self { stream, out: Outbox::default() }
+    fn new(stream: TcpStream, now: Tick) -> Self {
+        Self { stream, out: Outbox::default(), gone: 0, moved: now, heard: None, opened: now }
+    }
+    /// The far end reads nothing for long, or says nothing where it should.
+    fn useless(&mut self, talks: bool, now: Tick) -> bool {
+        if self.out.is_empty() || self.out.gone != self.gone {
+            (self.gone, self.moved) = (self.out.gone, now);
+        }
+        let silent = talks || self.heard.is_none();
+        now.since(self.moved) > USELESS_MS
+            || (silent && now.since(self.heard.unwrap_or(self.opened)) > USELESS_MS)
     }
     /// Writes what goes without waiting.
     fn pump(&mut self) -> std::io::Result<()> {
@@ -2519,8 +2537,8 @@
     asks: Arc<AtomicUsize>,
 }
 
-/// Connections on the peer port at once.
-const MAX_PEERS: usize = 1_000;
+/// One that reads nothing for so long, or should speak and does not, is let go.
+const USELESS_MS: u64 = 10_000;
 /// Questions under way at once.
 const MAX_ASKS: usize = 32;
 /// A database whose beats miss this many intervals is doubted.
@@ -2584,7 +2602,7 @@
     let applied = kept.snapshot.last.1;
     let (tx, rx) = channel();
     let peer = SocketAddr::new(settings.ip_address, settings.peer_port());
-    accept_peers(peer, tx.clone())?;
+    accept_peers(peer, settings.limits.max_open_files as usize / 4, tx.clone())?;
     let http_tx = tx.clone();
     // Each database may keep a connection for its beats, and all of them come to the leader.
     let callers = settings.limits.max_open_files as usize / 4;
@@ -2685,7 +2703,7 @@
         .unwrap_or_else(|_| Response::refusal(503, "no quorum in time"))
 }
 
-fn accept_peers(at: SocketAddr, tx: Sender<Input>) -> Result<(), Fatal> {
+fn accept_peers(at: SocketAddr, most: usize, tx: Sender<Input>) -> Result<(), Fatal> {
     let listener = listen(at)?;
     let next = AtomicU64::new(1);
     // Each connection holds a clone; the count of them is the bound.
@@ -2696,7 +2714,7 @@
                 std::thread::sleep(Duration::from_millis(50));
                 continue;
             };
-            if Arc::strong_count(&open) > MAX_PEERS {
+            if Arc::strong_count(&open) > most {
                 continue;
             }
             let held = Arc::clone(&open);
@@ -2887,6 +2905,7 @@
             self.pump(now);
             if now.since(looked) > 1_000 {
                 looked = now;
+                self.drop_useless(now);
                 if let Some(settings) = watched.poll(signals.take_hup()) {
                     self.settings = settings;
                 }
@@ -2970,7 +2989,7 @@
             link.dialing = start_thread(move || {
                 let stream = dial(address, REACH, Duration::from_secs(2));
                 let line = stream.ok().map(|stream| {
-                    let mut line = Wire::new(stream);
+                    let mut line = Wire::new(stream, Tick::now());
                     line.out.push(frame);
                     line
                 });
@@ -3006,10 +3025,25 @@
             || self.links.values().any(|l| l.line.as_ref().is_some_and(|l| !l.out.is_empty()))
     }
 
+    /// Lets go of peers that only cost. Their readers see the end.
+    fn drop_useless(&mut self, now: Tick) {
+        for (conn, line) in &mut self.conns {
+            if line.useless(self.stiles.contains_key(conn), now) {
+                info!(target: "peers", "let one go that did not read or speak");
+                line.close();
+            }
+        }
+    }
+
     fn take(&mut self, input: Input, now: Tick) {
+        if let Input::Frame(conn, _) = &input
+            && let Some(line) = self.conns.get_mut(conn)
+        {
+            line.heard = Some(now);
+        }
         match input {
             Input::Opened(id, stream) => {
-                self.conns.insert(id, Wire::new(stream));
+                self.conns.insert(id, Wire::new(stream, now));
             }
             Input::Closed(id) => {
                 self.conns.remove(&id);
