--- a/src/steward.rs
+++ b/src/steward.rs
@@ -13,7 +13,7 @@
 use crate::common::signals::Signals;
 use crate::common::wire::{self, Described};
 use crate::common::{must_start, start_thread};
-use log::{error, info, warn};
+use log::{debug, error, info, warn};
 use rusqlite::{Connection, OptionalExtension, params};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -22,7 +22,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, SyncSender, channel, sync_channel};
 use std::time::Duration;
 
@@ -2534,13 +2534,16 @@
     waiting: BTreeMap<Index, Waiter>,
     tx: Sender<Input>,
     known_leader: Option<MemberId>,
-    asks: Arc<AtomicUsize>,
+    /// Questions to databases: how many are under way, and those that wait.
+    asking: usize,
+    questions: VecDeque<(ServiceName, InstanceId, Ask)>,
 }
 
 /// One that reads nothing for so long, or should speak and does not, is let go.
 const USELESS_MS: u64 = 10_000;
-/// Questions under way at once.
-const MAX_ASKS: usize = 32;
+/// Questions to databases under way at once, and waiting.
+const MAX_ASKS: usize = 96;
+const QUESTIONS_WAITING: usize = 4_096;
 /// A database whose beats miss this many intervals is doubted.
 const MISSED_BEATS: u64 = 3;
 /// After its founding the hedge takes nothing for so long, unless enough stewards are in.
@@ -2637,7 +2640,8 @@
         waiting: BTreeMap::new(),
         tx,
         known_leader: None,
-        asks: Arc::default(),
+        asking: 0,
+        questions: VecDeque::new(),
     };
     steward.configure(config);
     steward.serve(rx, &signals, Watched::new(path))
@@ -3082,6 +3086,8 @@
             Input::Http(request, reply) => self.answer_http(request, reply, now),
             Input::Told(service, id, ask, told) => {
                 if told != Told::Reached {
+                    self.asking -= 1;
+                    self.ask_on();
                     info!(target: "failover", "{service}: {id} on {ask:?}: {told:?}");
                 }
                 self.move_on(&service, now, |s, facts| s.told(facts, &id, ask, &told, now));
@@ -3243,6 +3249,7 @@
             }
             (false, true) => {
                 self.office = None;
+                self.questions.clear();
                 self.moved.clear();
                 self.moved_since = None;
                 for (_, waiter) in std::mem::take(&mut self.waiting) {
@@ -3532,37 +3539,12 @@
                 self.pump(now);
             }
             Deed::Ask(id, ask) => {
-                let Some(record) = self.almanac.instances.get(&id) else {
-                    return;
-                };
-                if self.asks.fetch_add(1, Ordering::Relaxed) >= MAX_ASKS {
-                    self.asks.fetch_sub(1, Ordering::Relaxed);
-                    return;
-                }
-                let (tx, asks) = (self.tx.clone(), Arc::clone(&self.asks));
-                let (service, address) = (service.clone(), record.instance.address);
-                let under_way = Arc::clone(&asks);
-                let started = start_thread(move || {
-                    // Of use only where a dark machine is to be told from a slow one.
-                    let reached = || {
-                        if ask == Ask::Describe {
-                            drop(tx.send(Input::Told(
-                                service.clone(),
-                                id.clone(),
-                                ask,
-                                Told::Reached,
-                            )));
-                        }
-                    };
-                    let told = ask_database(&service, &id, address, ask, reached);
-                    asks.fetch_sub(1, Ordering::Relaxed);
-                    // The core may have ended meanwhile.
-                    drop(tx.send(Input::Told(service, id, ask, told)));
-                });
-                if !started {
-                    // Whoever needs the answer asks again.
-                    under_way.fetch_sub(1, Ordering::Relaxed);
+                // The same question twice is one; beyond the bound whoever needs it asks again.
+                let question = (service.clone(), id, ask);
+                if self.questions.len() < QUESTIONS_WAITING && !self.questions.contains(&question) {
+                    self.questions.push_back(question);
                 }
+                self.ask_on();
             }
             Deed::Post(target) => {
                 let Some(provider) = &self.settings.provider else {
@@ -3586,6 +3568,32 @@
         }
     }
 
+    /// Asks databases what waits to be asked, so many at a time: dark ones take long to answer.
+    fn ask_on(&mut self) {
+        while self.asking < MAX_ASKS
+            && let Some((service, id, ask)) = self.questions.pop_front()
+        {
+            let Some(record) = self.almanac.instances.get(&id) else {
+                continue;
+            };
+            let (tx, address) = (self.tx.clone(), record.instance.address);
+            let started = start_thread(move || {
+                // Of use only where a dark machine is to be told from a slow one.
+                let reached = || {
+                    if ask == Ask::Describe {
+                        let (service, id) = (service.clone(), id.clone());
+                        drop(tx.send(Input::Told(service, id, ask, Told::Reached)));
+                    }
+                };
+                let told = ask_database(&service, &id, address, ask, reached);
+                // The core may have ended meanwhile.
+                drop(tx.send(Input::Told(service, id, ask, told)));
+            });
+            // Without a thread it is not asked; whoever needs the answer asks again.
+            self.asking += usize::from(started);
+        }
+    }
+
     // -- stiles --------------------------------------------------------------------------------
 
     fn send_conn(&mut self, conn: u64, frame: &Frame) {
@@ -3736,7 +3744,7 @@
                 self.catch_up(conn, now);
             }
             ToSteward::Suspect { service, instance, why } => {
-                info!(target: "failover", "{service}: {node} doubts {instance} ({why:?})");
+                debug!(target: "failover", "{service}: {node} doubts {instance} ({why:?})");
                 self.move_on(&service, now, |s, facts| {
                     s.suspect(facts, &node, &instance, why, now)
                 });
