A succession goes on from what is committed, also if its moment was missed

Cause, found by reading: a change of a service that was committed while the leader was not certain of leading (answers older than 450 ms, as under a slow disk or lossy links) passed its succession by. An intent then never led to a call, a term that was led stayed revoked, and a call that had been given up was repeated without an intent, until another steward led. The stage is now compared with what is committed at every step. The table of the succession holds each of the three.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1827,20 +1827,27 @@
         Vec::new()
     }
 
-    /// A change of this service was committed.
-    pub fn applied(&mut self, facts: &Facts, change: &Change, now: Tick) -> Vec<Deed> {
-        let mut deeds = Vec::new();
-        match change {
-            Change::Intend { target, .. } => self.post(target.clone(), now, &mut deeds),
-            Change::Abandon { .. } => return self.fence(facts, now),
-            Change::Led { primary, .. } => {
-                self.paused.remove(primary);
-                deeds = self.call_off(now);
+    /// Goes on from what is committed of this service: the stage may wait for just that, and the moment
+    /// of its commit may have passed while this leader was not certain of leading.
+    fn agreed(&mut self, facts: &Facts, now: Tick) -> Option<Vec<Deed>> {
+        let lead = facts.lead.as_ref()?;
+        match &self.stage {
+            Stage::Intending { target, .. } if lead.intent.as_ref() == Some(target) => {
+                let mut deeds = Vec::new();
+                self.post(target.clone(), now, &mut deeds);
+                Some(deeds)
+            }
+            Stage::Posting { target, .. } if lead.intent.as_ref() != Some(target) => {
+                Some(self.fence(facts, now))
+            }
+            Stage::Taking { term, .. } if lead.term >= *term => {
+                self.paused.remove(&lead.primary);
+                let deeds = self.call_off(now);
                 self.rested = None;
+                Some(deeds)
             }
-            _ => {}
+            _ => None,
         }
-        deeds
     }
 
     /// A beat came in; `role` is how the database sees itself.
@@ -1875,6 +1882,9 @@
             }
             return Vec::new();
         };
+        if let Some(deeds) = self.agreed(facts, now) {
+            return deeds;
+        }
         let listed = facts.database(&lead.primary);
         match &mut self.stage {
             Stage::Steady => {
@@ -3206,7 +3216,7 @@
         | Change::Intend { service, .. }
         | Change::Abandon { service, .. } = change
         {
-            self.move_on(service, now, |s, facts| s.applied(facts, change, now));
+            self.move_on(service, now, |s, facts| s.tick(facts, now));
             if let Some(office) = &mut self.office {
                 office.tidings.stir(service);
             }
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -79,23 +79,24 @@
     s
 }
 /// As far as a call that may be under way.
-fn posting(facts: &Facts, now: Tick) -> Succession {
+fn posting(facts: &mut Facts, now: Tick) -> Succession {
     let mut s = fencing(facts, now);
     assert!(s.told(facts, &"b".into(), PAUSE, &row(false, 1, at(7)), now).is_empty());
     assert_eq!(s.told(facts, &"c".into(), PAUSE, &row(false, 1, at(9)), now), [intend("c")]);
-    let Deed::Propose(change) = intend("c") else { unreachable!() };
-    assert_eq!(
-        s.applied(facts, &change, now),
-        [Deed::Post("c".into())],
-        "only once it is committed"
-    );
+    assert!(s.tick(facts, now).is_empty(), "not before it is committed");
+    intended(facts, "c");
+    assert_eq!(s.tick(facts, now), [Deed::Post("c".into())]);
     s
 }
+/// The intent is committed.
+fn intended(facts: &mut Facts, target: &str) {
+    facts.lead = facts.lead.take().map(|lead| Lead { intent: Some(target.into()), ..lead });
+}
 
 #[test]
 fn a_lost_primary_is_followed_by_the_furthest_replica() {
     let (mut facts, now) = (facts(), Tick(50_000));
-    let mut s = posting(&facts, now);
+    let mut s = posting(&mut facts, now);
     assert_eq!(s.sealed, Some(at(9)), "reads may go on up to there");
     assert!(s.posted(&facts, &"c".into(), Posted::Accepted, now).is_empty());
     assert_eq!(
@@ -109,14 +110,13 @@
     assert_eq!(s.tick(&facts, now.plus(500)), [led("c", 2)]);
     assert!(s.tick(&facts, now.plus(510)).is_empty(), "once is enough");
     facts.lead = Some(Lead { term: DbTerm(2), primary: "c".into(), intent: None });
-    let Deed::Propose(change) = led("c", 2) else { unreachable!() };
-    assert_eq!(s.applied(&facts, &change, now.plus(520)), [ask("b", Ask::Continue)]);
+    assert_eq!(s.tick(&facts, now.plus(520)), [ask("b", Ask::Continue)]);
     assert!(s.stage == Stage::Steady && !s.revoking && s.sealed.is_none());
 }
 
 #[test]
 fn a_false_alarm_changes_nothing() {
-    let (facts, now) = (facts(), Tick(50_000));
+    let (mut facts, now) = (facts(), Tick(50_000));
     for told in [row(true, 1, at(9)), Told::Alive] {
         let (mut s, _) = Succession::begin(&facts, now);
         s.suspect(&facts, &"n1".into(), &"a".into(), Doubt::Silent, now);
@@ -129,7 +129,7 @@
     assert_eq!(deeds, [ask("b", Ask::Continue), ask("c", Ask::Continue)]);
     assert!(!s.revoking);
     // Once posted it is too late for that.
-    let mut s = posting(&facts, now);
+    let mut s = posting(&mut facts, now);
     assert!(s.told(&facts, &"a".into(), Ask::Describe, &row(true, 1, at(9)), now).is_empty());
     assert!(matches!(s.stage, Stage::Posting { .. }));
 }
@@ -279,7 +279,7 @@
     }
     // A target that left is settled by the refusal, and the call is made again at once.
     let mut facts = facts();
-    let mut s = posting(&facts, now);
+    let mut s = posting(&mut facts, now);
     s.posted(&facts, &"c".into(), Posted::Accepted, now);
     assert!(s.tick(&facts, now.plus(100)).is_empty());
     facts.databases.pop();
@@ -290,7 +290,7 @@
 
 #[test]
 fn a_second_promote_never_starts_while_a_first_may_take_effect() {
-    let (facts, now) = (facts(), Tick(50_000));
+    let (mut facts, now) = (facts(), Tick(50_000));
     let abandon = Deed::Propose(Change::Abandon { service: "s".into(), target: "c".into() });
     // what came of the calls, and whether the refusal after them settles it
     let table: [(&[Posted], u64, bool); 5] = [
@@ -301,7 +301,8 @@
         (&[Posted::Unclear], 10_000, true),
     ];
     for (before, later, settled) in table {
-        let mut s = posting(&facts, now);
+        facts.lead = facts.lead.take().map(|lead| Lead { intent: None, ..lead });
+        let mut s = posting(&mut facts, now);
         for posted in before {
             assert!(s.posted(&facts, &"c".into(), *posted, now).is_empty());
         }
@@ -313,10 +314,15 @@
         );
     }
     // An unclear call is made again, with the same target.
-    let mut s = posting(&facts, now);
+    facts.lead = facts.lead.take().map(|lead| Lead { intent: None, ..lead });
+    let mut s = posting(&mut facts, now);
     s.posted(&facts, &"c".into(), Posted::Unclear, now);
     let deeds = s.tick(&facts, now.plus(400));
     assert!(deeds.contains(&Deed::Post("c".into())), "{deeds:?}");
+    // Given up in the log, whenever that is noticed: fenced anew, and nothing is called meanwhile.
+    facts.lead = facts.lead.take().map(|lead| Lead { intent: None, ..lead });
+    let deeds = s.tick(&facts, now.plus(3_000));
+    assert_eq!(deeds, [Deed::Revoke(DbTerm(1)), ask("b", PAUSE), ask("c", PAUSE)]);
 }
 
 #[test]
@@ -351,11 +357,12 @@
     assert_eq!(s.tick(&facts, now.plus(120)), [ask("d", Ask::Describe)]);
     let deeds = s.told(&facts, &"d".into(), Ask::Describe, &row(false, 1, at(11)), now.plus(130));
     assert_eq!(deeds, [intend("d")]);
-    let Deed::Propose(change) = intend("d") else { unreachable!() };
-    s.applied(&facts, &change, now.plus(140));
+    intended(&mut facts, "d");
+    s.tick(&facts, now.plus(140));
     let deeds = s.told(&facts, &"d".into(), Ask::Describe, &row(true, 2, at(11)), now.plus(500));
     assert_eq!(deeds, [Deed::Revoke(DbTerm(1)), ask("a", Ask::StepDown(DbTerm(2)))]);
     // A target that never catches up: everything is let go.
+    facts.lead = facts.lead.take().map(|lead| Lead { intent: None, ..lead });
     let (mut s, _) = Succession::begin(&facts, now);
     s.tick(&facts, now);
     assert_eq!(s.tick(&facts, now.plus(3_100)), [ask("b", Ask::Continue), ask("c", Ask::Continue)]);
