--- a/src/stile.rs
+++ b/src/stile.rs
@@ -2012,7 +2012,7 @@
 /// Sessions get this much of the program's stack; statements are small and buffers on the heap.
 const STACK: usize = 128 << 10;
 /// How long a thread waits for another session.
-const REST_MS: u64 = 400;
+const REST_MS: u64 = 2_000;
 /// So many threads wait on, since a later one may not be had.
 const WORKERS_KEPT: usize = 1;
 const IDLE_MS: u64 = 60_000;
