--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2527,6 +2527,9 @@
     /// Databases that stiles have to be told of, and since when.
     moved: BTreeSet<InstanceId>,
     moved_since: Option<Tick>,
+    /// Stiles have to ask anew, as a primary leads; and when they were last told to.
+    renew_due: bool,
+    renew_told: Tick,
     /// The services of the configuration in force, by name.
     services: BTreeMap<ServiceName, Service>,
     /// Who asked to join, and when last.
@@ -2639,6 +2642,8 @@
         listing: None,
         moved: BTreeSet::new(),
         moved_since: None,
+        renew_due: false,
+        renew_told: Tick(0),
         services: BTreeMap::new(),
         joining: BTreeMap::new(),
         next_join: now,
@@ -2896,7 +2901,8 @@
             let now = Tick::now();
             let busy = self.office.as_ref().is_some_and(|o| !o.stirred.is_empty());
             let wait = if busy { 25 } else { 200 };
-            let wait = if self.moved_since.is_some() { wait.min(GATHER_MS) } else { wait };
+            let gathers = self.moved_since.is_some() || self.renew_due;
+            let wait = if gathers { wait.min(GATHER_MS) } else { wait };
             let wait = if self.pumping() { PUMP_MS } else { wait };
             let wait = self.hedge.due().since(now).clamp(1, wait);
             match rx.recv_timeout(Duration::from_millis(wait)) {
@@ -3220,9 +3226,7 @@
             if let Some(office) = &mut self.office {
                 office.tidings.stir(service);
             }
-            if matches!(change, Change::Led { .. }) {
-                self.tell_stiles(ToStile::Renew);
-            }
+            self.renew_due |= matches!(change, Change::Led { .. });
         }
     }
 
@@ -3638,6 +3642,11 @@
         }
     }
     fn tell_moved(&mut self, now: Tick) {
+        // At once for one service, and once for many that follow.
+        if self.renew_due && now.since(self.renew_told) >= GATHER_MS {
+            (self.renew_due, self.renew_told) = (false, now);
+            self.tell_stiles(ToStile::Renew);
+        }
         if self.moved_since.is_none_or(|t| now.since(t) < GATHER_MS) {
             return;
         }
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -934,7 +934,7 @@
 /// A floor should serve until what the next renewal brings is there.
 const FLOOR_AHEAD_MS: u64 = 2 * RENEW_MS;
 /// Reads that can be had nowhere ask for floors this often.
-const ASK_MS: u64 = 100;
+const ASK_MS: u64 = 200;
 /// With no word from a leader for this long, the share of connections is no longer ours.
 const SHARE_KEPT_MS: u64 = 3_000;
 /// Silent reruns of one statement.
