--- a/src/steward.rs
+++ b/src/steward.rs
@@ -4029,6 +4029,8 @@
             "databases": databases,
             "services": services,
             "stiles": stiles,
+            "peers": self.conns.len(),
+            "questions_waiting": self.questions.len(),
         })
     }
 }
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -1308,6 +1308,8 @@
             "draining": self.draining.load(Ordering::Relaxed),
             "revision": view.config.as_ref().map(|c| c.revision),
             "sessions": lock(&self.sessions).len(),
+            "sessions_allowed": self.max_sessions,
+            "resting": lock(&self.parked).len(),
             "services": services,
             "databases": databases,
         })
