One crew of threads for calls, beats, questions and peers

Cause: the platform's probe made each stile start and end a thread a second, and each beat one at the leader: 600 starts a second on 300 machines. Threads now wait 10 s for the next job.

--- a/src/common/http.rs
+++ b/src/common/http.rs
@@ -75,12 +75,12 @@
             }
             let handle = Arc::clone(&handle);
             let counted = Arc::clone(&open);
-            let started = std::thread::Builder::new().stack_size(128 << 10).spawn(move || {
+            let started = super::start_thread(move || {
                 // A caller that breaks off is no event of ours.
                 let _ = converse(stream, &*handle);
                 counted.fetch_sub(1, Ordering::Relaxed);
             });
-            if started.is_err() {
+            if !started {
                 open.fetch_sub(1, Ordering::Relaxed);
             }
         }
--- a/src/common/mod.rs
+++ b/src/common/mod.rs
@@ -9,9 +9,56 @@
 pub mod signals;
 pub mod wire;
 
-/// Starts a thread with a small stack. False if the machine has none left: that is no reason to
-/// end, and whoever wanted it tries again or refuses.
+use std::collections::VecDeque;
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+type Job = Box<dyn FnOnce() + Send>;
+
+/// Threads between two short jobs, and jobs that one of them is about to take. Calls, beats and
+/// questions come by the hundred a second; a new thread for each costs more than the work.
+struct Crew {
+    resting: usize,
+    jobs: VecDeque<Job>,
+}
+static CREW: Mutex<Crew> = Mutex::new(Crew { resting: 0, jobs: VecDeque::new() });
+static WANTED: Condvar = Condvar::new();
+/// How long a thread waits for another job.
+const REST: Duration = Duration::from_secs(10);
+
+fn crew() -> MutexGuard<'static, Crew> {
+    CREW.lock().unwrap_or_else(PoisonError::into_inner)
+}
+fn next_job() -> Option<Job> {
+    let mut crew = crew();
+    crew.resting += 1;
+    let no_job = |crew: &mut Crew| crew.jobs.is_empty();
+    let waited = WANTED.wait_timeout_while(crew, REST, no_job);
+    crew = waited.unwrap_or_else(PoisonError::into_inner).0;
+    crew.resting -= 1;
+    crew.jobs.pop_front()
+}
+
+/// Has a thread with a small stack do a job that ends. False if the machine has none left: that is
+/// no reason to end, and whoever wanted it tries again or refuses.
 pub fn start_thread(work: impl FnOnce() + Send + 'static) -> bool {
+    {
+        let mut crew = crew();
+        if crew.resting > crew.jobs.len() {
+            crew.jobs.push_back(Box::new(work));
+            drop(crew);
+            WANTED.notify_one();
+            return true;
+        }
+    }
+    spawn(move || {
+        work();
+        while let Some(job) = next_job() {
+            job();
+        }
+    })
+}
+fn spawn(work: impl FnOnce() + Send + 'static) -> bool {
     let started = std::thread::Builder::new().stack_size(256 << 10).spawn(work);
     if let Err(e) = &started {
         log::warn!(target: "threads", "none left: {e}");
@@ -21,5 +68,5 @@
 /// Starts a loop that a program can't do without.
 pub fn must_start(what: &str, work: impl FnOnce() + Send + 'static) -> Result<(), errors::Fatal> {
     let lost = || errors::Fatal::Call(format!("no thread for {what}"));
-    start_thread(work).then_some(()).ok_or_else(lost)
+    spawn(work).then_some(()).ok_or_else(lost)
 }
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2739,8 +2739,7 @@
             let held = Arc::clone(&open);
             let id = next.fetch_add(1, Ordering::Relaxed);
             let tx = tx.clone();
-            let reader = std::thread::Builder::new().stack_size(256 << 10);
-            let spawned = reader.spawn(move || {
+            start_thread(move || {
                 let _held = held;
                 let dark = Duration::from_secs(3);
                 let ready = tune(&stream, dark)
@@ -2769,9 +2768,6 @@
                 // The core may be gone already when the program ends.
                 let _ = tx.send(Input::Closed(id));
             });
-            if spawned.is_err() {
-                warn!(target: "peers", "no thread for a connection");
-            }
         }
     })
 }
