Nothing new to a database that has left though it leads; a stale connection is no evidence

Now nothing new goes to a database a second before drain_ms after a stile heard that it leaves. A write that finds its connection gone (Stale) is no doubt of the database any more; opening anew tells.

--- a/src/stile.rs
+++ b/src/stile.rs
@@ -324,6 +324,9 @@
 /// A database that owes an answer and says nothing to anyone here for this long is doubted.
 const SILENT_MS: u64 = 200;
 const CONNECT_MS: u64 = 400;
+/// Waiting for a connection and the way there are over within this; what comes later is not sent to a
+/// database that leaves.
+const LEFT_BEFORE_MS: u64 = 1_000;
 const HANDSHAKE_MS: u64 = 1_500;
 /// An answer larger than this is no answer.
 const MAX_ANSWER: usize = 4 << 20;
@@ -344,8 +347,11 @@
     inside: bool,
 }
 
-#[derive(Debug)]
-enum Loss {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// It was gone before anything was asked: reset while it rested, perhaps long ago and with many
+    /// others. That says nothing of the database as it is now; a new connection will.
+    Stale,
     /// The connection is gone or can't be trusted.
     Broken,
     /// The database owes the answer for too long.
@@ -355,15 +361,26 @@
 }
 
 impl Rootstock {
-    fn write(&mut self, bytes: &[u8]) -> Result<(), Loss> {
+    pub fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            inbox: Inbox::default(),
+            values: BTreeMap::new(),
+            prepared: HashSet::new(),
+            holds: None,
+            open: false,
+            inside: false,
+        }
+    }
+    pub fn write(&mut self, bytes: &[u8]) -> Result<(), Loss> {
         // Bytes that nobody asked for make every later answer doubtful.
         if !self.inbox.is_empty() {
             return Err(Loss::Broken);
         }
-        self.stream.write_all(bytes).map_err(|_| Loss::Broken)
+        self.stream.write_all(bytes).map_err(|_| Loss::Stale)
     }
     /// Waits for one answer. `look` is asked now and then whether it is still worth it.
-    fn answer(&mut self, mut look: impl FnMut() -> Option<Loss>) -> Result<Reply, Loss> {
+    pub fn answer(&mut self, mut look: impl FnMut() -> Option<Loss>) -> Result<Reply, Loss> {
         loop {
             if !self.inbox.is_empty() {
                 match wire::reply(self.inbox.pending()) {
@@ -498,6 +515,12 @@
     gone: bool,
 }
 
+/// Whether a database has been leaving since `since` (never if 0) for so long that nothing new may be
+/// sent there, though it leads: where all of a service leave, one that does may have taken over.
+pub fn has_left(since: Tick, now: Tick, drain_ms: u64) -> bool {
+    since.0 > 0 && now.plus(LEFT_BEFORE_MS) > since.plus(drain_ms)
+}
+
 /// The connections of this stile to one database.
 struct Pool {
     id: InstanceId,
@@ -507,6 +530,8 @@
     inner: Mutex<PoolInner>,
     freed: Condvar,
     heard: AtomicU64,
+    /// When it was first heard to be leaving; 0 if it stays.
+    leaves: AtomicU64,
     /// Not to be tried before this.
     down_until: AtomicU64,
     failures: AtomicU64,
@@ -526,6 +551,7 @@
             inner: Mutex::default(),
             freed: Condvar::new(),
             heard: AtomicU64::new(0),
+            leaves: AtomicU64::new(0),
             down_until: AtomicU64::new(0),
             failures: AtomicU64::new(0),
             lags_until: AtomicU64::new(0),
@@ -535,6 +561,9 @@
     fn is_down(&self, now: Tick) -> bool {
         now.0 < self.down_until.load(Ordering::Relaxed)
     }
+    fn has_left(&self, now: Tick, drain_ms: u64) -> bool {
+        has_left(Tick(self.leaves.load(Ordering::Relaxed)), now, drain_ms)
+    }
     fn lags(&self, now: Tick) -> bool {
         now.0 < self.lags_until.load(Ordering::Relaxed)
     }
@@ -566,6 +595,13 @@
         self.freed.notify_all();
     }
     fn retire(&self, draining: bool, gone: bool) {
+        match draining {
+            true if self.leaves.load(Ordering::Relaxed) == 0 => {
+                self.leaves.store(Tick::now().0, Ordering::Relaxed);
+            }
+            true => {}
+            false => self.leaves.store(0, Ordering::Relaxed),
+        }
         let mut inner = lock(&self.inner);
         inner.draining = draining;
         inner.gone = gone;
@@ -648,15 +684,7 @@
                 dial(self.address, Duration::from_millis(CONNECT_MS), Duration::from_secs(3))?;
             stream.set_read_timeout(Some(Duration::from_millis(LOOK_MS)))?;
             stream.set_write_timeout(Some(Duration::from_secs(1)))?;
-            let mut stock = Rootstock {
-                stream,
-                inbox: Inbox::default(),
-                values: BTreeMap::new(),
-                prepared: HashSet::new(),
-                holds: None,
-                open: false,
-                inside: false,
-            };
+            let mut stock = Rootstock::new(stream);
             let hello = format!("CONNECT {} stile {}\r\n", self.service, self.id);
             stock.stream.write_all(hello.as_bytes())?;
             let limit = now.plus(HANDSHAKE_MS).min(until.plus(CONNECT_MS));
@@ -911,6 +939,7 @@
     max_sessions: usize,
     /// Where stewards are looked for, as the settings name them now.
     seeds: Mutex<Vec<SocketAddr>>,
+    drain_ms: AtomicU64,
 }
 
 /// Threads between two sessions, and sessions that one of them is about to take.
@@ -963,7 +992,9 @@
     fn primary(&self, service: &ServiceName, now: Tick) -> Option<(DbTerm, Arc<Pool>)> {
         let view = lock(&self.view);
         let (term, id) = view.services.get(service)?.lease(now)?;
-        Some((term, Arc::clone(view.pools.get(id)?)))
+        let pool = view.pools.get(id)?;
+        let left = pool.has_left(now, self.drain_ms.load(Ordering::Relaxed));
+        (!left).then(|| (term, Arc::clone(pool)))
     }
     /// Whether the lease on this term is still held.
     fn still(&self, service: &ServiceName, term: DbTerm, now: Tick) -> bool {
@@ -2034,6 +2065,11 @@
 const SPARE_FILES: u64 = 400;
 
 impl Stile {
+    /// What may change while the program runs.
+    fn heed(&self, settings: &Settings) {
+        *lock(&self.seeds) = settings.seed_peers();
+        self.drain_ms.store(settings.timing_bounds.drain_ms, Ordering::Relaxed);
+    }
     fn wait_for_news(&self, ms: u64) {
         let view = lock(&self.view);
         drop(self.changed.wait_timeout(view, Duration::from_millis(ms)));
@@ -2312,6 +2348,7 @@
         doubted: Mutex::default(),
         hasher: std::hash::RandomState::new(),
         seeds: Mutex::new(settings.seed_peers()),
+        drain_ms: AtomicU64::new(settings.timing_bounds.drain_ms),
         max_sessions: settings.limits.max_open_files.saturating_sub(SPARE_FILES).max(16) as usize,
     });
     let asked = Arc::clone(&stile);
@@ -2326,7 +2363,7 @@
             return Ok(());
         }
         if let Some(new) = watched.poll(signals.take_hup()) {
-            *lock(&stile.seeds) = new.seed_peers();
+            stile.heed(&new);
             settings = new;
         }
         stile.wait_for_news(50);
@@ -2381,7 +2418,7 @@
             tended = now;
             stile.tend(now);
             if let Some(new) = watched.poll(signals.take_hup()) {
-                *lock(&stile.seeds) = new.seed_peers();
+                stile.heed(&new);
                 settings = new;
             }
         }
