--- a/src/stile.rs
+++ b/src/stile.rs
@@ -347,11 +347,8 @@
     inside: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Loss {
-    /// It was gone before anything was asked: reset while it rested, perhaps long ago and with many
-    /// others. That says nothing of the database as it is now; a new connection will.
-    Stale,
+#[derive(Debug)]
+enum Loss {
     /// The connection is gone or can't be trusted.
     Broken,
     /// The database owes the answer for too long.
@@ -361,7 +358,7 @@
 }
 
 impl Rootstock {
-    pub fn new(stream: TcpStream) -> Self {
+    fn new(stream: TcpStream) -> Self {
         Self {
             stream,
             inbox: Inbox::default(),
@@ -372,15 +369,15 @@
             inside: false,
         }
     }
-    pub fn write(&mut self, bytes: &[u8]) -> Result<(), Loss> {
+    fn write(&mut self, bytes: &[u8]) -> Result<(), Loss> {
         // Bytes that nobody asked for make every later answer doubtful.
         if !self.inbox.is_empty() {
             return Err(Loss::Broken);
         }
-        self.stream.write_all(bytes).map_err(|_| Loss::Stale)
+        self.stream.write_all(bytes).map_err(|_| Loss::Broken)
     }
     /// Waits for one answer. `look` is asked now and then whether it is still worth it.
-    pub fn answer(&mut self, mut look: impl FnMut() -> Option<Loss>) -> Result<Reply, Loss> {
+    fn answer(&mut self, mut look: impl FnMut() -> Option<Loss>) -> Result<Reply, Loss> {
         loop {
             if !self.inbox.is_empty() {
                 match wire::reply(self.inbox.pending()) {
