--- a/src/stile.rs
+++ b/src/stile.rs
@@ -591,16 +591,16 @@
         drop(inner);
         self.freed.notify_all();
     }
-    fn retire(&self, draining: bool, gone: bool) {
-        match draining {
-            true if self.leaves.load(Ordering::Relaxed) == 0 => {
-                self.leaves.store(Tick::now().0, Ordering::Relaxed);
+    fn retire(&self, leaves: Option<Tick>, gone: bool) {
+        match leaves {
+            Some(since) if self.leaves.load(Ordering::Relaxed) == 0 => {
+                self.leaves.store(since.0, Ordering::Relaxed);
             }
-            true => {}
-            false => self.leaves.store(0, Ordering::Relaxed),
+            Some(_) => {}
+            None => self.leaves.store(0, Ordering::Relaxed),
         }
         let mut inner = lock(&self.inner);
-        inner.draining = draining;
+        inner.draining = leaves.is_some();
         inner.gone = gone;
         if gone {
             let idle = inner.idle.len();
@@ -1168,14 +1168,15 @@
                     Self::remove(&mut view, &id);
                 }
                 for one in listed {
-                    Self::upsert(&mut view, one);
+                    Self::upsert(&mut view, one, Tick(1));
                 }
                 view.listed = true;
             }
             ToStile::Moved { listed, gone } => {
                 let mut view = lock(&self.view);
                 gone.iter().for_each(|id| Self::remove(&mut view, id));
-                listed.into_iter().for_each(|one| Self::upsert(&mut view, one));
+                let now = Tick::now();
+                listed.into_iter().for_each(|one| Self::upsert(&mut view, one, now));
             }
             ToStile::Granted { seq, lease_ms, whole, grants, fresh } => {
                 self.granted(seq, lease_ms, whole, grants, fresh);
@@ -1197,7 +1198,9 @@
         }
         view.config = Some(Arc::new(config));
     }
-    fn upsert(view: &mut View, listed: Listed) {
+    /// One that leaves, and was not known to, does so since `since`: what a whole directory tells may
+    /// have been so for long.
+    fn upsert(view: &mut View, listed: Listed, since: Tick) {
         let fits = |p: &Arc<Pool>| p.address == listed.address && p.zone == listed.zone;
         let pool = match view.pools.get(&listed.id).filter(|p| fits(p)) {
             Some(pool) => Arc::clone(pool),
@@ -1213,14 +1216,14 @@
         };
         // News of a database: whatever kept it from being tried may be over.
         pool.down_until.store(0, Ordering::Relaxed);
-        pool.retire(listed.draining, false);
+        pool.retire(listed.draining.then_some(since), false);
     }
     fn remove(view: &mut View, id: &InstanceId) {
         if let Some(pool) = view.pools.remove(id) {
             if let Some(seen) = view.services.get_mut(&pool.service) {
                 seen.pools.retain(|p| p.id != *id);
             }
-            pool.retire(true, true);
+            pool.retire(Some(Tick::now()), true);
         }
     }
 
