A gateway: the role wicket, thin; one link to the leader for both nodes

The role runs where a deployment is of the kind api; stewards leave out successions there. Routes by host and longest prefix, weighted targets, retries within attempts, deadline and a budget that each node earns, checked answers, streamed bodies, draining.

--- a/src/common/config.rs
+++ b/src/common/config.rs
@@ -26,9 +26,22 @@
     Primary,
     Bounded,
     ReadYourWrites,
+    /// At a gateway: may run more than once.
+    Idempotent,
+    /// At a gateway: at most once for each try of a client.
+    NonIdempotent,
+    /// At a gateway: as idempotent, with a large answer.
+    Download,
+}
+impl RouteType {
+    /// Whether a request may run a second time.
+    pub fn repeatable(self) -> bool {
+        matches!(self, RouteType::Idempotent | RouteType::Download)
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
+#[validate(schema(function = "aimed"))]
 pub struct Route {
     #[validate(length(min = 1))]
     pub name: String,
@@ -43,12 +56,31 @@
     pub target_latency_ms: u64,
     #[serde(default)]
     pub priority: u8,
-    pub target_service: ServiceName,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target_service: Option<ServiceName>,
+    /// Instead of one service: several, each with a part of the requests.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[validate(length(max = 1_000))]
+    pub weighted_targets: Vec<Target>,
     #[serde(default = "one")]
+    #[validate(range(min = 1))]
     pub max_attempts: u32,
     #[serde(default)]
     pub stale_ms: u64,
 }
+impl Route {
+    /// The services that it leads to, with their weights.
+    fn targets(&self) -> impl Iterator<Item = (&ServiceName, u32)> {
+        let one = self.target_service.iter().map(|service| (service, 1));
+        one.chain(self.weighted_targets.iter().map(|t| (&t.target_service, t.weight)))
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    pub target_service: ServiceName,
+    pub weight: u32,
+}
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
 pub struct Service {
@@ -65,10 +97,26 @@
 pub struct SessionLimits {
     #[validate(range(min = 1))]
     pub txn_idle_ms: u64,
+    /// The head of a request, its first line counted.
+    #[validate(range(min = 1))]
+    pub max_header_bytes: usize,
+    pub max_body_bytes: u64,
+    /// How long a client may take to send a head.
+    #[validate(range(min = 1))]
+    pub header_timeout_ms: u64,
+    /// How long a connection may rest between two requests.
+    #[validate(range(min = 1))]
+    pub idle_timeout_ms: u64,
 }
 impl Default for SessionLimits {
     fn default() -> Self {
-        Self { txn_idle_ms: 3000 }
+        Self {
+            txn_idle_ms: 3_000,
+            max_header_bytes: 16 << 10,
+            max_body_bytes: 64 << 20,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
     }
 }
 
@@ -87,6 +135,15 @@
     }
     Ok(())
 }
+fn aimed(route: &Route) -> Result<(), ValidationError> {
+    if route.target_service.is_some() != route.weighted_targets.is_empty() {
+        return Err(ValidationError::new("target_service_or_weighted_targets"));
+    }
+    if route.targets().all(|(_, weight)| weight == 0) {
+        return Err(ValidationError::new("weighted_targets_sum_to_0"));
+    }
+    Ok(())
+}
 fn whole(config: &Configuration) -> Result<(), ValidationError> {
     let mut services = BTreeSet::new();
     if !config.services.iter().all(|s| services.insert(&s.name)) {
@@ -94,7 +151,7 @@
     }
     let mut places = BTreeSet::new();
     for route in &config.route_rules {
-        if !services.contains(&route.target_service) {
+        if !route.targets().all(|(service, _)| services.contains(service)) {
             return Err(ValidationError::new("unknown_service"));
         }
         if !places.insert((&route.hostname, &route.path_prefix)) {
@@ -114,22 +171,37 @@
     }
 }
 
-/// What a stile needs of a route. Links to stiles may be thin, and there may be thousands.
+/// What a node needs of a route. Links to nodes may be thin, and there may be thousands.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Lane {
     pub hostname: String,
+    pub path_prefix: String,
     #[serde(with = "numbered")]
     pub route_type: RouteType,
     pub timeout_ms: u64,
+    pub target_latency_ms: u64,
     pub priority: u8,
+    pub max_attempts: u32,
     pub stale_ms: u64,
-    /// Its place among the services.
-    service: u16,
+    /// The places of its services among all, and their weights.
+    targets: Vec<(u16, u32)>,
+}
+impl Lane {
+    fn place(&self) -> (&str, &str) {
+        (&self.hostname, &self.path_prefix)
+    }
 }
 mod numbered {
     use super::RouteType;
     use serde::{Deserialize, Deserializer, Serializer, de::Error};
-    const ALL: [RouteType; 3] = [RouteType::Primary, RouteType::Bounded, RouteType::ReadYourWrites];
+    const ALL: [RouteType; 6] = [
+        RouteType::Primary,
+        RouteType::Bounded,
+        RouteType::ReadYourWrites,
+        RouteType::Idempotent,
+        RouteType::NonIdempotent,
+        RouteType::Download,
+    ];
     pub fn serialize<S: Serializer>(kind: &RouteType, to: S) -> Result<S::Ok, S::Error> {
         to.serialize_u8(*kind as u8)
     }
@@ -141,7 +213,7 @@
     }
 }
 
-/// What a stile needs of a configuration: a lane for each database name, in their order.
+/// What a node needs of a configuration: a lane for each host and prefix, in their order.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Lanes {
     pub revision: Revision,
@@ -153,41 +225,66 @@
     pub fn of(config: &Configuration) -> Self {
         let places: BTreeMap<&ServiceName, usize> =
             config.services.iter().enumerate().map(|(at, s)| (&s.name, at)).collect();
-        let mut by_name: BTreeMap<&str, Lane> = BTreeMap::new();
-        for route in &config.route_rules {
-            let Some(service) = places.get(&route.target_service) else {
-                continue;
-            };
-            // Of several routes with a name, the first counts.
-            by_name.entry(&route.hostname).or_insert_with(|| Lane {
-                hostname: route.hostname.clone(),
-                route_type: route.route_type,
-                timeout_ms: route.timeout_ms,
-                priority: route.priority,
-                stale_ms: route.stale_ms,
-                service: *service as u16,
-            });
-        }
+        // A checked configuration names only services it has, and no place twice.
+        let place =
+            |(service, weight): (&ServiceName, u32)| Some((*places.get(service)? as u16, weight));
+        let lane = |route: &Route| Lane {
+            hostname: route.hostname.clone(),
+            path_prefix: route.path_prefix.clone(),
+            route_type: route.route_type,
+            timeout_ms: route.timeout_ms,
+            target_latency_ms: route.target_latency_ms,
+            priority: route.priority,
+            max_attempts: route.max_attempts,
+            stale_ms: route.stale_ms,
+            targets: route.targets().filter_map(place).collect(),
+        };
+        let mut lanes: Vec<Lane> = config.route_rules.iter().map(lane).collect();
+        lanes.sort_by(|a, b| a.place().cmp(&b.place()));
         Self {
             revision: config.revision,
-            lanes: by_name.into_values().collect(),
+            lanes,
             services: config.services.iter().map(|s| s.name.clone()).collect(),
             limits: config.limits.clone(),
         }
     }
-    /// The lane of a database name, and the service it leads to.
+    /// The lane of a database name, and the service it leads to. Of several routes with that name,
+    /// the one with the first prefix counts.
     pub fn lane(&self, hostname: &str) -> Option<(&Lane, &ServiceName)> {
-        let at = self.lanes.binary_search_by(|l| l.hostname.as_str().cmp(hostname)).ok()?;
-        let lane = &self.lanes[at];
-        Some((lane, self.services.get(usize::from(lane.service))?))
+        let at = self.lanes.partition_point(|l| l.hostname.as_str() < hostname);
+        let lane = self.lanes.get(at).filter(|l| l.hostname == hostname)?;
+        Some((lane, self.service(lane, 0)?))
+    }
+    /// The lane of a request: of those for its host, the one with the longest prefix of its path.
+    pub fn route(&self, hostname: &str, path: &str) -> Option<&Lane> {
+        let slashes = path.bytes().enumerate().rev().filter(|(_, b)| *b == b'/').map(|(at, _)| at);
+        slashes
+            .map(|at| &path[..=at])
+            .find_map(|prefix| {
+                self.lanes.binary_search_by(|l| l.place().cmp(&(hostname, prefix))).ok()
+            })
+            .map(|at| &self.lanes[at])
+    }
+    /// The service that a lane leads to for one of its requests. The same request is led to the
+    /// same service at every node.
+    pub fn service(&self, lane: &Lane, request: u64) -> Option<&ServiceName> {
+        let sum: u64 = lane.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let mut left = request.checked_rem(sum)?;
+        for (service, weight) in &lane.targets {
+            match left.checked_sub(u64::from(*weight)) {
+                Some(less) => left = less,
+                None => return self.services.get(usize::from(*service)),
+            }
+        }
+        None
     }
     /// What has to be known to come here from `base`.
     pub fn since(&self, base: &Lanes) -> Changed {
         Changed {
             base: base.revision,
             revision: self.revision,
-            lanes: runs(&base.lanes, &self.lanes, |l| l.hostname.clone()),
-            services: runs(&base.services, &self.services, |s| s.clone()),
+            lanes: runs(&base.lanes, &self.lanes, Lane::place),
+            services: runs(&base.services, &self.services, |s| s.0.as_str()),
             limits: self.limits.clone(),
         }
     }
@@ -221,7 +318,11 @@
     New(Vec<T>),
 }
 
-fn runs<T: Clone + PartialEq, K: Ord>(old: &[T], new: &[T], key: impl Fn(&T) -> K) -> Vec<Run<T>> {
+fn runs<'a, T: Clone + PartialEq, K: Ord>(
+    old: &'a [T],
+    new: &'a [T],
+    key: impl Fn(&'a T) -> K,
+) -> Vec<Run<T>> {
     let places: BTreeMap<K, usize> = old.iter().enumerate().map(|(i, t)| (key(t), i)).collect();
     let mut runs: Vec<Run<T>> = Vec::new();
     for item in new {
@@ -288,7 +389,7 @@
     pub sequence: u64,
 }
 
-/// One entry of the directory as stiles are told of it: no more than they need, as there are hundreds
+/// One entry of the directory as nodes are told of it: no more than they need, as there are hundreds
 /// of either.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Listed {
@@ -297,6 +398,8 @@
     pub address: SocketAddr,
     pub zone: String,
     pub draining: bool,
+    /// How many requests it works on at once; 0 if it did not say.
+    pub capacity: u32,
 }
 impl Listed {
     pub fn of(id: &InstanceId, instance: &Instance) -> Self {
@@ -306,6 +409,7 @@
             address: instance.address,
             zone: instance.zone.clone(),
             draining: instance.lifecycle_state == Lifecycle::Draining,
+            capacity: instance.capacity,
         }
     }
 }
--- a/src/common/errors.rs
+++ b/src/common/errors.rs
@@ -63,6 +63,62 @@
     }
 }
 
+/// Every answer of its own that a gateway gives instead of a database's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// The request can't be understood, or could be understood in two ways.
+    Unreadable,
+    NoRoute,
+    /// The client took too long to send it.
+    Slow,
+    TooLarge,
+    HeadTooLarge,
+    /// No database can take it now; nothing has run.
+    Full,
+    /// A database may have run it, but no usable answer came.
+    Lost,
+    /// A database may have run it; the time for an answer is over.
+    Late,
+}
+
+/// How a gateway's refusal is answered, and whether the client's connection ends with it.
+pub struct OwnAnswer {
+    pub refusal: Refusal,
+    pub status: u16,
+    pub reason: &'static str,
+    /// It promises that nothing has run and nothing will.
+    pub promise: bool,
+    pub closes: bool,
+}
+
+const fn own(
+    refusal: Refusal,
+    status: u16,
+    reason: &'static str,
+    promise: bool,
+    closes: bool,
+) -> OwnAnswer {
+    OwnAnswer { refusal, status, reason, promise, closes }
+}
+
+/// The table from refusal to answer, in the order of the enum.
+pub const OWN_ANSWERS: [OwnAnswer; 8] = [
+    own(Refusal::Unreadable, 400, "Bad Request", false, true),
+    own(Refusal::NoRoute, 404, "Not Found", false, false),
+    own(Refusal::Slow, 408, "Request Timeout", true, true),
+    own(Refusal::TooLarge, 413, "Content Too Large", false, true),
+    own(Refusal::HeadTooLarge, 431, "Request Header Fields Too Large", false, true),
+    own(Refusal::Full, 503, "Service Unavailable", true, false),
+    own(Refusal::Lost, 502, "Bad Gateway", false, false),
+    own(Refusal::Late, 504, "Gateway Timeout", false, false),
+];
+
+impl Refusal {
+    pub fn answer(self) -> &'static OwnAnswer {
+        &OWN_ANSWERS[self as usize]
+    }
+}
+
 /// Why a program can't start or go on. Each kind has its exit code.
 #[derive(Debug, thiserror::Error)]
 pub enum Fatal {
--- a/src/common/http.rs
+++ b/src/common/http.rs
@@ -88,6 +88,26 @@
     Ok(())
 }
 
+/// Calls to a readiness address at once.
+const PROBES: usize = 64;
+
+/// The readiness address of a node: whether clients may be sent to it, and what it knows.
+pub fn serve_state<R, S>(at: SocketAddr, ready: R, status: S) -> Result<(), super::errors::Fatal>
+where
+    R: Fn() -> bool + Send + Sync + 'static,
+    S: Fn() -> serde_json::Value + Send + Sync + 'static,
+{
+    let answer = move |request: Request| match (request.method.as_str(), request.path.as_str()) {
+        ("GET", "/readiness") if ready() => Response::ok(),
+        ("GET", "/readiness") => Response::refusal(503, "not ready"),
+        ("GET", "/status") => Response::json(200, status().to_string().into_bytes()),
+        (_, "/readiness" | "/status") => Response::refusal(405, "not with this method"),
+        _ => Response::refusal(404, "no such path"),
+    };
+    serve(super::peer::listen(at)?, "readiness", PROBES, answer)
+        .map_err(|e| super::errors::Fatal::Listen(at.to_string(), e))
+}
+
 fn converse(mut stream: TcpStream, handle: &dyn Fn(Request) -> Response) -> io::Result<()> {
     super::peer::tune(&stream, Duration::from_secs(5))?;
     stream.set_read_timeout(Some(IDLE))?;
--- a/src/common/mod.rs
+++ b/src/common/mod.rs
@@ -3,6 +3,7 @@
 pub mod errors;
 pub mod http;
 pub mod ids;
+pub mod link;
 pub mod logging;
 pub mod peer;
 pub mod settings;
@@ -13,6 +14,12 @@
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// A poisoned lock means that another thread died half way; going on with its data is the best
+/// that is left, since every value behind a lock here is whole between two steps.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 type Job = Box<dyn FnOnce() + Send>;
 
 /// Threads between two short jobs, and jobs that one of them is about to take. Calls, beats and
@@ -26,11 +33,8 @@
 /// How long a thread waits for another job.
 const REST: Duration = Duration::from_secs(10);
 
-fn crew() -> MutexGuard<'static, Crew> {
-    CREW.lock().unwrap_or_else(PoisonError::into_inner)
-}
 fn next_job() -> Option<Job> {
-    let mut crew = crew();
+    let mut crew = lock(&CREW);
     crew.resting += 1;
     let no_job = |crew: &mut Crew| crew.jobs.is_empty();
     let waited = WANTED.wait_timeout_while(crew, REST, no_job);
@@ -43,7 +47,7 @@
 /// no reason to end, and whoever wanted it tries again or refuses.
 pub fn start_thread(work: impl FnOnce() + Send + 'static) -> bool {
     {
-        let mut crew = crew();
+        let mut crew = lock(&CREW);
         if crew.resting > crew.jobs.len() {
             crew.jobs.push_back(Box::new(work));
             drop(crew);
--- a/src/common/settings.rs
+++ b/src/common/settings.rs
@@ -45,6 +45,22 @@
     pub timing_bounds: TimingBounds,
     #[serde(default)]
     pub provider: Option<Provider>,
+    /// The kind of deployment.
+    #[serde(default)]
+    pub rollout: Rollout,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rollout {
+    /// Sessions pooled onto databases; each service has a primary.
+    #[default]
+    Pooler,
+    /// A gateway; the databases of a service are alike.
+    Api,
+    /// A kind that this version does not know of is played like the first.
+    #[serde(other)]
+    Other,
 }
 
 #[derive(Clone, Debug, Default, Deserialize, Validate)]
@@ -80,10 +96,23 @@
     /// A machine that returns counts as lost for this long.
     #[validate(range(min = 1, max = 3600))]
     pub join_sync_s: u64,
+    /// Over any `retry_window_s`, all nodes together may send a part of the requests to a second
+    /// database, and `retry_slack` more.
+    #[validate(range(min = 0.0, max = 1.0))]
+    pub retry_ratio: f64,
+    #[validate(range(min = 1, max = 3600))]
+    pub retry_window_s: u64,
 }
 impl Default for TimingBounds {
     fn default() -> Self {
-        Self { grace_s: 6, drain_ms: 7000, contact_ms: 4000, join_sync_s: 4 }
+        Self {
+            grace_s: 6,
+            drain_ms: 7000,
+            contact_ms: 4000,
+            join_sync_s: 4,
+            retry_ratio: 0.2,
+            retry_window_s: 10,
+        }
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,7 @@
 use silvertack::common::errors::Fatal;
 use silvertack::common::settings::Settings;
 use silvertack::common::{http, logging};
-use silvertack::{steward, stile};
+use silvertack::{steward, stile, wicket};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -30,6 +30,12 @@
         #[arg(long)]
         settings: Option<PathBuf>,
     },
+    /// Pass clients' requests on to databases, as a gateway on this machine.
+    Wicket {
+        /// The settings file; SILVERTACK_BOOT names it otherwise.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
     /// Keep the configuration, the directory and the leases on this machine.
     Steward {
         /// The settings file; SILVERTACK_BOOT names it otherwise.
@@ -41,7 +47,7 @@
         #[command(subcommand)]
         what: Check,
     },
-    /// Ask a node for its state, as JSON: a steward's admin or a stile's readiness address.
+    /// Ask a node for its state, as JSON: a steward's admin or another node's readiness address.
     Status {
         address: SocketAddr,
         /// Follow to the leading steward, which knows of the whole system.
@@ -96,6 +102,11 @@
             let settings = Settings::read(&path)?;
             stile::run(path, settings)
         }
+        Command::Wicket { settings } => {
+            let path = Settings::path(settings)?;
+            let settings = Settings::read(&path)?;
+            wicket::run(path, settings)
+        }
         Command::Steward { settings } => {
             let path = Settings::path(settings)?;
             let settings = Settings::read(&path)?;
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -9,7 +9,7 @@
 use crate::common::http::{self, Request, Response};
 use crate::common::ids::*;
 use crate::common::peer::*;
-use crate::common::settings::{Settings, Watched};
+use crate::common::settings::{Rollout, Settings, Watched};
 use crate::common::signals::Signals;
 use crate::common::wire::{self, Described};
 use crate::common::{must_start, start_thread};
@@ -3494,7 +3494,8 @@
         now: Tick,
         step: impl FnOnce(&mut Succession, &Facts) -> Vec<Deed>,
     ) {
-        if !self.hedge.granting(now) {
+        // The databases of a gateway are alike: none of them leads.
+        if !self.hedge.granting(now) || self.settings.rollout == Rollout::Api {
             return;
         }
         let facts = self.facts(service, now);
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -5,13 +5,14 @@
 //! waited for by one. A `Rootstock` is a connection to a database that it borrows.
 use crate::common::config::{Lane, Lanes, Listed, RouteType};
 use crate::common::errors::{ErrorKind, Fatal};
-use crate::common::http::{self, Request, Response};
+use crate::common::http;
 use crate::common::ids::*;
-use crate::common::must_start;
+use crate::common::link::{Follower, Link};
 use crate::common::peer::*;
 use crate::common::settings::{Settings, Watched};
 use crate::common::signals::Signals;
 use crate::common::wire::{self, Inbox, Line, NoLine, Outcome, Reply, State, Statement, Verb};
+use crate::common::{lock, must_start};
 use log::{info, warn};
 use rustix::event::epoll;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -21,15 +22,9 @@
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
-/// A poisoned lock means that another thread died half way; going on with its data is the best
-/// that is left, since every value behind a lock here is whole between two statements.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 // ---------------------------------------------------------------------------------------------
 // The reroute design
 
@@ -913,12 +908,11 @@
     life: u64,
     view: Mutex<View>,
     changed: Condvar,
-    link: Mutex<Option<TcpStream>>,
+    link: Link,
     sent: Mutex<VecDeque<(u64, Tick)>>,
     /// The last answer to a renewal on this connection, and when it was in hand.
     heard: Mutex<Option<(u64, Tick)>>,
     seq: AtomicU64,
-    linked: AtomicBool,
     /// When a leader last answered a renewal.
     answered: AtomicU64,
     draining: AtomicBool,
@@ -934,8 +928,6 @@
     doubted: Mutex<HashMap<InstanceId, Tick>>,
     hasher: std::hash::RandomState,
     max_sessions: usize,
-    /// Where stewards are looked for, as the settings name them now.
-    seeds: Mutex<Vec<SocketAddr>>,
     drain_ms: AtomicU64,
 }
 
@@ -1020,7 +1012,7 @@
     /// is asked at once, though not more often than makes sense.
     fn ask_now(&self, now: Tick) {
         let last = lock(&self.sent).back().map(|(_, t)| *t);
-        if last.is_none_or(|t| now.since(t) >= ASK_MS) && self.linked.load(Ordering::Relaxed) {
+        if last.is_none_or(|t| now.since(t) >= ASK_MS) && self.link.is_up() {
             self.renew();
         }
     }
@@ -1051,15 +1043,7 @@
     }
 
     fn tell(&self, message: ToSteward) {
-        self.tell_under(&mut lock(&self.link), message);
-    }
-    fn tell_under(&self, link: &mut Option<TcpStream>, message: ToSteward) {
-        if let Some(stream) = link.as_mut()
-            && send(stream, &Frame::Stile(message)).is_err()
-        {
-            // The reader sees the end and looks for another leader.
-            drop(stream.shutdown(Shutdown::Both));
-        }
+        self.link.tell(message);
     }
     fn doubt(&self, pool: &Pool, why: Doubt, now: Tick) {
         {
@@ -1075,14 +1059,14 @@
     fn renew_when_due(&self) {
         let last = lock(&self.sent).back().map(|(_, t)| *t);
         let due = last.is_none_or(|t| Tick::now().since(t) >= RENEW_MS);
-        if due && self.linked.load(Ordering::Relaxed) {
+        if due && self.link.is_up() {
             self.renew();
         }
     }
     fn renew(&self) {
         // Numbered and sent under the link's lock, so that a lease given back and a renewal reach
         // the leader in the order in which this stile thinks of them.
-        let mut link = lock(&self.link);
+        let mut link = self.link.held();
         let now = Tick::now();
         let heard = *lock(&self.heard);
         let (mut shares, mut wants) = (Vec::new(), Vec::new());
@@ -1119,11 +1103,11 @@
                 sent.pop_front();
             }
         }
-        self.tell_under(&mut link, ToSteward::Renew { seq, heard, shares, wants, saw, asks });
+        Link::tell_under(&mut link, ToSteward::Renew { seq, heard, shares, wants, saw, asks });
     }
     /// The leader takes a term back: nothing is sent or passed on under it from here on.
     fn revoke(&self, service: ServiceName, term: DbTerm) {
-        let mut link = lock(&self.link);
+        let mut link = self.link.held();
         let highest = {
             let mut view = lock(&self.view);
             let seen = view.services.entry(service.clone()).or_default();
@@ -1135,14 +1119,14 @@
             seen.highest
         };
         info!(target: "lease", "{service}: term {term} was taken back");
-        self.tell_under(&mut link, ToSteward::Revoked { service, term, highest });
+        Link::tell_under(&mut link, ToSteward::Revoked { service, term, highest });
         drop(link);
         self.changed.notify_all();
     }
 
     // -- what the leader says --------------------------------------------------------------------
 
-    fn hear(&self, message: ToStile) {
+    fn heard_of(&self, message: ToStile) {
         match message {
             ToStile::Elsewhere(_) | ToStile::Welcome { .. } => {}
             ToStile::Configured(config) => self.configured(*config),
@@ -1296,7 +1280,7 @@
     }
 
     fn ready(&self, now: Tick) -> bool {
-        if self.draining.load(Ordering::Relaxed) || !self.linked.load(Ordering::Relaxed) {
+        if self.draining.load(Ordering::Relaxed) || !self.link.is_up() {
             return false;
         }
         let view = lock(&self.view);
@@ -1335,7 +1319,7 @@
         serde_json::json!({
             "node": self.node,
             "role": "stile",
-            "ready": self.linked.load(Ordering::Relaxed) && view.config.is_some(),
+            "ready": self.link.is_up() && view.config.is_some(),
             "draining": self.draining.load(Ordering::Relaxed),
             "revision": view.config.as_ref().map(|c| c.revision),
             "sessions": lock(&self.sessions).len(),
@@ -2059,15 +2043,33 @@
 const LASTING_MS: u64 = 1_000;
 /// A lease, and a little: with it gone, only reads that may be old could still be served.
 const DEAF_MS: u64 = crate::steward::LEASE_MS + 200;
-/// Calls to the readiness address at once.
-const PROBES: usize = 64;
 /// Descriptors kept for connections to databases, the link and files.
 const SPARE_FILES: u64 = 400;
 
+impl Follower for Stile {
+    fn hello(&self) -> ToSteward {
+        let revision = self.config().map_or(Revision(0), |c| c.revision);
+        ToSteward::Hello { node: self.node.clone(), life: self.life, revision }
+    }
+    /// Nothing that was told on an earlier connection counts on this one.
+    fn linked(&self) {
+        for seen in lock(&self.view).services.values_mut() {
+            seen.share.told = None;
+        }
+        *lock(&self.heard) = None;
+    }
+    fn begin(&self) {
+        self.renew();
+    }
+    fn hear(&self, message: ToStile) {
+        self.heard_of(message);
+    }
+}
+
 impl Stile {
     /// What may change while the program runs.
     fn heed(&self, settings: &Settings) {
-        *lock(&self.seeds) = settings.seed_peers();
+        self.link.seek(settings.seed_peers());
         self.drain_ms.store(settings.timing_bounds.drain_ms, Ordering::Relaxed);
     }
     fn wait_for_news(&self, ms: u64) {
@@ -2097,79 +2099,6 @@
         Tick::now().0 >= self.close_from.load(Ordering::Relaxed)
     }
 
-    /// Keeps a connection to the leader, looking for it whenever there is none.
-    fn keep_link(self: &Arc<Self>) {
-        let mut known = lock(&self.seeds).clone();
-        let mut hint: Option<SocketAddr> = None;
-        let mut next = 0usize;
-        loop {
-            let to = match hint.take() {
-                Some(to) => to,
-                None => {
-                    next += 1;
-                    if next.is_multiple_of(known.len().max(1)) {
-                        std::thread::sleep(Duration::from_millis(80));
-                    }
-                    known[next % known.len().max(1)]
-                }
-            };
-            match self.follow(to, &mut known) {
-                Ok(elsewhere) => hint = elsewhere.filter(|e| *e != to),
-                Err(e) => log::debug!(target: "stile", "steward {to}: {e}"),
-            }
-            for seed in lock(&self.seeds).iter() {
-                if !known.contains(seed) {
-                    known.push(*seed);
-                }
-            }
-        }
-    }
-
-    /// Follows one steward for as long as it leads; tells who leads otherwise.
-    fn follow(
-        self: &Arc<Self>,
-        to: SocketAddr,
-        known: &mut Vec<SocketAddr>,
-    ) -> io::Result<Option<SocketAddr>> {
-        let mut stream = dial(to, REACH, Duration::from_secs(2))?;
-        stream.set_write_timeout(Some(Duration::from_millis(500)))?;
-        // Renewals are answered far more often than this; silence means another leader.
-        stream.set_read_timeout(Some(Duration::from_millis(1_200)))?;
-        let revision = self.config().map_or(Revision(0), |c| c.revision);
-        let hello = ToSteward::Hello { node: self.node.clone(), life: self.life, revision };
-        send(&mut stream, &Frame::Stile(hello))?;
-        let mut reader = io::BufReader::with_capacity(4096, stream.try_clone()?);
-        match receive(&mut reader)? {
-            Frame::Steward(ToStile::Welcome { stewards }) => {
-                if !stewards.is_empty() {
-                    *known = stewards;
-                }
-            }
-            Frame::Steward(ToStile::Elsewhere(other)) => return Ok(other),
-            _ => return Err(io::ErrorKind::InvalidData.into()),
-        }
-        info!(target: "stile", "following {to}");
-        for seen in lock(&self.view).services.values_mut() {
-            seen.share.told = None;
-        }
-        *lock(&self.heard) = None;
-        *lock(&self.link) = Some(stream);
-        self.linked.store(true, Ordering::Relaxed);
-        self.renew();
-        let ended = loop {
-            match receive(&mut reader) {
-                Ok(Frame::Steward(ToStile::Elsewhere(other))) => break Ok(other),
-                Ok(Frame::Steward(message)) => self.hear(message),
-                Ok(_) => break Err(io::ErrorKind::InvalidData.into()),
-                Err(e) => break Err(e),
-            }
-        };
-        *lock(&self.link) = None;
-        self.linked.store(false, Ordering::Relaxed);
-        info!(target: "stile", "lost {to}");
-        ended
-    }
-
     /// Takes in a client, if there is room for it.
     fn admit(self: &Arc<Self>, stream: TcpStream) {
         let id = self.next_session.fetch_add(1, Ordering::Relaxed);
@@ -2330,11 +2259,10 @@
         life: rand::random(),
         view: Mutex::default(),
         changed: Condvar::new(),
-        link: Mutex::new(None),
+        link: Link::new("stile", settings.seed_peers()),
         sent: Mutex::default(),
         heard: Mutex::default(),
         seq: AtomicU64::new(0),
-        linked: AtomicBool::new(false),
         answered: AtomicU64::new(0),
         draining: AtomicBool::new(false),
         close_from: AtomicU64::new(u64::MAX),
@@ -2347,15 +2275,14 @@
             .map_err(|e| Fatal::Call(e.to_string()))?,
         doubted: Mutex::default(),
         hasher: std::hash::RandomState::new(),
-        seeds: Mutex::new(settings.seed_peers()),
         drain_ms: AtomicU64::new(settings.timing_bounds.drain_ms),
         max_sessions: settings.limits.max_open_files.saturating_sub(SPARE_FILES).max(16) as usize,
     });
-    let asked = Arc::clone(&stile);
-    http::serve(listen(readiness)?, "readiness", PROBES, move |request| answer(&asked, &request))
-        .map_err(|e| Fatal::Listen(readiness.to_string(), e))?;
+    let (asked, told) = (Arc::clone(&stile), Arc::clone(&stile));
+    let status = move || told.status(Tick::now());
+    http::serve_state(readiness, move || asked.ready(Tick::now()), status)?;
     let linking = Arc::clone(&stile);
-    must_start("the link", move || linking.keep_link())?;
+    must_start("the link", move || linking.link.keep(&*linking))?;
     // Until it knows what to serve, a stile has no address: who is refused there goes on to
     // another node at once.
     while !stile.ready(Tick::now()) {
@@ -2387,17 +2314,6 @@
     tend(&stile, &signals, watched, settings)
 }
 
-fn answer(stile: &Stile, request: &Request) -> Response {
-    let now = Tick::now();
-    match (request.method.as_str(), request.path.as_str()) {
-        ("GET", "/readiness") if stile.ready(now) => Response::ok(),
-        ("GET", "/readiness") => Response::refusal(503, "not ready"),
-        ("GET", "/status") => Response::json(200, stile.status(now).to_string().into_bytes()),
-        (_, "/readiness" | "/status") => Response::refusal(405, "not with this method"),
-        _ => Response::refusal(404, "no such path"),
-    }
-}
-
 /// The platform looks at readiness each second and needs two misses; new sessions come until then.
 const NOTICED_MS: u64 = 2_300;
 
