--- /dev/null
+++ b/tests/support/gateway.rs
@@ -0,0 +1,186 @@
+//! Stand-in databases of a gateway's service: they answer requests over HTTP, and misbehave as told.
+#![allow(dead_code)]
+use silvertack::wicket::{Body, read_request};
+use std::collections::VecDeque;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// What the next request meets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum How {
+    Serve,
+    Fail,
+    /// Not run, and said so.
+    Full,
+    /// Another database has the address.
+    Misdirected,
+    /// Run, and the connection closed.
+    Reset,
+    /// Half of the answer.
+    Cut,
+    WrongId,
+    Unstamped,
+    Nonsense,
+    /// A whole answer and more behind it.
+    Extra,
+    Chunked,
+    Large(usize),
+    Hang,
+}
+
+#[derive(Clone, Debug)]
+pub struct Ran {
+    pub database: usize,
+    pub connection: usize,
+    pub id: String,
+    /// Method and target.
+    pub line: String,
+    /// The headers as they came.
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+pub struct Shed {
+    pub service: String,
+    pub addresses: Vec<SocketAddr>,
+    next: Mutex<VecDeque<How>>,
+    ran: Mutex<Vec<Ran>>,
+    connections: AtomicUsize,
+}
+
+fn hold<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+impl Shed {
+    pub fn start(service: &str, count: usize) -> std::io::Result<Arc<Self>> {
+        let listeners =
+            (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<Vec<_>, _>>()?;
+        let this = Arc::new(Self {
+            service: service.to_owned(),
+            addresses: listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?,
+            next: Mutex::default(),
+            ran: Mutex::default(),
+            connections: AtomicUsize::new(0),
+        });
+        for (database, listener) in listeners.into_iter().enumerate() {
+            let this = Arc::clone(&this);
+            std::thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let this = Arc::clone(&this);
+                    std::thread::spawn(move || drop(this.serve(database, stream)));
+                }
+            });
+        }
+        Ok(this)
+    }
+    pub fn id(&self, database: usize) -> String {
+        format!("i-{}-{database}", self.service)
+    }
+    pub fn will(&self, next: &[How]) {
+        *hold(&self.next) = next.iter().copied().collect();
+    }
+    /// What reached a database with this id, in order.
+    pub fn ran(&self, id: &str) -> Vec<Ran> {
+        hold(&self.ran).iter().filter(|r| r.id == id).cloned().collect()
+    }
+    pub fn beat(&self, database: usize, sequence: u64, state: &str) -> String {
+        serde_json::json!({
+            "target_service": self.service, "address": self.addresses[database], "zone": "here",
+            "revision": "v1", "capacity": 2, "lifecycle_state": state, "warmup_left_ms": 0,
+            "sequence": sequence,
+        })
+        .to_string()
+    }
+    /// One beat of each database.
+    pub fn beat_all(&self, admin: SocketAddr, sequence: u64) -> bool {
+        (0..self.addresses.len()).all(|database| {
+            let path = format!("/instances/{}", self.id(database));
+            let body = self.beat(database, sequence, "available");
+            super::http(admin, "PUT", &path, &[], &body).is_ok_and(|(status, _)| status == 200)
+        })
+    }
+
+    fn serve(&self, database: usize, mut stream: TcpStream) -> std::io::Result<()> {
+        let connection = self.connections.fetch_add(1, Ordering::SeqCst);
+        stream.set_nodelay(true)?;
+        let mut bytes = Vec::new();
+        let mut chunk = [0; 64 << 10];
+        loop {
+            let (asked, size) = loop {
+                match read_request(&bytes, 64 << 10) {
+                    Ok(Some(found)) => break found,
+                    Ok(None) => {}
+                    Err(_) => return Ok(()),
+                }
+                let got = stream.read(&mut chunk)?;
+                if got == 0 {
+                    return Ok(());
+                }
+                bytes.extend_from_slice(&chunk[..got]);
+            };
+            let head = String::from_utf8_lossy(&bytes[..size]).into_owned();
+            bytes.drain(..size);
+            let (mut body, mut data) = (Body::new(asked.framing), Vec::new());
+            loop {
+                let used = body.take(&bytes, &mut data).unwrap_or(0);
+                bytes.drain(..used);
+                if body.done() {
+                    break;
+                }
+                let got = stream.read(&mut chunk)?;
+                if got == 0 {
+                    return Ok(());
+                }
+                bytes.extend_from_slice(&chunk[..got]);
+            }
+            let id = asked.id.clone().unwrap_or_default();
+            let how = hold(&self.next).pop_front().unwrap_or(How::Serve);
+            let line = format!("{} {}", asked.method, asked.target);
+            hold(&self.ran).push(Ran {
+                database,
+                connection,
+                id: id.clone(),
+                line,
+                head,
+                body: data,
+            });
+            let answer = |status: &str, id: &str, more: &str, body: &str| {
+                let length = body.len();
+                format!(
+                    "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nContent-Length: {length}\r\n{more}\r\n{body}"
+                )
+            };
+            let stamp = "Response-Signature: s.1\r\n";
+            let good = answer("200 OK", &id, stamp, "the rows");
+            let out = match how {
+                How::Serve => good,
+                How::Fail => answer("500 Oh", &id, stamp, "failed"),
+                How::Full => answer("503 Full", &id, "Not-Executed: 1\r\n", ""),
+                How::Misdirected => answer("421 Other", &id, "Not-Executed: 1\r\n", ""),
+                How::Reset => return stream.shutdown(Shutdown::Both),
+                How::Cut => good[..good.len() - 4].to_owned(),
+                How::WrongId => answer("200 OK", "other", stamp, "not yours"),
+                How::Unstamped => answer("200 OK", &id, "", "no stamp"),
+                How::Nonsense => "\u{1}\u{2} nonsense\r\n\r\n".to_owned(),
+                How::Extra => good.clone() + &good,
+                How::Chunked => format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n{stamp}Transfer-Encoding: chunked\r\n\r\n\
+                     4\r\nthe \r\n4\r\nrows\r\n0\r\n\r\n"
+                ),
+                How::Large(size) => answer("200 OK", &id, stamp, &"x".repeat(size)),
+                How::Hang => {
+                    std::thread::sleep(Duration::from_secs(20));
+                    return Ok(());
+                }
+            };
+            stream.write_all(out.as_bytes())?;
+            if how == How::Cut {
+                return stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/wicket.rs
@@ -0,0 +1,274 @@
+//! The pure parts of the wicket, as tables of cases.
+use silvertack::common::config::{Configuration, Lanes};
+use silvertack::common::errors::Refusal;
+use silvertack::common::ids::Tick;
+use silvertack::wicket::*;
+
+fn head(lines: &str) -> Vec<u8> {
+    format!("{}\r\n\r\n", lines.replace('\n', "\r\n")).into_bytes()
+}
+
+#[test]
+fn a_head_that_could_be_read_in_two_ways_is_refused() {
+    const BAD: Refusal = Refusal::Unreadable;
+    let cases: [(&str, Option<Refusal>); 18] = [
+        ("GET /a/b HTTP/1.1\nHost: h", None),
+        ("GET /a HTTP/1.1\nHost: h\nContent-Length: 4\nContent-Length: 4", None),
+        ("GET /a HTTP/1.1", Some(BAD)),
+        ("GET /a HTTP/1.1\nHost: h\nHost: h", Some(BAD)),
+        ("GET /a HTTP/1.1\nHost: ", Some(BAD)),
+        ("GET /a HTTP/1.1\nHost: h, g", Some(BAD)),
+        ("GET http://h/a HTTP/1.1\nHost: h", Some(BAD)),
+        ("OPTIONS * HTTP/1.1\nHost: h", Some(BAD)),
+        ("GET /a HTTP/1.1\nHost: h\nContent-Length: 4\nContent-Length: 5", Some(BAD)),
+        ("GET /a HTTP/1.1\nHost: h\nContent-Length: +4", Some(BAD)),
+        ("GET /a HTTP/1.1\nHost: h\nContent-Length: 4\nTransfer-Encoding: chunked", Some(BAD)),
+        ("GET /a HTTP/1.1\nHost: h\nTransfer-Encoding: gzip, chunked", Some(BAD)),
+        ("GET /a HTTP/1.1\nHost: h\nDeadline-Ms: soon", Some(BAD)),
+        ("GET /a HTTP/1.1\nHost: h\nDeadline-Ms: -1", Some(BAD)),
+        ("GET /a HTTP/1.1\nHost: h\nX: a\u{1}b", Some(BAD)),
+        ("GET /a HTTP/1.1\nHost: h\nExpect: tea", Some(BAD)),
+        ("GET /a HTTP/1.1\nHost: h\nRequest-Id: 1\nRequest-Id: 2", Some(BAD)),
+        (&format!("GET /a HTTP/1.1\nHost: h\nX: {}", "x".repeat(600)), Some(Refusal::HeadTooLarge)),
+    ];
+    for (lines, refused) in cases {
+        let got = read_request(&head(lines), 500).map(|found| found.is_some());
+        assert_eq!(got, refused.map_or(Ok(true), Err), "{lines}");
+    }
+    let bare = b"GET /a HTTP/1.1\nHost: h\r\n\r\n";
+    assert_eq!(read_request(bare, 500), Err(BAD), "a bare LF");
+    assert_eq!(read_request(&bare[..16], 500), Err(BAD), "a bare LF, early");
+    assert_eq!(read_request(b"GET /a HT", 500), Ok(None), "half a head");
+}
+
+#[test]
+fn what_concerns_one_connection_goes_no_further() {
+    let bytes = head(
+        "PUT /a?b=c HTTP/1.1\nHost: H.Example:80\nRequest-Id: 7\nX-Own: 1\nConnection: X-Own, close\n\
+         Keep-Alive: 5\nTE: trailers\nTransfer-Encoding: chunked\nDeadline-Ms: 40\n\
+         Target-Instance: forged\nExpect: 100-continue\nAccept: */*",
+    );
+    let (asked, size) = read_request(&bytes, 5_000).expect("readable").expect("whole");
+    assert_eq!(size, bytes.len());
+    assert_eq!((asked.host.as_str(), asked.path()), ("h.example", "/a"));
+    assert_eq!((asked.target.as_str(), asked.deadline_ms), ("/a?b=c", Some(40)));
+    assert!(asked.close && asked.expects && asked.framing == Framing::Chunked);
+    let passed = "Host: H.Example:80\r\nRequest-Id: 7\r\nAccept: */*\r\n";
+    assert_eq!(String::from_utf8_lossy(&asked.passed), passed);
+}
+
+#[test]
+fn answers_tell_how_long_they_are() {
+    let cases = [
+        ("GET", "200 OK\nContent-Length: 5", Ok(Framing::Length(5))),
+        ("GET", "200 OK\nTransfer-Encoding: chunked", Ok(Framing::Chunked)),
+        ("GET", "200 OK", Ok(Framing::UntilClose)),
+        ("HEAD", "200 OK\nContent-Length: 5", Ok(Framing::Length(0))),
+        ("GET", "204 No Content", Ok(Framing::Length(0))),
+        ("GET", "200 OK\nContent-Length: 5\nTransfer-Encoding: chunked", Err(Garbled)),
+        ("GET", "200 OK\nContent-Length: x", Err(Garbled)),
+    ];
+    for (method, lines, framing) in cases {
+        let got = read_answer(&head(&format!("HTTP/1.1 {lines}")), method);
+        assert_eq!(got.map(|found| found.expect("whole").0.framing), framing, "{method} {lines}");
+    }
+    assert_eq!(read_answer(b"\x00\x01 no answer\r\n\r\n", "GET"), Err(Garbled));
+    let told =
+        head("HTTP/1.1 503 No\nNot-Executed: 1\nKeep-Alive: timeout=7, max=3\nConnection: close");
+    let (told, _) = read_answer(&told, "GET").expect("readable").expect("whole");
+    assert!(
+        told.not_executed
+            && told.close
+            && told.keep_s == Some(7)
+            && told.passed.starts_with(b"Not")
+    );
+}
+
+#[test]
+fn a_body_comes_out_the_same_however_it_is_cut() {
+    let chunked = b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: 1\r\n\r\nNEXT";
+    let cases: [(Framing, &[u8], &[u8], &[u8]); 3] = [
+        (Framing::Length(5), b"abcdeNEXT", b"abcde", b"NEXT"),
+        (Framing::Chunked, chunked, b"abcde", b"NEXT"),
+        (Framing::Length(0), b"NEXT", b"", b"NEXT"),
+    ];
+    for (framing, bytes, data, rest) in cases {
+        for step in 1..bytes.len() {
+            let (mut body, mut out, mut pending) = (Body::new(framing), Vec::new(), Vec::new());
+            let mut left = bytes;
+            while !body.done() {
+                let (piece, more) = left.split_at(step.min(left.len()));
+                left = more;
+                pending.extend_from_slice(piece);
+                let used = body.take(&pending, &mut out).expect("well formed");
+                pending.drain(..used);
+            }
+            pending.extend_from_slice(left);
+            assert_eq!((out.as_slice(), pending.as_slice()), (data, rest), "{framing:?} by {step}");
+        }
+    }
+    for bad in ["x\r\n", "3\r\nabcd", "3\nabc", "1\r\na\r\n0\r\nT: 1\n\n"] {
+        let got = Body::new(Framing::Chunked).take(bad.as_bytes(), &mut Vec::new());
+        assert_eq!(got, Err(Garbled), "{bad:?}");
+    }
+    let mut open = Body::new(Framing::UntilClose);
+    assert!(!open.done() && open.closed(), "the end of the connection ends it");
+    assert!(!Body::new(Framing::Length(3)).closed(), "a length that was not reached does not");
+}
+
+#[test]
+fn what_cannot_be_repeated_is_never_sent_again_once_it_may_have_run() {
+    use Ended::*;
+    use Next::*;
+    // Repeatable, sends so far in order, others under way, time, budget: what follows the last.
+    let cases: [(bool, &[Ended], bool, bool, bool, Next); 17] = [
+        (false, &[NotSent], false, true, false, Another),
+        (false, &[NotRun], false, true, true, Another),
+        (false, &[MayHaveRun], false, true, true, Refuse(Refusal::Lost)),
+        (false, &[Failed], false, true, true, Pass),
+        (false, &[NotRun, MayHaveRun], false, true, true, Refuse(Refusal::Lost)),
+        (false, &[NotRun, NotRun], false, true, true, Pass),
+        (false, &[NotRun], false, true, false, Pass),
+        (false, &[NotSent, NotSent, NotSent, NotSent], false, true, true, Refuse(Refusal::Full)),
+        (true, &[MayHaveRun], false, true, true, Another),
+        (true, &[MayHaveRun], false, true, false, Refuse(Refusal::Lost)),
+        (true, &[MayHaveRun], false, false, true, Refuse(Refusal::Late)),
+        (true, &[Failed], false, true, true, Another),
+        (true, &[Failed, Failed], false, true, true, Pass),
+        // Its promise would not be true any more.
+        (true, &[MayHaveRun, NotRun], false, true, true, Refuse(Refusal::Lost)),
+        (true, &[NotRun], true, true, false, Refuse(Refusal::Lost)),
+        (true, &[MayHaveRun, NotSent], false, true, false, Refuse(Refusal::Lost)),
+        (true, &[NotSent], false, false, true, Refuse(Refusal::Full)),
+    ];
+    for (repeatable, ends, others, time, budget, expected) in cases {
+        let mut tries = Tries::new(repeatable, 2);
+        let mut last = Another;
+        for ended in ends {
+            if *ended != NotSent {
+                tries.offered();
+            }
+            last = tries.after(*ended, others, time, budget);
+        }
+        assert_eq!(last, expected, "{repeatable} {ends:?} {others} {time} {budget}");
+    }
+}
+
+#[test]
+fn repeats_stay_within_the_ratio_of_what_was_asked() {
+    let mut budget = RetryBudget::new(0.2, 10_000);
+    let start = Tick(100_000);
+    assert!(!budget.spend(start), "nothing earned, nothing spent");
+    (0..10).for_each(|_| budget.asked(start));
+    let spent = (0..10).filter(|_| budget.spend(start.plus(100))).count();
+    assert_eq!(spent, 2);
+    assert!(!budget.has(start.plus(9_000)), "still within the window");
+    (0..5).for_each(|_| budget.asked(start.plus(10_700)));
+    assert!(budget.has(start.plus(10_800)), "what lies before the window is over");
+}
+
+#[test]
+fn the_better_of_two_from_the_best_group() {
+    let tree = Candidate { near: true, out: false, load: 0, capacity: 2, pace: 10.0, idle: true };
+    let far = Candidate { near: false, ..tree };
+    let out = Candidate { out: true, ..tree };
+    let busy = Candidate { load: 2, ..tree };
+    let stuffed = Candidate { load: 4, ..tree };
+    let slow = Candidate { pace: 50.0, ..tree };
+    let cases: [(&str, &[Candidate], Option<usize>); 7] = [
+        ("none", &[], None),
+        ("near before far", &[far, tree], Some(1)),
+        ("far before out", &[out, far], Some(1)),
+        ("out before none", &[out], Some(0)),
+        ("far before a queue", &[busy, far], Some(1)),
+        ("nothing beyond what may queue", &[stuffed], None),
+        ("the quicker one", &[slow, tree], Some(1)),
+    ];
+    for (what, of, expected) in cases {
+        // Drawn in turn, so that each pair is seen.
+        let turn = std::cell::Cell::new(0);
+        let draw = |n: usize| {
+            turn.set(turn.get() + 1);
+            turn.get() % n
+        };
+        assert_eq!(choose(of, draw), expected, "{what}");
+    }
+}
+
+#[test]
+fn a_database_that_fails_is_left_alone_longer_each_time() {
+    let (mut health, now) = (Health::default(), Tick(100_000));
+    health.failed(now);
+    assert!(!health.out(now), "one failed answer may be the request's own fault");
+    health.failed(now);
+    assert!(health.out(now.plus(1_900)) && !health.out(now.plus(2_100)));
+    health.broke(now.plus(2_100));
+    assert!(health.out(now.plus(6_000)) && !health.out(now.plus(6_200)));
+    health.served(10);
+    health.broke(now.plus(7_000));
+    assert!(!health.out(now.plus(9_100)), "an answer makes it as good as new");
+}
+
+fn lanes(routes: serde_json::Value) -> Result<Lanes, String> {
+    let services = serde_json::json!([{ "name": "a", "max_connections": 4 }, { "name": "b", "max_connections": 4 }]);
+    let body = serde_json::json!({ "revision": 1, "route_rules": routes, "services": services });
+    Configuration::read(body.to_string().as_bytes()).map(|c| Lanes::of(&c))
+}
+fn route(host: &str, prefix: &str, more: serde_json::Value) -> serde_json::Value {
+    let mut route = serde_json::json!({ "name": format!("{host}{prefix}"), "hostname": host,
+        "path_prefix": prefix, "route_type": "idempotent", "timeout_ms": 10 });
+    route.as_object_mut().expect("object").extend(more.as_object().expect("object").clone());
+    route
+}
+
+#[test]
+fn the_longest_prefix_of_a_host_decides() {
+    let to = |service: &str| serde_json::json!({ "target_service": service });
+    let lanes = lanes(serde_json::json!([
+        route("h", "/a/", to("a")),
+        route("h", "/a/b/", to("b")),
+        route("g", "/", to("b")),
+    ]))
+    .expect("valid");
+    let cases = [
+        ("h", "/a/x", Some("/a/")),
+        ("h", "/a/", Some("/a/")),
+        ("h", "/a/b/c/d", Some("/a/b/")),
+        ("h", "/a/b", Some("/a/")),
+        ("h", "/a", None),
+        ("h", "/", None),
+        ("g", "/a/b/", Some("/")),
+        ("f", "/a/", None),
+    ];
+    for (host, path, prefix) in cases {
+        let found = lanes.route(host, path).map(|l| l.path_prefix.as_str());
+        assert_eq!(found, prefix, "{host} {path}");
+    }
+}
+
+#[test]
+fn weights_divide_requests_and_are_checked() {
+    let split = |weights: [u32; 2]| {
+        let targets = ["a", "b"].iter().zip(weights);
+        let targets: Vec<_> =
+            targets.map(|(s, w)| serde_json::json!({ "target_service": s, "weight": w })).collect();
+        route("h", "/", serde_json::json!({ "weighted_targets": targets }))
+    };
+    let found = lanes(serde_json::json!([split([90, 10])])).expect("valid");
+    let lane = found.route("h", "/x").expect("a lane");
+    let to_b = (0..1_000).filter(|n| found.service(lane, *n).is_some_and(|s| s.0 == "b")).count();
+    assert_eq!(to_b, 100);
+    let unknown =
+        serde_json::json!({ "weighted_targets": [{ "target_service": "x", "weight": 1 }] });
+    let both = serde_json::json!({ "target_service": "a", "weighted_targets": [{ "target_service": "a", "weight": 1 }] });
+    let bad = [
+        ("weighted_targets_sum_to_0", split([0, 0])),
+        ("unknown_service", route("h", "/", unknown)),
+        ("target_service_or_weighted_targets", route("h", "/", both)),
+        ("target_service_or_weighted_targets", route("h", "/", serde_json::json!({}))),
+    ];
+    for (why, route) in bad {
+        let told = lanes(serde_json::json!([route])).expect_err(why);
+        assert!(told.contains(why), "{told}");
+    }
+}
