--- a/src/common/link.rs
+++ b/src/common/link.rs
@@ -20,6 +20,9 @@
     fn hear(&self, message: ToStile);
 }
 
+/// The longest that is waited for a connection to a steward.
+const MOST_REACH: Duration = Duration::from_millis(800);
+
 pub struct Link {
     /// The part that logs.
     part: &'static str,
@@ -72,6 +75,7 @@
         let mut known = lock(&self.seeds).clone();
         let mut hint: Option<SocketAddr> = None;
         let mut next = 0usize;
+        let mut reach = REACH;
         loop {
             let to = match hint.take() {
                 Some(to) => to,
@@ -83,9 +87,17 @@
                     known[next % known.len().max(1)]
                 }
             };
-            match self.follow(follower, to, &mut known) {
-                Ok(elsewhere) => hint = elsewhere.filter(|e| *e != to),
-                Err(e) => log::debug!(target: self.part, "steward {to}: {e}"),
+            match self.follow(follower, to, reach, &mut known) {
+                Ok(elsewhere) => {
+                    hint = elsewhere.filter(|e| *e != to);
+                    reach = REACH;
+                }
+                // A dark steward costs as much as is waited for it; behind a crowded link, none
+                // answers as soon as that.
+                Err(e) => {
+                    log::debug!(target: self.part, "steward {to}: {e}");
+                    reach = (reach * 5 / 4).min(MOST_REACH);
+                }
             }
             for seed in lock(&self.seeds).iter() {
                 if !known.contains(seed) {
@@ -100,9 +112,10 @@
         &self,
         follower: &dyn Follower,
         to: SocketAddr,
+        reach: Duration,
         known: &mut Vec<SocketAddr>,
     ) -> io::Result<Option<SocketAddr>> {
-        let mut stream = dial(to, REACH, Duration::from_secs(2))?;
+        let mut stream = dial(to, reach, Duration::from_secs(2))?;
         stream.set_write_timeout(Some(Duration::from_millis(500)))?;
         // Renewals are answered far more often than this; silence means another leader.
         stream.set_read_timeout(Some(Duration::from_millis(1_200)))?;
@@ -125,6 +138,8 @@
         let ended = loop {
             match receive(&mut reader) {
                 Ok(Frame::Steward(ToStile::Elsewhere(other))) => break Ok(other),
+                // There are others now than when the connection began.
+                Ok(Frame::Steward(ToStile::Welcome { stewards })) => *known = stewards,
                 Ok(Frame::Steward(message)) => {
                     self.heard.store(Tick::now().0, Ordering::Relaxed);
                     follower.hear(message);
