Wickets use first what their demand calls for of the zone's databases; stewards introduced anew

Cause: databases chosen by chance queue at 44% of their capacity, as no node knows their load. The leader divides each zone's databases by told demand; a node's own count is then nearly the truth.

--- a/src/common/peer.rs
+++ b/src/common/peer.rs
@@ -142,6 +142,7 @@
         /// Drawn anew at every start of the process.
         life: u64,
         revision: Revision,
+        zone: String,
     },
     Renew {
         seq: u64,
@@ -156,6 +157,8 @@
         saw: Vec<Saw>,
         /// Services whose reads want a newer floor than this stile has.
         asks: Vec<ServiceName>,
+        /// Requests under way at databases of a service, in hundredths, where that changed much.
+        busy: Vec<(ServiceName, u32)>,
     },
     Suspect {
         service: ServiceName,
@@ -200,6 +203,8 @@
         grants: Vec<Grant>,
         /// The floors that were asked for.
         fresh: Vec<Fresh>,
+        /// The parts of its zone's databases that a gateway's node is to use first.
+        plots: Vec<Plot>,
     },
     Revoke {
         service: ServiceName,
@@ -227,6 +232,15 @@
     pub age: u64,
 }
 
+/// A part of a service's databases in a zone, laid out in one order at all nodes, in millionths of
+/// what they can work on at once.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Plot {
+    pub service: ServiceName,
+    pub from: u32,
+    pub upto: u32,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
     pub service: ServiceName,
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2325,6 +2325,78 @@
     }
 }
 
+/// Which part of its zone's databases each node of a gateway uses first. Where one node sees most of
+/// a database's load, its own count of requests under way is nearly the truth. A hint: nothing breaks
+/// where two nodes believe different things. A value; kept while this one leads.
+#[derive(Clone, Debug)]
+pub struct Cadastre {
+    elected: Tick,
+    divided: Tick,
+    claims: BTreeMap<(String, ServiceName), BTreeMap<NodeName, Claim>>,
+}
+#[derive(Clone, Debug, Default)]
+struct Claim {
+    /// Requests under way, in hundredths.
+    busy: u32,
+    plot: (u32, u32),
+    told: Option<(u32, u32)>,
+}
+
+/// How often the databases are divided anew.
+const DIVIDE_MS: u64 = 1_000;
+/// A new leader hears of all demands first.
+const CLAIMS_COME_MS: u64 = 2_500;
+/// Where nodes want little, they still have a part of what they would have if all wanted the same.
+const LEAST_PART: f64 = 0.3;
+/// All of a zone's databases of a service.
+const WHOLE_PLOT: f64 = 1e6;
+
+impl Cadastre {
+    pub fn new(elected: Tick) -> Self {
+        Self { elected, divided: elected, claims: BTreeMap::new() }
+    }
+    pub fn report(&mut self, node: &NodeName, zone: &str, service: ServiceName, busy: u32) {
+        let claims = self.claims.entry((zone.to_owned(), service)).or_default();
+        claims.entry(node.clone()).or_default().busy = busy;
+    }
+    /// Divides the databases by demand among the nodes that are there, now and then.
+    pub fn divide(&mut self, there: impl Fn(&NodeName) -> bool, now: Tick) {
+        if now.since(self.elected) < CLAIMS_COME_MS || now.since(self.divided) < DIVIDE_MS {
+            return;
+        }
+        self.divided = now;
+        for claims in self.claims.values_mut() {
+            claims.retain(|node, _| there(node));
+            let mean =
+                claims.values().map(|c| f64::from(c.busy)).sum::<f64>() / claims.len() as f64;
+            let weight = |c: &Claim| f64::from(c.busy).max(mean * LEAST_PART).max(1.0);
+            let all: f64 = claims.values().map(weight).sum();
+            let mut upto = 0.0;
+            for claim in claims.values_mut() {
+                let from = upto;
+                upto += weight(claim) / all * WHOLE_PLOT;
+                claim.plot = (from as u32, upto as u32);
+            }
+        }
+        self.claims.retain(|_, claims| !claims.is_empty());
+    }
+    /// The plots that a node is to be told of: those that moved by a good part of themselves, or all.
+    pub fn due(&mut self, node: &NodeName, all: bool) -> Vec<Plot> {
+        let mut due = Vec::new();
+        for ((_, service), claims) in &mut self.claims {
+            let Some(claim) = claims.get_mut(node) else { continue };
+            let (from, upto) = claim.plot;
+            let moved =
+                |(f, u): (u32, u32)| f.abs_diff(from).max(u.abs_diff(upto)) * 4 > upto - from;
+            if upto > from && (all || claim.told.is_none_or(moved)) {
+                claim.told = Some(claim.plot);
+                due.push(Plot { service: service.clone(), from, upto });
+            }
+        }
+        due
+    }
+}
+
 /// Which services there is something new to tell of, and since when.
 #[derive(Clone, Debug, Default)]
 pub struct Tidings {
@@ -2468,6 +2540,7 @@
 /// is slow, newer state takes the place of older state that has not left.
 struct Guest {
     node: NodeName,
+    zone: String,
     /// The configuration it has, or will have once what waits has arrived.
     revision: Revision,
     /// The whole directory is due, instead of the changes that did not fit.
@@ -2501,6 +2574,7 @@
     tidings: Tidings,
     sealed: BTreeSet<ServiceName>,
     freshness: Freshness,
+    cadastre: Cadastre,
     /// Leases and shares of before the election are over.
     settled: bool,
 }
@@ -3148,6 +3222,7 @@
             let word =
                 |m: &Member| format!("{}{}", m.node, if m.voter { "" } else { " (learning)" });
             let names: Vec<_> = members.iter().map(word).collect();
+            self.introduce();
             info!(target: "hedge", "members: {}", names.join(", "));
         }
         if self.config.as_ref().map_or(Revision(0), |c| c.revision) != self.almanac.revision {
@@ -3254,6 +3329,7 @@
                     tidings: Tidings::default(),
                     sealed: BTreeSet::new(),
                     freshness: Freshness::default(),
+                    cadastre: Cadastre::new(now),
                     settled: false,
                 });
             }
@@ -3315,6 +3391,7 @@
             return;
         }
         office.swept = now;
+        office.cadastre.divide(|node| office.leases.seats.contains_key(node), now);
         let settled = now.since(office.leases.elected) >= SHARE_HELD_MS;
         if office.leases.forget_old(now) || settled != office.settled {
             office.settled = settled;
@@ -3616,6 +3693,13 @@
             self.pump_conn(conn);
         }
     }
+    /// Tells all nodes which stewards there are now: one that lost this leader looks for another there.
+    fn introduce(&mut self) {
+        let stewards = self.hedge.members().iter().map(|m| m.peer).collect();
+        let frame = encode(&Frame::Steward(ToStile::Welcome { stewards }));
+        let conns: Vec<u64> = self.stiles.keys().copied().collect();
+        conns.into_iter().for_each(|conn| self.send_bytes(conn, frame.clone()));
+    }
     /// Tells all stiles of a change of the directory; one that is far behind gets the whole later.
     fn tell_stiles(&mut self, message: ToStile) {
         let frame = encode(&Frame::Steward(message));
@@ -3701,10 +3785,10 @@
             let leader = self.leads_at().map(|l| l.0);
             return self.send_conn(conn, &Frame::Steward(ToStile::Elsewhere(leader)));
         }
-        if let ToSteward::Hello { node, life, revision } = message {
+        if let ToSteward::Hello { node, life, revision, zone } = message {
             if !self.hedge.granting(now) || self.applied < self.hedge.commit {
                 // What this leader has may be older than what the stile already heard.
-                self.early.push((conn, ToSteward::Hello { node, life, revision }));
+                self.early.push((conn, ToSteward::Hello { node, life, revision, zone }));
                 return;
             }
             info!(target: "stiles", "{node} is here");
@@ -3714,6 +3798,7 @@
             }
             let guest = Guest {
                 node,
+                zone,
                 revision,
                 directory_due: true,
                 renewal: None,
@@ -3742,8 +3827,12 @@
                     self.catch_up(conn, now);
                 }
             }
-            ToSteward::Renew { seq, heard, shares, wants, saw, asks } => {
+            ToSteward::Renew { seq, heard, shares, wants, saw, asks, busy } => {
+                let zone = self.stiles.get(&conn).map(|g| g.zone.as_str()).unwrap_or_default();
                 if let Some(office) = &mut self.office {
+                    for (service, busy) in busy {
+                        office.cadastre.report(&node, zone, service, busy);
+                    }
                     for service in office.leases.report(&node, shares, now) {
                         office.tidings.stir(&service);
                     }
@@ -3833,7 +3922,8 @@
         }
         guest.answers.push_back((seq, now));
         let fresh = asks.iter().filter_map(|name| office.freshness.tell(name, now)).collect();
-        let granted = ToStile::Granted { seq, lease_ms: LEASE_MS, whole, grants, fresh };
+        let plots = office.cadastre.due(&guest.node, whole);
+        let granted = ToStile::Granted { seq, lease_ms: LEASE_MS, whole, grants, fresh, plots };
         self.send_conn(conn, &Frame::Steward(granted));
     }
 
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -1103,7 +1103,10 @@
                 sent.pop_front();
             }
         }
-        Link::tell_under(&mut link, ToSteward::Renew { seq, heard, shares, wants, saw, asks });
+        Link::tell_under(
+            &mut link,
+            ToSteward::Renew { seq, heard, shares, wants, saw, asks, busy: Vec::new() },
+        );
     }
     /// The leader takes a term back: nothing is sent or passed on under it from here on.
     fn revoke(&self, service: ServiceName, term: DbTerm) {
@@ -1162,7 +1165,7 @@
                 let now = Tick::now();
                 listed.into_iter().for_each(|one| Self::upsert(&mut view, one, now));
             }
-            ToStile::Granted { seq, lease_ms, whole, grants, fresh } => {
+            ToStile::Granted { seq, lease_ms, whole, grants, fresh, .. } => {
                 self.granted(seq, lease_ms, whole, grants, fresh);
             }
             ToStile::Revoke { service, term } => self.revoke(service, term),
@@ -2049,7 +2052,12 @@
 impl Follower for Stile {
     fn hello(&self) -> ToSteward {
         let revision = self.config().map_or(Revision(0), |c| c.revision);
-        ToSteward::Hello { node: self.node.clone(), life: self.life, revision }
+        ToSteward::Hello {
+            node: self.node.clone(),
+            life: self.life,
+            revision,
+            zone: self.zone.clone(),
+        }
     }
     /// Nothing that was told on an earlier connection counts on this one.
     fn linked(&self) {
--- a/src/wicket.rs
+++ b/src/wicket.rs
@@ -593,18 +593,26 @@
     pub pace: f64,
     /// A connection rests.
     pub idle: bool,
+    /// What it can work on at once, as far as that is this node's to use first.
+    pub home: f64,
 }
 
-/// The database to take: of the best group that has room, the better of two drawn ones. Traffic
-/// between zones costs; a database that is out is better than none.
+/// The database to take: one at home that has room, or of the best group the better of two drawn
+/// ones. Traffic between zones costs; a database that is out is better than none.
 pub fn choose(of: &[Candidate], draw: impl Fn(usize) -> usize) -> Option<usize> {
+    let pace = |c: &Candidate| if c.pace == 0.0 { 1.0 } else { c.pace };
+    let at_home = |c: &Candidate| !c.out && f64::from(c.load) < c.home.round().max(1.0);
+    let cost = |c: &Candidate| pace(c) * f64::from(c.load + 1) / c.home;
+    let home = (0..of.len()).filter(|at| of[*at].home > 0.0 && at_home(&of[*at]));
+    if let Some(at) = home.min_by(|a, b| cost(&of[*a]).total_cmp(&cost(&of[*b]))) {
+        return Some(at);
+    }
     let room = |c: &Candidate| c.load < c.capacity.max(1);
     let group = |c: &Candidate| (c.out, !room(c), !c.near);
     let full = |c: &Candidate| c.load >= c.capacity.max(1) + QUEUED;
     let best = of.iter().filter(|c| !full(c)).map(group).min()?;
     let group: Vec<usize> =
         (0..of.len()).filter(|at| !full(&of[*at]) && group(&of[*at]) == best).collect();
-    let pace = |c: &Candidate| if c.pace == 0.0 { 1.0 } else { c.pace };
     let cost = |at: usize| {
         let c = &of[at];
         let load = f64::from(c.load) / f64::from(c.capacity.max(1));
@@ -634,8 +642,10 @@
     }
     /// When an answer that has not come is unlikely to come soon, within an aim.
     pub fn patience(&self, aim_ms: u64) -> u64 {
-        let late = (self.mean + 4.0 * self.spread) as u64;
-        late.max(aim_ms / 2).max(20)
+        self.late(aim_ms / 2).max(20)
+    }
+    pub fn late(&self, least: u64) -> u64 {
+        ((self.mean + 4.0 * self.spread) as u64).max(least)
     }
 }
 
@@ -675,12 +685,68 @@
     listed: bool,
     trees: BTreeMap<InstanceId, Tree>,
     services: HashMap<ServiceName, Row>,
+    /// How long connections to databases take.
+    reach: Pace,
 }
 #[derive(Default)]
 struct Row {
     trees: Vec<InstanceId>,
     pace: Pace,
+    /// The part of the zone's databases that is used first, and what that comes to.
+    plot: Option<(u32, u32)>,
+    homes: HashMap<InstanceId, f64>,
+    work: Work,
+}
+
+/// How much is under way at the databases of a service, as the leader is told.
+#[derive(Clone, Debug, Default)]
+pub struct Work {
+    /// Milliseconds of finished sends since the last look.
+    done: u64,
+    mean: f64,
+    told: Option<u32>,
 }
+impl Work {
+    pub fn add(&mut self, ms: u64) {
+        self.done += ms;
+    }
+    /// After `ms`: what the leader has to be told, in hundredths of a request, if that is news.
+    pub fn news(&mut self, ms: u64) -> Option<u32> {
+        let now = std::mem::take(&mut self.done) as f64 / ms.max(1) as f64;
+        self.mean = if self.told.is_none() { now } else { self.mean * 0.8 + now * 0.2 };
+        let busy = (self.mean * 100.0) as u32;
+        let news = self.told.is_none_or(|t| busy.abs_diff(t) > t / 4 + 10);
+        news.then(|| {
+            self.told = Some(busy);
+            busy
+        })
+    }
+}
+
+/// The databases of a plot, with the part of each that belongs to it. All nodes lay them out in one
+/// order, which a new one changes little.
+pub fn homes<'a>(
+    of: impl Iterator<Item = (&'a InstanceId, u32)>,
+    plot: (u32, u32),
+) -> HashMap<InstanceId, f64> {
+    let mut order: Vec<(u64, &InstanceId, f64)> =
+        of.map(|(id, capacity)| (digest(&id.0), id, f64::from(capacity.max(1)))).collect();
+    order.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+    let all: f64 = order.iter().map(|(_, _, capacity)| capacity).sum();
+    let (from, upto) = (f64::from(plot.0) * all / 1e6, f64::from(plot.1) * all / 1e6);
+    let mut at = 0.0;
+    let mut found = HashMap::new();
+    for (_, id, capacity) in order {
+        let part = (at + capacity).min(upto) - from.max(at);
+        at += capacity;
+        if part > LEAST_HOME * capacity {
+            found.insert(id.clone(), part);
+        }
+    }
+    found
+}
+/// A smaller part of a database is nobody's home.
+const LEAST_HOME: f64 = 0.05;
 
 /// A database that was taken for a request.
 struct Taken {
@@ -733,6 +799,15 @@
             row.trees.retain(|i| i != id);
         }
     }
+    /// The directory or a plot has changed.
+    fn settle(&mut self, zone: &str) {
+        for row in self.services.values_mut() {
+            let near = row.trees.iter().filter_map(|id| Some((id, self.trees.get(id)?)));
+            let near = near.filter(|(_, tree)| tree.zone == zone && !tree.draining);
+            let laid = near.map(|(id, tree)| (id, tree.capacity));
+            row.homes = row.plot.map(|plot| homes(laid, plot)).unwrap_or_default();
+        }
+    }
     /// Takes a database of the service that was not tried yet.
     fn take(
         &mut self,
@@ -757,6 +832,7 @@
                 capacity: tree.capacity,
                 pace: tree.health.pace,
                 idle: !fresh && !tree.idle.is_empty(),
+                home: row.homes.get(id).copied().unwrap_or(0.0),
             });
         }
         let at = choose(&candidates, |n| rand::random_range(0..n))?;
@@ -818,8 +894,9 @@
 }
 
 const RENEW_MS: u64 = 450;
-/// A database in the same region is reached within this, or it is dark.
+/// A database is reached within this, or it is dark; longer where this node's own link is crowded.
 const CONNECT_MS: u64 = 250;
+const MOST_CONNECT_MS: u64 = 1_000;
 /// The part of an answer that is held, so that an idempotent request can still move on.
 const HELD: usize = 64 << 10;
 /// The part of a request's body that is held for sending it again.
@@ -887,11 +964,19 @@
         }
     }
     fn renew(&self) {
-        self.renewed.store(Tick::now().0, Ordering::Relaxed);
+        let now = Tick::now().0;
+        let last = self.renewed.swap(now, Ordering::Relaxed);
+        let busy = self.busy(now.saturating_sub(last));
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
         let heard = self.heard.load(Ordering::Relaxed);
         let (shares, wants, saw, asks) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-        self.link.tell(ToSteward::Renew { seq, heard, shares, wants, saw, asks });
+        self.link.tell(ToSteward::Renew { seq, heard, shares, wants, saw, asks, busy });
+    }
+    /// How busy this node is, where that is news.
+    fn busy(&self, ms: u64) -> Vec<(ServiceName, u32)> {
+        let mut orchard = lock(&self.orchard);
+        let rows = orchard.services.iter_mut();
+        rows.filter_map(|(name, row)| Some((name.clone(), row.work.news(ms)?))).collect()
     }
     /// A wicket never goes back to an older version.
     fn configured(&self, config: Lanes) {
@@ -955,12 +1040,22 @@
         }
     }
     /// A send is over: what was seen of the database, and perhaps its connection for another.
-    fn release(&self, id: &InstanceId, seen: impl FnOnce(&mut Health), stem: Option<Stem>) {
+    fn release(
+        &self,
+        id: &InstanceId,
+        took: u64,
+        seen: impl FnOnce(&mut Health),
+        stem: Option<Stem>,
+    ) {
         {
             let mut orchard = lock(&self.orchard);
+            let orchard = &mut *orchard;
             if let Some(tree) = orchard.trees.get_mut(id) {
                 tree.load = tree.load.saturating_sub(1);
                 seen(&mut tree.health);
+                if let Some(row) = orchard.services.get_mut(&tree.service) {
+                    row.work.add(took);
+                }
                 if let Some(stem) = stem
                     && !tree.draining
                     && tree.idle.len() < MAX_IDLE
@@ -977,7 +1072,7 @@
         let Taken { id, address, stem } = taken;
         let fail = |id: InstanceId, ended: Ended| {
             let now = Tick::now();
-            self.release(&id, |h| h.broke(now), None);
+            self.release(&id, 0, |h| h.broke(now), None);
             Err((id, ended))
         };
         // One that was used before and was closed meanwhile tells nothing of the database.
@@ -987,9 +1082,14 @@
             let mut one = match stem.take() {
                 Some(stem) => stem,
                 None => {
-                    let left = errand.limit.since(Tick::now()).clamp(1, CONNECT_MS);
+                    let now = Tick::now();
+                    let reach = lock(&self.orchard).reach.late(CONNECT_MS).min(MOST_CONNECT_MS);
+                    let left = errand.limit.since(now).clamp(1, reach);
                     let dark = Duration::from_secs(2);
-                    match dial(address, Duration::from_millis(left), dark) {
+                    let dialled = dial(address, Duration::from_millis(left), dark);
+                    // A refusal is quick; what is not may be this node's own link.
+                    lock(&self.orchard).reach.learn(Tick::now().since(now));
+                    match dialled {
                         Ok(stream) => Stem { stream, inbox: Inbox::default(), until: Tick(0) },
                         Err(_) => return fail(id, Ended::NotSent),
                     }
@@ -1197,15 +1297,12 @@
     /// The connection of this leg is of no more use.
     fn drop_leg(&self, leg: Leg, late: bool) {
         let now = Tick::now();
-        self.release(
-            &leg.id,
-            |h| {
-                if late {
-                    h.broke(now)
-                }
-            },
-            None,
-        );
+        let seen = |h: &mut Health| {
+            if late {
+                h.broke(now);
+            }
+        };
+        self.release(&leg.id, now.since(leg.sent), seen, None);
     }
     fn judge(&self, leg: Leg, ended: Ended) {
         let now = Tick::now();
@@ -1217,7 +1314,7 @@
             Ended::MayHaveRun if reused => {}
             Ended::NotSent | Ended::MayHaveRun => h.broke(now),
         };
-        self.release(&leg.id.clone(), see, leg.kept());
+        self.release(&leg.id.clone(), now.since(leg.sent), see, leg.kept());
         if ended == Ended::MayHaveRun
             && now.since(Tick(self.garbled.load(Ordering::Relaxed))) >= 1_000
         {
@@ -1645,7 +1742,8 @@
             _ if failed => h.failed(now),
             _ => h.served(took),
         };
-        self.release(&leg.id.clone(), see, if broken.is_none() { leg.kept() } else { None });
+        let kept = |leg: Leg| if broken.is_none() { leg.kept() } else { None };
+        self.release(&leg.id.clone(), now.since(leg.sent), see, kept(leg));
         sent?;
         if broken.is_some() {
             // What was begun can't be made whole: the client must see that it is not.
@@ -1721,10 +1819,18 @@
 impl Follower for Wicket {
     fn hello(&self) -> ToSteward {
         let revision = self.config().map_or(Revision(0), |c| c.revision);
-        ToSteward::Hello { node: self.node.clone(), life: self.life, revision }
+        ToSteward::Hello {
+            node: self.node.clone(),
+            life: self.life,
+            revision,
+            zone: self.zone.clone(),
+        }
     }
     fn linked(&self) {
         self.heard.store(0, Ordering::Relaxed);
+        for row in lock(&self.orchard).services.values_mut() {
+            row.work.told = None;
+        }
     }
     fn begin(&self) {
         self.renew();
@@ -1749,14 +1855,26 @@
                 let gone: Vec<_> = orchard.trees.keys().filter(|id| !named(id)).cloned().collect();
                 gone.iter().for_each(|id| orchard.remove(id));
                 listed.into_iter().for_each(|one| orchard.upsert(one));
+                orchard.settle(&self.zone);
                 orchard.listed = true;
             }
             ToStile::Moved { listed, gone } => {
                 let mut orchard = lock(&self.orchard);
                 gone.iter().for_each(|id| orchard.remove(id));
                 listed.into_iter().for_each(|one| orchard.upsert(one));
+                orchard.settle(&self.zone);
+            }
+            ToStile::Granted { seq, plots, .. } => {
+                self.heard.store(seq, Ordering::Relaxed);
+                if plots.is_empty() {
+                    return;
+                }
+                let mut orchard = lock(&self.orchard);
+                for Plot { service, from, upto } in plots {
+                    orchard.services.entry(service).or_default().plot = Some((from, upto));
+                }
+                orchard.settle(&self.zone);
             }
-            ToStile::Granted { seq, .. } => self.heard.store(seq, Ordering::Relaxed),
             ToStile::Renew => self.renew(),
         }
         self.changed.notify_all();
--- a/tests/wicket.rs
+++ b/tests/wicket.rs
@@ -169,7 +169,15 @@
 
 #[test]
 fn the_better_of_two_from_the_best_group() {
-    let tree = Candidate { near: true, out: false, load: 0, capacity: 2, pace: 10.0, idle: true };
+    let tree = Candidate {
+        near: true,
+        out: false,
+        load: 0,
+        capacity: 2,
+        pace: 10.0,
+        idle: true,
+        home: 0.0,
+    };
     let far = Candidate { near: false, ..tree };
     let out = Candidate { out: true, ..tree };
     let busy = Candidate { load: 2, ..tree };
