--- a/src/wicket.rs
+++ b/src/wicket.rs
@@ -544,6 +544,7 @@
 /// How long a database that failed is left alone; doubled each time in a row.
 const OUT_MS: u64 = 2_000;
 const MAX_OUT_MS: u64 = 16_000;
+const UNREACHED_MS: u64 = 300;
 /// How long one is left alone that had no room.
 const FULL_MS: u64 = 150;
 /// A failed answer alone may be the request's own fault; so many lately are not.
@@ -558,9 +559,7 @@
     }
     /// It could not be reached, broke off, or said what is no answer.
     pub fn broke(&mut self, now: Tick) {
-        let out = (OUT_MS << self.outs.min(8)).min(MAX_OUT_MS);
-        self.out_until = self.out_until.max(now.plus(out));
-        self.outs += 1;
+        self.leave_out(OUT_MS, now);
     }
     pub fn failed(&mut self, now: Tick) {
         self.failures += 1.0;
@@ -569,6 +568,15 @@
             self.broke(now);
         }
     }
+    /// No connection was had in time: it may be busy, and only again and again is it dark.
+    pub fn unreached(&mut self, now: Tick) {
+        self.leave_out(UNREACHED_MS, now);
+    }
+    fn leave_out(&mut self, first_ms: u64, now: Tick) {
+        let out = (first_ms << self.outs.min(8)).min(MAX_OUT_MS);
+        self.out_until = self.out_until.max(now.plus(out));
+        self.outs += 1;
+    }
     pub fn full(&mut self, now: Tick) {
         self.out_until = self.out_until.max(now.plus(FULL_MS));
     }
@@ -911,6 +919,7 @@
 /// One send of a request to one database.
 struct Leg {
     id: InstanceId,
+    address: SocketAddr,
     stem: Stem,
     reused: bool,
     sent: Tick,
@@ -1091,6 +1100,10 @@
                     lock(&self.orchard).reach.learn(Tick::now().since(now));
                     match dialled {
                         Ok(stream) => Stem { stream, inbox: Inbox::default(), until: Tick(0) },
+                        Err(e) if e.kind() == io::ErrorKind::TimedOut => {
+                            self.release(&id, 0, |h| h.unreached(Tick::now()), None);
+                            return Err((id, Ended::NotSent));
+                        }
                         Err(_) => return fail(id, Ended::NotSent),
                     }
                 }
@@ -1111,6 +1124,7 @@
                 Ok(()) => {
                     return Ok(Leg {
                         id,
+                        address,
                         stem: one,
                         reused,
                         sent,
@@ -1256,6 +1270,25 @@
                     }
                     Progress::Ended(ended) => {
                         let leg = legs.swap_remove(at);
+                        // Most likely forgotten while it rested: the same database may have it again,
+                        // on a connection of its own.
+                        if lane.route_type.repeatable() && leg.forgotten() {
+                            let taken = Taken { id: leg.id, address: leg.address, stem: None };
+                            match self.send_to(errand, taken) {
+                                Ok(leg) => legs.push(leg),
+                                Err((_, ended)) => {
+                                    match self.next(errand, &mut tries, ended, !legs.is_empty()) {
+                                        Next::Another => wanted = true,
+                                        _ if !legs.is_empty() => {}
+                                        Next::Refuse(refusal) => {
+                                            return Ok(self.own(errand, refusal));
+                                        }
+                                        Next::Pass => return Ok(self.own(errand, Refusal::Lost)),
+                                    }
+                                }
+                            }
+                            break;
+                        }
                         let others = !legs.is_empty();
                         match self.next(errand, &mut tries, ended, others) {
                             Next::Another => {
@@ -1383,6 +1416,10 @@
 }
 
 impl Leg {
+    /// A connection that had rested came to its end before any answer.
+    fn forgotten(&self) -> bool {
+        self.reused && self.ended && self.head.is_none() && self.stem.inbox.is_empty()
+    }
     fn write_piece(&mut self, piece: &[u8], chunked: bool) -> io::Result<()> {
         if !chunked {
             return self.stem.stream.write_all(piece);
