--- a/examples/standin.rs
+++ b/examples/standin.rs
@@ -1,19 +1,31 @@
 //! A stand-in service of three databases and a platform, for a first run on one's own machine.
 //!
-//! Prints the platform's address for the settings files, then beats to the given steward.
+//! Prints the platform's address for the settings files, then beats to the given steward. With
+//! `--gateway`, three databases that answer HTTP requests, and no platform.
+#[path = "../tests/support/gateway.rs"]
+mod shed;
 #[path = "../tests/support/mod.rs"]
-mod support;
+pub mod support;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
-    let mut words = std::env::args().skip(1);
+    let mut words = std::env::args().skip(1).peekable();
+    let gateway = words.next_if_eq("--gateway").is_some();
     let (Some(service), Some(admin)) = (words.next(), words.next()) else {
-        eprintln!("usage: standin SERVICE STEWARD_ADMIN_ADDRESS");
+        eprintln!("usage: standin [--gateway] SERVICE STEWARD_ADMIN_ADDRESS");
         std::process::exit(2);
     };
     let admin: SocketAddr = admin.parse()?;
+    if gateway {
+        let databases = shed::Shed::start(&service, 3)?;
+        for sequence in 1.. {
+            // Whether a steward is there yet shows in its status.
+            databases.beat_all(admin, sequence);
+            std::thread::sleep(Duration::from_millis(1000));
+        }
+    }
     let databases = support::StandIn::start(&service, 3)?;
     println!("platform {}", databases.platform);
     for (i, address) in databases.addresses.iter().enumerate() {
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 use silvertack::common::settings::Settings;
 use silvertack::common::{http, logging};
 use silvertack::{steward, stile, wicket};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -158,8 +159,13 @@
 fn print_json(address: SocketAddr, body: &[u8]) -> Result<(), Fatal> {
     let value: serde_json::Value = serde_json::from_slice(body)
         .map_err(|e| Fatal::Call(format!("{address} answers nonsense: {e}")))?;
-    println!("{value:#}");
-    Ok(())
+    match writeln!(std::io::stdout(), "{value:#}") {
+        // Whoever reads it may have seen enough.
+        Err(e) if e.kind() != std::io::ErrorKind::BrokenPipe => {
+            Err(Fatal::Call(format!("standard output: {e}")))
+        }
+        _ => Ok(()),
+    }
 }
 
 /// One call, following the way to the leader twice as callers of stewards do.
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -100,7 +100,8 @@
         (0..self.addresses.len()).all(|database| {
             let path = format!("/instances/{}", self.id(database));
             let body = self.beat(database, sequence, "available");
-            super::http(admin, "PUT", &path, &[], &body).is_ok_and(|(status, _)| status == 200)
+            crate::support::http(admin, "PUT", &path, &[], &body)
+                .is_ok_and(|(status, _)| status == 200)
         })
     }
 
--- a/tests/wicket.rs
+++ b/tests/wicket.rs
@@ -1,7 +1,8 @@
 //! The pure parts of the wicket, as tables of cases.
 use silvertack::common::config::{Configuration, Lanes};
 use silvertack::common::errors::Refusal;
-use silvertack::common::ids::Tick;
+use silvertack::common::ids::{InstanceId, NodeName, ServiceName, Tick};
+use silvertack::steward::Cadastre;
 use silvertack::wicket::*;
 
 fn head(lines: &str) -> Vec<u8> {
@@ -87,7 +88,8 @@
 #[test]
 fn a_body_comes_out_the_same_however_it_is_cut() {
     let chunked = b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: 1\r\n\r\nNEXT";
-    let cases: [(Framing, &[u8], &[u8], &[u8]); 3] = [
+    type Case<'a> = (Framing, &'a [u8], &'a [u8], &'a [u8]);
+    let cases: [Case<'_>; 3] = [
         (Framing::Length(5), b"abcdeNEXT", b"abcde", b"NEXT"),
         (Framing::Chunked, chunked, b"abcde", b"NEXT"),
         (Framing::Length(0), b"NEXT", b"", b"NEXT"),
@@ -121,7 +123,8 @@
     use Ended::*;
     use Next::*;
     // Repeatable, sends so far in order, others under way, time, budget: what follows the last.
-    let cases: [(bool, &[Ended], bool, bool, bool, Next); 17] = [
+    type Case<'a> = (bool, &'a [Ended], bool, bool, bool, Next);
+    let cases: [Case<'_>; 17] = [
         (false, &[NotSent], false, true, false, Another),
         (false, &[NotRun], false, true, true, Another),
         (false, &[MayHaveRun], false, true, true, Refuse(Refusal::Lost)),
@@ -280,3 +283,77 @@
         assert!(told.contains(why), "{told}");
     }
 }
+
+#[test]
+fn plots_follow_demand_and_cover_all_databases_once() {
+    let start = Tick(100_000);
+    let mut cadastre = Cadastre::new(start);
+    let items = ServiceName::from("items");
+    let node = |n: usize| NodeName(format!("n{n}"));
+    let busy = [300, 100, 0, 200];
+    for (n, busy) in busy.iter().enumerate() {
+        cadastre.report(&node(n), "here", items.clone(), *busy);
+    }
+    cadastre.report(&node(9), "elsewhere", items.clone(), 50);
+    cadastre.divide(|_| true, start.plus(1_000));
+    assert!(cadastre.due(&node(0), false).is_empty(), "not before all have had time to report");
+    let divide = |cadastre: &mut Cadastre, ms: u64| {
+        cadastre.divide(|n| *n != node(8), start.plus(ms));
+        let mut upto = 0;
+        let mut parts = Vec::new();
+        for n in 0..busy.len() {
+            let plots = cadastre.due(&node(n), true);
+            assert_eq!((plots.len(), plots[0].from), (1, upto), "each begins where the last ends");
+            upto = plots[0].upto;
+            parts.push((plots[0].upto - plots[0].from) / 1_000);
+        }
+        assert!(upto >= 999_990);
+        parts
+    };
+    // The one that wants nothing has 0.3 of the mean of 150.
+    assert_eq!(divide(&mut cadastre, 3_000), [465, 155, 69, 310]);
+    let elsewhere = &cadastre.due(&node(9), true)[0];
+    assert_eq!((elsewhere.from, elsewhere.upto), (0, 1_000_000), "a zone by itself");
+    // What moved little is not told again; what moved much is.
+    cadastre.report(&node(0), "here", items.clone(), 310);
+    cadastre.divide(|_| true, start.plus(4_100));
+    assert!((0..4).all(|n| cadastre.due(&node(n), false).is_empty()));
+    cadastre.report(&node(0), "here", items.clone(), 900);
+    cadastre.divide(|_| true, start.plus(5_200));
+    assert!((0..4).all(|n| cadastre.due(&node(n), false).len() == 1));
+    // One that is gone has no part.
+    cadastre.divide(|n| *n != node(0), start.plus(6_300));
+    assert_eq!(cadastre.due(&node(1), true)[0].from, 0);
+    assert!(cadastre.due(&node(0), true).is_empty());
+}
+
+#[test]
+fn homes_are_what_overlaps_a_plot() {
+    let ids: Vec<InstanceId> = (0..6).map(|n| InstanceId(format!("i{n}"))).collect();
+    let of = || ids.iter().map(|id| (id, 2));
+    let all = homes(of(), (0, 1_000_000));
+    assert!(ids.iter().all(|id| all.get(id) == Some(&2.0)));
+    // Three plots that cover everything share out each database exactly once.
+    let cuts = [0, 250_000, 600_000, 1_000_000];
+    let parts: Vec<_> = cuts.windows(2).map(|c| homes(of(), (c[0], c[1]))).collect();
+    for id in &ids {
+        let sum: f64 = parts.iter().filter_map(|p| p.get(id)).sum();
+        assert!((sum - 2.0).abs() < 0.11, "{id}: {sum}");
+    }
+    assert!(homes(of(), (500_000, 500_001)).is_empty(), "a sliver is nobody's home");
+}
+
+#[test]
+fn demand_is_told_when_it_changed_much() {
+    let mut work = Work::default();
+    work.add(450);
+    assert_eq!(work.news(450), Some(100), "one request under way all the time");
+    work.add(470);
+    assert_eq!(work.news(450), None, "about the same");
+    let told = (0..20).filter_map(|_| {
+        work.add(1_800);
+        work.news(450)
+    });
+    let told: Vec<u32> = told.collect();
+    assert!(told.len() < 8 && told.last().is_some_and(|t| *t > 300), "{told:?}");
+}
