Resting clients of the wicket hold no thread; one crew of threads, one list of parked clients

A wicket kept a thread for each connection (853 of them at 160 MB); now descriptors are the bound, as at the stile, whose list of resting clients serves both. A job that finds no thread waits for one.

--- a/src/common/mod.rs
+++ b/src/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod ids;
 pub mod link;
 pub mod logging;
+pub mod parked;
 pub mod peer;
 pub mod settings;
 pub mod signals;
@@ -22,45 +23,58 @@
 
 type Job = Box<dyn FnOnce() + Send>;
 
-/// Threads between two short jobs, and jobs that one of them is about to take. Calls, beats and
-/// questions come by the hundred a second; a new thread for each costs more than the work.
+/// Threads that do one short job after the other, and jobs that one of them is about to take. Calls,
+/// beats and questions come by the hundred a second; a new thread for each costs more than the work.
 struct Crew {
+    threads: usize,
     resting: usize,
     jobs: VecDeque<Job>,
 }
-static CREW: Mutex<Crew> = Mutex::new(Crew { resting: 0, jobs: VecDeque::new() });
+static CREW: Mutex<Crew> = Mutex::new(Crew { threads: 0, resting: 0, jobs: VecDeque::new() });
 static WANTED: Condvar = Condvar::new();
 /// How long a thread waits for another job.
 const REST: Duration = Duration::from_secs(10);
 
 fn next_job() -> Option<Job> {
     let mut crew = lock(&CREW);
+    if let Some(job) = crew.jobs.pop_front() {
+        return Some(job);
+    }
     crew.resting += 1;
     let no_job = |crew: &mut Crew| crew.jobs.is_empty();
     let waited = WANTED.wait_timeout_while(crew, REST, no_job);
     crew = waited.unwrap_or_else(PoisonError::into_inner).0;
     crew.resting -= 1;
-    crew.jobs.pop_front()
+    let job = crew.jobs.pop_front();
+    crew.threads -= usize::from(job.is_none());
+    job
 }
 
-/// Has a thread with a small stack do a job that ends. False if the machine has none left: that is
-/// no reason to end, and whoever wanted it tries again or refuses.
+/// Has a thread with a small stack do a job that ends. Where the machine has none left, one that is at
+/// work takes it next; false if there is none at all: that is no reason to end, and whoever wanted it
+/// tries again or refuses.
 pub fn start_thread(work: impl FnOnce() + Send + 'static) -> bool {
     {
         let mut crew = lock(&CREW);
-        if crew.resting > crew.jobs.len() {
-            crew.jobs.push_back(Box::new(work));
+        crew.jobs.push_back(Box::new(work));
+        if crew.resting >= crew.jobs.len() {
             drop(crew);
             WANTED.notify_one();
             return true;
         }
+        crew.threads += 1;
     }
-    spawn(move || {
-        work();
+    let started = spawn(|| {
         while let Some(job) = next_job() {
             job();
         }
-    })
+    });
+    if started {
+        return true;
+    }
+    let mut crew = lock(&CREW);
+    crew.threads -= 1;
+    crew.threads > 0 || crew.jobs.pop_back().is_none()
 }
 fn spawn(work: impl FnOnce() + Send + 'static) -> bool {
     let started = std::thread::Builder::new().stack_size(256 << 10).spawn(work);
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -8,18 +8,17 @@
 use crate::common::http;
 use crate::common::ids::*;
 use crate::common::link::{Follower, Link};
+use crate::common::parked::Parked;
 use crate::common::peer::*;
 use crate::common::settings::{Settings, Watched};
 use crate::common::signals::Signals;
 use crate::common::wire::{self, Inbox, Line, NoLine, Outcome, Reply, State, Statement, Verb};
 use crate::common::{lock, must_start};
 use log::{info, warn};
-use rustix::event::epoll;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::hash::BuildHasher;
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -923,8 +922,7 @@
     bench: Mutex<Bench>,
     wanted: Condvar,
     /// Sessions whose clients say nothing, and what wakes when one does.
-    parked: Mutex<HashMap<u64, Session>>,
-    watch: OwnedFd,
+    parked: Parked<Session>,
     doubted: Mutex<HashMap<InstanceId, Tick>>,
     hasher: std::hash::RandomState,
     max_sessions: usize,
@@ -1327,7 +1325,7 @@
             "revision": view.config.as_ref().map(|c| c.revision),
             "sessions": lock(&self.sessions).len(),
             "sessions_allowed": self.max_sessions,
-            "resting": lock(&self.parked).len(),
+            "resting": self.parked.len(),
             "services": services,
             "databases": databases,
         })
@@ -1377,7 +1375,7 @@
     End,
 }
 
-/// A client's connection. Between two lines it is no thread's: see `Stile::watch`.
+/// A client's connection. Between two lines it is no thread's: see `Parked`.
 struct Session {
     id: u64,
     stile: Arc<Stile>,
@@ -2038,8 +2036,6 @@
 const IDLE_MS: u64 = 60_000;
 /// How long a thread waits for the next line of the session it has just served.
 const LINGER_MS: u64 = 20;
-/// Resting clients that are woken in one round.
-const EVENTS: usize = 64;
 /// A client has this long to say CONNECT.
 const HELLO_MS: u64 = 10_000;
 /// A session that is older than this may stay for long.
@@ -2193,37 +2189,8 @@
     /// The session waits for its client without a thread.
     fn park(&self, session: Session) {
         let (id, seen) = (session.id, Arc::clone(&session.seen));
-        // First the list, then the watch: what comes at once must find it.
-        lock(&self.parked).insert(id, session);
-        let what = epoll::EventFlags::IN | epoll::EventFlags::RDHUP | epoll::EventFlags::ONESHOT;
-        let token = epoll::EventData::new_u64(id);
-        let watched = match seen.watched.swap(true, Ordering::Relaxed) {
-            true => epoll::modify(&self.watch, &seen.stream, token, what),
-            false => epoll::add(&self.watch, &seen.stream, token, what),
-        };
-        if let Err(e) = watched {
-            warn!(target: "session", "a resting client can't be watched: {e}");
-            drop(lock(&self.parked).remove(&id));
-        }
-    }
-    /// Waits for all resting clients at once, and hands over those that said something or left.
-    fn watch(self: &Arc<Self>) {
-        let mut events = Vec::with_capacity(EVENTS);
-        loop {
-            match epoll::wait(&self.watch, rustix::buffer::spare_capacity(&mut events), None) {
-                Ok(_) | Err(rustix::io::Errno::INTR) => {}
-                Err(e) => {
-                    warn!(target: "session", "waiting for clients: {e}");
-                    std::thread::sleep(Duration::from_millis(20));
-                }
-            }
-            for event in events.drain(..) {
-                let found = lock(&self.parked).remove(&event.data.u64());
-                if let Some(session) = found {
-                    self.hand(session);
-                }
-            }
-        }
+        let known = seen.watched.swap(true, Ordering::Relaxed);
+        self.parked.rest(id, &seen.stream, session, known);
     }
 
     /// Ends transactions that rest for too long, and connections that nobody may hold any more.
@@ -2278,9 +2245,7 @@
         next_session: AtomicU64::new(1),
         bench: Mutex::default(),
         wanted: Condvar::new(),
-        parked: Mutex::default(),
-        watch: epoll::create(epoll::CreateFlags::CLOEXEC)
-            .map_err(|e| Fatal::Call(e.to_string()))?,
+        parked: Parked::new("session").map_err(|e| Fatal::Call(e.to_string()))?,
         doubted: Mutex::default(),
         hasher: std::hash::RandomState::new(),
         drain_ms: AtomicU64::new(settings.timing_bounds.drain_ms),
@@ -2306,7 +2271,7 @@
     }
     let listener = listen(frontend)?;
     let watching = Arc::clone(&stile);
-    must_start("resting clients", move || watching.watch())?;
+    must_start("resting clients", move || watching.parked.watch(|s| watching.hand(s)))?;
     let serving = Arc::clone(&stile);
     must_start("sessions", move || while serving.attend() {})?;
     let accepting = Arc::clone(&stile);
--- a/src/wicket.rs
+++ b/src/wicket.rs
@@ -8,6 +8,7 @@
 use crate::common::http;
 use crate::common::ids::*;
 use crate::common::link::{Follower, Link};
+use crate::common::parked::Parked;
 use crate::common::peer::*;
 use crate::common::settings::{Settings, Watched};
 use crate::common::signals::Signals;
@@ -862,8 +863,27 @@
 /// A client's connection, as others may see and end it.
 struct Guest {
     stream: TcpStream,
-    /// It waits for its client, with nothing half read.
-    resting: AtomicBool,
+    /// Since when it waits for its client with nothing half read; 0 while it does not.
+    resting: AtomicU64,
+    /// It has rested without a thread before, so that the kernel knows whom to wake.
+    watched: AtomicBool,
+}
+impl Guest {
+    fn rests(&self) -> Option<Tick> {
+        Some(Tick(self.resting.load(Ordering::Relaxed))).filter(|t| t.0 > 0)
+    }
+}
+
+/// A client that is being served, or rests until it speaks. However it ends, it is off the list.
+struct Visit {
+    id: u64,
+    guest: Arc<Guest>,
+    wicket: Arc<Wicket>,
+}
+impl Drop for Visit {
+    fn drop(&mut self) {
+        lock(&self.wicket.guests).remove(&self.id);
+    }
 }
 
 struct Wicket {
@@ -883,6 +903,7 @@
     /// While draining, resting clients are sent off from here on.
     closing: AtomicBool,
     guests: Mutex<HashMap<u64, Arc<Guest>>>,
+    parked: Parked<Visit>,
     next_guest: AtomicU64,
     max_guests: usize,
     counts: Counts,
@@ -1021,6 +1042,7 @@
             "revision": orchard.config.as_ref().map(|c| c.revision),
             "connections": lock(&self.guests).len(),
             "connections_allowed": self.max_guests,
+            "resting": self.parked.len(),
             "requests": of(&self.counts.requests),
             "sent_again": of(&self.counts.repeats),
             "refused": of(&self.counts.refused),
@@ -1572,25 +1594,26 @@
 }
 
 impl Wicket {
-    /// Serves one client until its connection ends.
-    fn attend(&self, guest: &Guest) -> io::Result<()> {
+    /// Serves one client until it rests or its connection ends; true if it rests.
+    fn attend(&self, guest: &Guest) -> io::Result<bool> {
         let mut client = Client { stream: &guest.stream, inbox: Inbox::default(), max_body: 0 };
         loop {
-            let Some(config) = self.config() else { return Ok(()) };
+            let Some(config) = self.config() else { return Ok(false) };
             let limits = &config.limits;
             client.max_body = limits.max_body_bytes;
             // Between two requests nothing is owed; from the first byte on the head is.
-            guest.resting.store(client.inbox.is_empty(), Ordering::Relaxed);
             if client.inbox.is_empty() {
+                guest.resting.store(Tick::now().0, Ordering::Relaxed);
                 if self.closing.load(Ordering::Relaxed) {
-                    return Ok(());
+                    return Ok(false);
                 }
-                match client.fill(Tick::now().plus(limits.idle_timeout_ms))? {
+                match client.fill(Tick::now().plus(LINGER_MS))? {
                     Filled::Some => {}
-                    Filled::Closed | Filled::Late => return Ok(()),
+                    Filled::Closed => return Ok(false),
+                    Filled::Late => return Ok(true),
                 }
             }
-            guest.resting.store(false, Ordering::Relaxed);
+            guest.resting.store(0, Ordering::Relaxed);
             let began = Tick::now();
             let head_by = began.plus(limits.header_timeout_ms);
             let asked = loop {
@@ -1601,17 +1624,23 @@
                     }
                     Ok(None) => match client.fill(head_by)? {
                         Filled::Some => {}
-                        Filled::Closed => return Ok(()),
-                        Filled::Late => return self.refuse(&mut client, Refusal::Slow, 0, true),
+                        Filled::Closed => return Ok(false),
+                        Filled::Late => {
+                            self.refuse(&mut client, Refusal::Slow, 0, true)?;
+                            return Ok(false);
+                        }
                     },
-                    Err(refusal) => return self.refuse(&mut client, refusal, 0, true),
+                    Err(refusal) => {
+                        self.refuse(&mut client, refusal, 0, true)?;
+                        return Ok(false);
+                    }
                 }
             };
             // The version of this moment decides all of the request.
-            let Some(config) = self.config() else { return Ok(()) };
+            let Some(config) = self.config() else { return Ok(false) };
             count(&self.counts.requests);
             if !self.serve(&config, &asked, &mut client)? {
-                return Ok(());
+                return Ok(false);
             }
         }
     }
@@ -1827,19 +1856,36 @@
             return;
         }
         let id = self.next_guest.fetch_add(1, Ordering::Relaxed);
-        let guest = Arc::new(Guest { stream, resting: AtomicBool::new(true) });
+        let resting = AtomicU64::new(Tick::now().0);
+        let guest = Arc::new(Guest { stream, resting, watched: AtomicBool::new(false) });
         lock(&self.guests).insert(id, Arc::clone(&guest));
-        let wicket = Arc::clone(self);
-        let started = start_thread(move || {
-            if let Err(e) = wicket.attend(&guest) {
+        self.hand(Visit { id, guest, wicket: Arc::clone(self) });
+    }
+    /// Closes connections that rested for longer than they may.
+    fn send_off_idle(&self, now: Tick) {
+        let Some(config) = self.config() else { return };
+        let most = config.limits.idle_timeout_ms;
+        for guest in lock(&self.guests).values() {
+            if guest.rests().is_some_and(|since| now.since(since) >= most) {
+                drop(guest.stream.shutdown(Shutdown::Read));
+            }
+        }
+    }
+    /// Has a thread serve a client. Without any, its connection ends.
+    fn hand(&self, visit: Visit) {
+        start_thread(move || {
+            let guest = Arc::clone(&visit.guest);
+            match visit.wicket.attend(&guest) {
+                Ok(true) => {
+                    let wicket = Arc::clone(&visit.wicket);
+                    let known = guest.watched.swap(true, Ordering::Relaxed);
+                    wicket.parked.rest(visit.id, &guest.stream, visit, known);
+                }
+                Ok(false) => {}
                 // How a client's connection ends is not worth a line each.
-                debug!(target: "wicket", "client {id}: {e}");
+                Err(e) => debug!(target: "wicket", "client {}: {e}", visit.id),
             }
-            lock(&wicket.guests).remove(&id);
         });
-        if !started {
-            lock(&self.guests).remove(&id);
-        }
     }
 }
 
@@ -1920,8 +1966,8 @@
 
 /// Descriptors kept for connections to databases, the link and files.
 const SPARE_FILES: u64 = 400;
-/// Each client's connection has a thread, and the memory of its stack.
-const MEMORY_A_GUEST: u64 = 96 << 10;
+/// How long a thread waits for the next request of the client it has just served.
+const LINGER_MS: u64 = 20;
 /// The platform looks at readiness each second and needs two misses; new clients come until then.
 const NOTICED_MS: u64 = 2_300;
 
@@ -1934,7 +1980,6 @@
     let readiness = needed(settings.listeners.readiness, "readiness")?;
     let signals = Signals::install().map_err(|e| Fatal::Call(e.to_string()))?;
     let files = settings.limits.max_open_files.saturating_sub(SPARE_FILES).max(16) / 2;
-    let memory = (settings.limits.memory_mb << 20) / 2 / MEMORY_A_GUEST;
     let bounds = &settings.timing_bounds;
     let budget = RetryBudget::new(bounds.retry_ratio, 1_000 * bounds.retry_window_s);
     let wicket = Arc::new(Wicket {
@@ -1951,8 +1996,9 @@
         draining: AtomicBool::new(false),
         closing: AtomicBool::new(false),
         guests: Mutex::default(),
+        parked: Parked::new("wicket").map_err(|e| Fatal::Call(e.to_string()))?,
         next_guest: AtomicU64::new(1),
-        max_guests: files.min(memory.max(16)) as usize,
+        max_guests: files as usize,
         counts: Counts::default(),
         garbled: AtomicU64::new(0),
     });
@@ -1983,6 +2029,8 @@
             }
         }
     })?;
+    let watching = Arc::clone(&wicket);
+    must_start("resting clients", move || watching.parked.watch(|v| watching.hand(v)))?;
     info!(target: "wicket", "{} serves {frontend}", settings.node_name);
     tend(&wicket, &signals, watched, settings)
 }
@@ -1999,6 +2047,7 @@
         std::thread::sleep(Duration::from_millis(if leaving.is_some() { 50 } else { 225 }));
         let now = Tick::now();
         wicket.renew_when_due();
+        wicket.send_off_idle(now);
         if let Some(new) = watched.poll(signals.take_hup()) {
             wicket.link.seek(new.seed_peers());
             let bounds = &new.timing_bounds;
@@ -2021,7 +2070,7 @@
         // Takes nothing more from clients that rest; what was read is still answered.
         wicket.closing.store(true, Ordering::Relaxed);
         let guests: Vec<Arc<Guest>> = lock(&wicket.guests).values().cloned().collect();
-        for guest in guests.iter().filter(|g| g.resting.load(Ordering::Relaxed)) {
+        for guest in guests.iter().filter(|g| g.rests().is_some()) {
             drop(guest.stream.shutdown(Shutdown::Read));
         }
         if guests.is_empty() || waited + 300 > grace {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,13 +6,13 @@
 
 use shed::{How, Shed};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
-use support::http;
+use support::{free_port, http};
 
 struct Process(Child);
 impl Drop for Process {
@@ -69,11 +69,7 @@
 }
 
 fn start(databases: usize) -> System {
-    let ports: Vec<u16> = (0..4)
-        .map(|_| {
-            TcpListener::bind("127.0.0.1:0").expect("port").local_addr().expect("address").port()
-        })
-        .collect();
+    let ports: Vec<u16> = (0..4).map(|_| free_port()).collect();
     let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
     let folder = std::env::temp_dir().join(format!("silvertack-gateway-{}", ports[0]));
     std::fs::create_dir_all(&folder).expect("folder");
@@ -391,6 +387,32 @@
     });
 }
 
+#[test]
+fn clients_that_rest_hold_no_thread_and_are_served_again() {
+    let system = start(2);
+    let mut clients: Vec<Client> = Vec::new();
+    for round in 0..2 {
+        for place in 0..150 {
+            if round == 0 {
+                clients.push(Client::open(&system));
+            }
+            let client = &mut clients[place];
+            // As slowly as threads get free again.
+            std::thread::sleep(Duration::from_millis(2));
+            client.send(&request("GET", "/many/x", &fresh_id(), "", ""));
+            assert_eq!(client.answer("GET").expect("an answer").status, 200, "round {round}");
+        }
+        eventually("all rest", || {
+            let (_, body) = http(system.readiness, "GET", "/status", &[], "").expect("status");
+            serde_json::from_str::<serde_json::Value>(&body).expect("json")["resting"] == 150
+        });
+        let status = format!("/proc/{}/status", system.wicket.0.id());
+        let status = std::fs::read_to_string(status).expect("status");
+        let threads = status.lines().find_map(|l| l.strip_prefix("Threads:")).expect("threads");
+        assert!(threads.trim().parse::<u32>().expect("a number") < 40, "{threads}");
+    }
+}
+
 #[test]
 fn at_sigterm_what_was_read_is_answered() {
     let mut system = start(2);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -283,6 +283,19 @@
     }
 }
 
+/// A port that is free, outside the range from which the kernel gives ports to connections: one of
+/// those may be gone by the time a program listens on it.
+pub fn free_port() -> u16 {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = 20_000 + ((u64::from(std::process::id()) * 37 + step) % 11_000) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
+}
+
 /// One HTTP call on a connection of its own: the status and the body.
 pub fn http(
     to: SocketAddr,
--- a/tests/whole.rs
+++ b/tests/whole.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
-use support::{StandIn, http};
+use support::{StandIn, free_port, http};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_silvertack");
 
@@ -36,11 +36,6 @@
     }
 }
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("address").port()
-}
-
 fn configuration(revision: u64) -> serde_json::Value {
     let route = |name: &str, kind: &str| {
         serde_json::json!({
