--- a/src/stile.rs
+++ b/src/stile.rs
@@ -914,6 +914,8 @@
     seq: AtomicU64,
     /// When a leader last answered a renewal.
     answered: AtomicU64,
+    /// Clients are let in.
+    listening: AtomicBool,
     draining: AtomicBool,
     /// While draining, idle sessions are closed from this tick on.
     close_from: AtomicU64,
@@ -1280,13 +1282,17 @@
         }
     }
 
-    fn ready(&self, now: Tick) -> bool {
+    /// It knows what to serve, and may.
+    fn able(&self, now: Tick) -> bool {
         if self.draining.load(Ordering::Relaxed) || !self.link.is_up() {
             return false;
         }
         let view = lock(&self.view);
         view.config.is_some() && view.listed && view.services.values().any(|s| s.share.until > now)
     }
+    fn ready(&self, now: Tick) -> bool {
+        self.listening.load(Ordering::Relaxed) && self.able(now)
+    }
     fn status(&self, now: Tick) -> serde_json::Value {
         let view = lock(&self.view);
         let services: Vec<_> = view
@@ -2239,6 +2245,7 @@
         heard: Mutex::default(),
         seq: AtomicU64::new(0),
         answered: AtomicU64::new(0),
+        listening: AtomicBool::new(false),
         draining: AtomicBool::new(false),
         close_from: AtomicU64::new(u64::MAX),
         sessions: Mutex::default(),
@@ -2258,7 +2265,7 @@
     must_start("the link", move || linking.link.keep(&*linking))?;
     // Until it knows what to serve, a stile has no address: who is refused there goes on to
     // another node at once.
-    while !stile.ready(Tick::now()) {
+    while !stile.able(Tick::now()) {
         if signals.terminated() {
             return Ok(());
         }
@@ -2270,6 +2277,7 @@
         stile.renew_when_due();
     }
     let listener = listen(frontend)?;
+    stile.listening.store(true, Ordering::Relaxed);
     let watching = Arc::clone(&stile);
     must_start("resting clients", move || watching.parked.watch(|s| watching.hand(s)))?;
     let serving = Arc::clone(&stile);
--- a/src/wicket.rs
+++ b/src/wicket.rs
@@ -899,6 +899,7 @@
     /// A database has room again, or there is news.
     changed: Condvar,
     budget: Mutex<RetryBudget>,
+    listening: AtomicBool,
     draining: AtomicBool,
     /// While draining, resting clients are sent off from here on.
     closing: AtomicBool,
@@ -983,9 +984,13 @@
     fn config(&self) -> Option<Arc<Lanes>> {
         lock(&self.orchard).config.clone()
     }
-    fn ready(&self) -> bool {
+    /// It knows what to serve.
+    fn knows(&self) -> bool {
         let orchard = lock(&self.orchard);
-        !self.draining.load(Ordering::Relaxed) && orchard.config.is_some() && orchard.listed
+        orchard.config.is_some() && orchard.listed
+    }
+    fn ready(&self) -> bool {
+        self.listening.load(Ordering::Relaxed) && !self.draining.load(Ordering::Relaxed)
     }
     fn renew_when_due(&self) {
         let now = Tick::now();
@@ -1036,7 +1041,7 @@
         serde_json::json!({
             "node": self.node,
             "role": "wicket",
-            "ready": orchard.config.is_some() && orchard.listed,
+            "ready": self.ready(),
             "draining": self.draining.load(Ordering::Relaxed),
             "linked": self.link.is_up(),
             "revision": orchard.config.as_ref().map(|c| c.revision),
@@ -1993,6 +1998,7 @@
         orchard: Mutex::default(),
         changed: Condvar::new(),
         budget: Mutex::new(budget),
+        listening: AtomicBool::new(false),
         draining: AtomicBool::new(false),
         closing: AtomicBool::new(false),
         guests: Mutex::default(),
@@ -2008,7 +2014,7 @@
     must_start("the link", move || linking.link.keep(&*linking))?;
     // Until it knows what to serve, a wicket has no address: who is refused there goes on to
     // another node at once.
-    while !wicket.ready() {
+    while !wicket.knows() {
         if signals.terminated() {
             return Ok(());
         }
@@ -2020,6 +2026,7 @@
         wicket.renew_when_due();
     }
     let listener = listen(frontend)?;
+    wicket.listening.store(true, Ordering::Relaxed);
     let accepting = Arc::clone(&wicket);
     must_start("clients", move || {
         for stream in listener.incoming() {
--- a/tests/whole.rs
+++ b/tests/whole.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
