A steward's effects behind a trait, so that whole stewards can run in virtual time

Cause: sockets, threads and the scribe were called from inside the steward's decisions, so no test could drive a whole one. Effects are now one trait; the program's are Sockets. Maps that decide an order are sorted, and ids and spreads come from a passed-in source. No behaviour is changed. Ruled out: generic channels for each effect (one more thread hop for every frame).

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2430,13 +2430,11 @@
 // ---------------------------------------------------------------------------------------------
 // The program
 
-enum Input {
-    /// A connection on the peer port, and what came over it.
-    Opened(u64, TcpStream),
+/// What reaches a steward.
+pub enum Input {
+    /// What came over a connection on the peer port.
     Frame(u64, Frame),
     Closed(u64),
-    /// A connection of ours to another steward.
-    Linked(MemberId, Option<Wire>),
     Http(Request, SyncSender<Response>),
     Told(ServiceName, InstanceId, Ask, Told),
     Posted(ServiceName, InstanceId, Posted),
@@ -2446,6 +2444,46 @@
     Saved(Result<(), String>),
 }
 
+/// What a steward does to the world outside. The program does it with sockets, threads and a disk, the
+/// model in the tests with queues in virtual time. Nothing here waits.
+pub trait Effects {
+    /// Sends another steward a consensus message, or drops it: the hedge asks again for what got lost.
+    fn send_raft(&mut self, to: &Member, message: Raft, now: Tick);
+    /// Connections to all others are of no use any more.
+    fn keep_links(&mut self, members: &[Member]);
+    /// Starts to write; `Input::Saved` follows. False if nothing writes any more.
+    fn write(&mut self, sheaf: Sheaf) -> bool;
+    /// Asks a steward to be taken in, or whether one still belongs; `Input::Standing` follows.
+    fn ask_standing(&mut self, at: SocketAddr, member: Member, was: bool);
+    /// Asks a database one thing; `Input::Told` follows, unless this is false.
+    fn ask_database(
+        &mut self,
+        service: &ServiceName,
+        id: &InstanceId,
+        address: SocketAddr,
+        ask: Ask,
+    ) -> bool;
+    /// Calls the platform; `Input::Posted` follows.
+    fn post_failover(
+        &mut self,
+        provider: SocketAddr,
+        holder: &str,
+        fence: Epoch,
+        service: &ServiceName,
+        target: &InstanceId,
+    );
+    /// Sends a frame over a connection on the peer port, behind all that waits there.
+    fn send(&mut self, conn: u64, frame: Arc<[u8]>);
+    /// The same, ahead of all that has not begun to leave.
+    fn send_first(&mut self, conn: u64, frame: Arc<[u8]>);
+    /// How many bytes wait to leave over a connection; none if it has ended.
+    fn waiting(&self, conn: u64) -> Option<usize>;
+    /// Goes on with the peers that did not take everything at once; gives the connections among them.
+    fn pump(&mut self) -> Vec<u64>;
+    /// How many connections there are on the peer port.
+    fn peers(&self) -> usize;
+}
+
 /// A connection of ours to another steward.
 struct Link {
     line: Option<Wire>,
@@ -2565,7 +2603,7 @@
 struct Office {
     leases: LeaseBook,
     /// When each database was last heard of, and its newest sequence.
-    beats: HashMap<InstanceId, (Tick, u64)>,
+    beats: BTreeMap<InstanceId, (Tick, u64)>,
     successions: BTreeMap<ServiceName, Succession>,
     /// Services that something happened to, or that are on their way to another primary: these are
     /// looked at in every round. All are, now and then.
@@ -2579,17 +2617,15 @@
     settled: bool,
 }
 
-struct Steward {
+/// One steward, moved on by inputs and a passed-in time; `E` carries out what it decides.
+pub struct Steward<E> {
     settings: Settings,
     hedge: Hedge,
     desk: Desk,
-    scribe: Sender<Sheaf>,
     almanac: Almanac,
     applied: Index,
     config: Option<Configuration>,
-    links: HashMap<MemberId, Link>,
-    conns: HashMap<u64, Wire>,
-    stiles: HashMap<u64, Guest>,
+    stiles: BTreeMap<u64, Guest>,
     /// Stiles that came before this leader had applied all that was committed.
     early: Vec<(u64, ToSteward)>,
     /// The newest versions, the last one in force; what changed since an older one is enough.
@@ -2619,7 +2655,9 @@
     pointed: Option<SocketAddr>,
     office: Option<Office>,
     waiting: BTreeMap<Index, Waiter>,
-    tx: Sender<Input>,
+    /// Where ids and the spread of elections are drawn from.
+    random: fn() -> u64,
+    pub effects: E,
     known_leader: Option<MemberId>,
     /// Questions to databases: how many are under way, and those that wait.
     asking: usize,
@@ -2663,8 +2701,7 @@
         .admin
         .ok_or_else(|| Fatal::Settings("listeners.admin is needed by a steward".into()))?;
     let signals = Signals::install().map_err(|e| Fatal::Call(e.to_string()))?;
-    let first = || first_state(&settings, admin);
-    let founds = settings.can_vote() && settings.founder() == Some(admin);
+    let first = || first_state(&settings, admin, rand::random::<u64>);
     let opened = || match &settings.data_path {
         Some(folder) if settings.can_vote() => Granary::found(folder, first),
         _ => Ok((Granary::none()?, first(), false)),
@@ -2680,16 +2717,6 @@
             Err(e) => return Err(e),
         }
     };
-    let now = Tick::now();
-    info!(target: "hedge", "member {} starts at epoch {}, entry {}", kept.me, kept.epoch,
-        kept.log.last().map_or(kept.snapshot.last.1, |e| e.index));
-    let almanac = if kept.snapshot.state.is_empty() {
-        Almanac::default()
-    } else {
-        Almanac::read(&kept.snapshot.state)
-            .map_err(|e| Fatal::State(format!("damaged, left as it is: {e}")))?
-    };
-    let applied = kept.snapshot.last.1;
     let (tx, rx) = channel();
     let peer = SocketAddr::new(settings.ip_address, settings.peer_port());
     accept_peers(peer, settings.limits.max_open_files as usize / 4, tx.clone())?;
@@ -2698,51 +2725,20 @@
     let callers = settings.limits.max_open_files as usize / 4;
     http::serve(listen(admin)?, "admin", callers, move |request| ask_core(&http_tx, request))
         .map_err(|e| Fatal::Listen(admin.to_string(), e))?;
-    let config = Configuration::read(&almanac.body).ok();
-    let mut steward = Steward {
-        hedge: Hedge::new(kept, restarted, now, rand::random::<u64>),
-        settings,
-        desk: Desk::default(),
-        scribe: start_scribe(granary, tx.clone())?,
-        almanac,
-        applied,
-        versions: config.iter().map(Lanes::of).collect(),
-        config: None,
-        links: HashMap::new(),
-        conns: HashMap::new(),
-        stiles: HashMap::new(),
-        early: Vec::new(),
-        encoded: HashMap::new(),
-        listing: None,
-        moved: BTreeSet::new(),
-        moved_since: None,
-        renew_due: false,
-        renew_told: Tick(0),
-        services: BTreeMap::new(),
-        joining: BTreeMap::new(),
-        next_join: now,
-        join_at: None,
-        young_until: (!restarted && founds).then(|| now.plus(YOUNG_MS)),
-        nominated: None,
-        pointed: None,
-        office: None,
-        waiting: BTreeMap::new(),
-        tx,
-        known_leader: None,
-        asking: 0,
-        questions: VecDeque::new(),
-    };
-    steward.configure(config);
+    let scribe = start_scribe(granary, tx.clone())?;
+    let effects = Sockets { conns: HashMap::new(), links: HashMap::new(), scribe, tx };
+    let mut steward =
+        Steward::new(settings, kept, restarted, rand::random::<u64>, effects, Tick::now())?;
     steward.serve(rx, &signals, Watched::new(path))
 }
 
 /// The thread that waits for the disk, so that nothing else does.
-fn start_scribe(mut granary: Granary, done: Sender<Input>) -> Result<Sender<Sheaf>, Fatal> {
+fn start_scribe(mut granary: Granary, done: Sender<Event>) -> Result<Sender<Sheaf>, Fatal> {
     let (jobs, next) = channel::<Sheaf>();
     must_start("the disk", move || {
         for sheaf in next {
             let saved = granary.save(&sheaf).map_err(|e| e.to_string());
-            if done.send(Input::Saved(saved)).is_err() {
+            if done.send(Event::Input(Input::Saved(saved))).is_err() {
                 return;
             }
         }
@@ -2752,16 +2748,16 @@
 
 /// The first state of an empty disk. When the system starts for the first time, the first of the
 /// seeds begins alone, and all others ask it to be taken in. Ids are drawn anew for each disk.
-fn first_state(settings: &Settings, admin: SocketAddr) -> Kept {
-    let mut kept = Kept { me: fresh_id(), ..Kept::default() };
+pub fn first_state(settings: &Settings, admin: SocketAddr, random: fn() -> u64) -> Kept {
+    let mut kept = Kept { me: fresh_id(random), ..Kept::default() };
     if settings.can_vote() && settings.founder() == Some(admin) {
         kept.snapshot.members = vec![Member { voter: true, ..as_member(settings, admin, kept.me) }];
     }
     kept
 }
-fn fresh_id() -> MemberId {
+fn fresh_id(random: fn() -> u64) -> MemberId {
     // Below i64::MAX for the disk.
-    MemberId((rand::random::<u64>() >> 2) | (1 << 40))
+    MemberId((random() >> 2) | (1 << 40))
 }
 fn as_member(settings: &Settings, admin: SocketAddr, id: MemberId) -> Member {
     Member {
@@ -2786,9 +2782,9 @@
 }
 
 /// Hands a request to the core and waits for its answer.
-fn ask_core(core: &Sender<Input>, request: Request) -> Response {
+fn ask_core(core: &Sender<Event>, request: Request) -> Response {
     let (reply, answer) = sync_channel(1);
-    if core.send(Input::Http(request, reply)).is_err() {
+    if core.send(Event::Input(Input::Http(request, reply))).is_err() {
         return Response::refusal(503, "stopping");
     }
     answer
@@ -2796,7 +2792,7 @@
         .unwrap_or_else(|_| Response::refusal(503, "no quorum in time"))
 }
 
-fn accept_peers(at: SocketAddr, most: usize, tx: Sender<Input>) -> Result<(), Fatal> {
+fn accept_peers(at: SocketAddr, most: usize, tx: Sender<Event>) -> Result<(), Fatal> {
     let listener = listen(at)?;
     let next = AtomicU64::new(1);
     // Each connection holds a clone; the count of them is the bound.
@@ -2820,14 +2816,14 @@
                     .and_then(|()| keep_alive(&stream, dark))
                     .and_then(|()| stream.try_clone());
                 let Ok(writer) = ready else { return };
-                if tx.send(Input::Opened(id, writer)).is_err() {
+                if tx.send(Event::Opened(id, writer)).is_err() {
                     return;
                 }
                 let mut reader = std::io::BufReader::with_capacity(4096, stream);
                 loop {
                     match receive(&mut reader) {
                         Ok(frame) => {
-                            if tx.send(Input::Frame(id, frame)).is_err() {
+                            if tx.send(Event::Input(Input::Frame(id, frame))).is_err() {
                                 return;
                             }
                         }
@@ -2840,7 +2836,7 @@
                     }
                 }
                 // The core may be gone already when the program ends.
-                let _ = tx.send(Input::Closed(id));
+                let _ = tx.send(Event::Input(Input::Closed(id)));
             });
         }
     })
@@ -2958,44 +2954,195 @@
     }
 }
 
-impl Steward {
+/// What reaches the program: the steward's own inputs, and connections for its sockets.
+enum Event {
+    Input(Input),
+    /// A connection on the peer port.
+    Opened(u64, TcpStream),
+    /// A connection of ours to another steward.
+    Linked(MemberId, Option<Wire>),
+}
+
+/// The steward's effects with real sockets, threads and a disk.
+struct Sockets {
+    conns: HashMap<u64, Wire>,
+    links: HashMap<MemberId, Link>,
+    scribe: Sender<Sheaf>,
+    tx: Sender<Event>,
+}
+
+impl Sockets {
+    fn pump_conn(&mut self, conn: u64) {
+        if let Some(line) = self.conns.get_mut(&conn)
+            && line.pump().is_err()
+        {
+            line.close();
+        }
+    }
+    fn pumping(&self) -> bool {
+        self.conns.values().any(|l| !l.out.is_empty())
+            || self.links.values().any(|l| l.line.as_ref().is_some_and(|l| !l.out.is_empty()))
+    }
+    /// Lets go of peers that only cost. Their readers see the end.
+    fn drop_useless(&mut self, speaks: impl Fn(u64) -> bool, now: Tick) {
+        for (conn, line) in &mut self.conns {
+            if line.useless(speaks(*conn), now) {
+                info!(target: "peers", "let one go that did not read or speak");
+                line.close();
+            }
+        }
+    }
+}
+
+impl Effects for Sockets {
+    fn send_raft(&mut self, to: &Member, message: Raft, now: Tick) {
+        let (to, address) = (to.id, to.peer);
+        let link = self.links.entry(to).or_insert(Link { line: None, dialing: false, retry: now });
+        // What a slow link has not taken yet is enough for now: entries that are left out here are
+        // asked for again.
+        let bulky = matches!(message.kind, RaftKind::Append { .. } | RaftKind::Snapshot { .. });
+        if bulky && link.line.as_ref().is_some_and(|l| !l.out.is_empty()) {
+            return;
+        }
+        let frame = encode(&Frame::Raft { to, message: Box::new(message) });
+        if let Some(line) = &mut link.line {
+            line.out.push(frame);
+            if line.pump().is_err() {
+                link.line = None;
+            }
+            return;
+        }
+        if !link.dialing && now >= link.retry {
+            link.retry = now.plus(100);
+            let tx = self.tx.clone();
+            link.dialing = start_thread(move || {
+                let stream = dial(address, REACH, Duration::from_secs(2));
+                let line = stream.ok().map(|stream| {
+                    let mut line = Wire::new(stream, Tick::now());
+                    line.out.push(frame);
+                    line
+                });
+                // The core may have ended meanwhile.
+                let _ = tx.send(Event::Linked(to, line));
+            });
+        }
+    }
+    fn keep_links(&mut self, members: &[Member]) {
+        self.links.retain(|id, _| members.iter().any(|m| m.id == *id));
+    }
+    fn write(&mut self, sheaf: Sheaf) -> bool {
+        self.scribe.send(sheaf).is_ok()
+    }
+    fn ask_standing(&mut self, at: SocketAddr, member: Member, was: bool) {
+        let tx = self.tx.clone();
+        start_thread(move || {
+            let me = member.id;
+            // Asked again soon; one that is down is no reason to stop.
+            let answer = ask_standing(at, member, was).ok();
+            drop(tx.send(Event::Input(Input::Standing(me, at, answer))));
+        });
+    }
+    fn ask_database(
+        &mut self,
+        service: &ServiceName,
+        id: &InstanceId,
+        address: SocketAddr,
+        ask: Ask,
+    ) -> bool {
+        let (tx, service, id) = (self.tx.clone(), service.clone(), id.clone());
+        start_thread(move || {
+            // Of use only where a dark machine is to be told from a slow one.
+            let reached = || {
+                if ask == Ask::Describe {
+                    let (service, id) = (service.clone(), id.clone());
+                    drop(tx.send(Event::Input(Input::Told(service, id, ask, Told::Reached))));
+                }
+            };
+            let told = ask_database(&service, &id, address, ask, reached);
+            // The core may have ended meanwhile.
+            drop(tx.send(Event::Input(Input::Told(service, id, ask, told))));
+        })
+    }
+    fn post_failover(
+        &mut self,
+        provider: SocketAddr,
+        holder: &str,
+        fence: Epoch,
+        service: &ServiceName,
+        target: &InstanceId,
+    ) {
+        let (tx, holder) = (self.tx.clone(), holder.to_owned());
+        let (service, target) = (service.clone(), target.clone());
+        let again = (self.tx.clone(), service.clone(), target.clone());
+        let started = start_thread(move || {
+            let posted = post_failover(provider, &holder, fence, &service, &target);
+            // The core may have ended meanwhile.
+            drop(tx.send(Event::Input(Input::Posted(service, target, posted))));
+        });
+        if !started {
+            let (tx, service, target) = again;
+            drop(tx.send(Event::Input(Input::Posted(service, target, Posted::Busy))));
+        }
+    }
+    fn send(&mut self, conn: u64, frame: Arc<[u8]>) {
+        if let Some(line) = self.conns.get_mut(&conn) {
+            line.out.push(frame);
+            self.pump_conn(conn);
+        }
+    }
+    fn send_first(&mut self, conn: u64, frame: Arc<[u8]>) {
+        if let Some(line) = self.conns.get_mut(&conn) {
+            line.out.push_first(frame);
+        }
+    }
+    fn waiting(&self, conn: u64) -> Option<usize> {
+        self.conns.get(&conn).map(|l| l.out.waiting())
+    }
+    fn pump(&mut self) -> Vec<u64> {
+        for link in self.links.values_mut() {
+            if link.line.as_mut().is_some_and(|l| l.pump().is_err()) {
+                link.line = None;
+            }
+        }
+        let waiting: Vec<u64> =
+            self.conns.iter().filter(|(_, l)| !l.out.is_empty()).map(|(id, _)| *id).collect();
+        waiting.iter().for_each(|conn| self.pump_conn(*conn));
+        waiting
+    }
+    fn peers(&self) -> usize {
+        self.conns.len()
+    }
+}
+
+impl Steward<Sockets> {
     fn serve(
         &mut self,
-        rx: Receiver<Input>,
+        rx: Receiver<Event>,
         signals: &Signals,
         mut watched: Watched,
     ) -> Result<(), Fatal> {
         let mut leaving: Option<Tick> = None;
         let mut looked = Tick::now();
         loop {
-            let now = Tick::now();
-            let busy = self.office.as_ref().is_some_and(|o| !o.stirred.is_empty());
-            let wait = if busy { 25 } else { 200 };
-            let gathers = self.moved_since.is_some() || self.renew_due;
-            let wait = if gathers { wait.min(GATHER_MS) } else { wait };
-            let wait = if self.pumping() { PUMP_MS } else { wait };
-            let wait = self.hedge.due().since(now).clamp(1, wait);
+            let wait = self.due(Tick::now());
+            let wait = if self.effects.pumping() { wait.min(PUMP_MS) } else { wait };
             match rx.recv_timeout(Duration::from_millis(wait)) {
-                Ok(input) => {
-                    self.take(input, Tick::now());
+                Ok(event) => {
+                    self.hear(event, Tick::now());
                     for _ in 0..64 {
-                        let Ok(input) = rx.try_recv() else { break };
-                        self.take(input, Tick::now());
+                        let Ok(event) = rx.try_recv() else { break };
+                        self.hear(event, Tick::now());
                     }
                 }
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
             }
             let now = Tick::now();
-            self.hedge.tick(now);
-            self.flush(now);
-            self.reconcile(now);
-            self.flush(now);
-            self.tell_moved(now);
-            self.pump(now);
+            self.turn(now);
             if now.since(looked) > 1_000 {
                 looked = now;
-                self.drop_useless(now);
+                let stiles = &self.stiles;
+                self.effects.drop_useless(|conn| stiles.contains_key(&conn), now);
                 if let Some(settings) = watched.poll(signals.take_hup()) {
                     self.settings = settings;
                 }
@@ -3003,8 +3150,7 @@
             if signals.terminated() && leaving.is_none() {
                 info!(target: "hedge", "stopping");
                 leaving = Some(now);
-                self.hedge.hand_over(now);
-                self.flush(now);
+                self.leave(now);
             }
             // The hand-over needs a moment; a follower can go at once.
             if leaving.is_some_and(|t| !self.hedge.is_leader() || now.since(t) > 500) {
@@ -3014,6 +3160,121 @@
         }
     }
 
+    fn hear(&mut self, event: Event, now: Tick) {
+        match event {
+            Event::Opened(id, stream) => {
+                self.effects.conns.insert(id, Wire::new(stream, now));
+            }
+            Event::Linked(member, line) => {
+                if let Some(link) = self.effects.links.get_mut(&member) {
+                    link.dialing = false;
+                    link.line = line;
+                }
+            }
+            Event::Input(input) => {
+                match &input {
+                    Input::Frame(conn, _) => {
+                        if let Some(line) = self.effects.conns.get_mut(conn) {
+                            line.heard = Some(now);
+                        }
+                    }
+                    Input::Closed(conn) => drop(self.effects.conns.remove(conn)),
+                    _ => {}
+                }
+                self.take(input, now);
+            }
+        }
+    }
+}
+
+impl<E: Effects> Steward<E> {
+    /// A steward as it starts with what is on its disk.
+    ///
+    /// # Errors
+    /// `Fatal::State` if the state can't be read.
+    pub fn new(
+        settings: Settings,
+        kept: Kept,
+        restarted: bool,
+        random: fn() -> u64,
+        effects: E,
+        now: Tick,
+    ) -> Result<Self, Fatal> {
+        info!(target: "hedge", "member {} starts at epoch {}, entry {}", kept.me, kept.epoch,
+            kept.log.last().map_or(kept.snapshot.last.1, |e| e.index));
+        let almanac = if kept.snapshot.state.is_empty() {
+            Almanac::default()
+        } else {
+            Almanac::read(&kept.snapshot.state)
+                .map_err(|e| Fatal::State(format!("damaged, left as it is: {e}")))?
+        };
+        let applied = kept.snapshot.last.1;
+        let config = Configuration::read(&almanac.body).ok();
+        let founds = settings.can_vote() && settings.founder() == settings.listeners.admin;
+        let mut steward = Self {
+            hedge: Hedge::new(kept, restarted, now, random),
+            settings,
+            desk: Desk::default(),
+            almanac,
+            applied,
+            versions: config.iter().map(Lanes::of).collect(),
+            config: None,
+            stiles: BTreeMap::new(),
+            early: Vec::new(),
+            encoded: HashMap::new(),
+            listing: None,
+            moved: BTreeSet::new(),
+            moved_since: None,
+            renew_due: false,
+            renew_told: Tick(0),
+            services: BTreeMap::new(),
+            joining: BTreeMap::new(),
+            next_join: now,
+            join_at: None,
+            young_until: (!restarted && founds).then(|| now.plus(YOUNG_MS)),
+            nominated: None,
+            pointed: None,
+            office: None,
+            waiting: BTreeMap::new(),
+            random,
+            effects,
+            known_leader: None,
+            asking: 0,
+            questions: VecDeque::new(),
+        };
+        steward.configure(config);
+        Ok(steward)
+    }
+
+    /// Milliseconds until a turn is due though nothing comes in.
+    pub fn due(&self, now: Tick) -> u64 {
+        let busy = self.office.as_ref().is_some_and(|o| !o.stirred.is_empty());
+        let wait = if busy { 25 } else { 200 };
+        let gathers = self.moved_since.is_some() || self.renew_due;
+        let wait = if gathers { wait.min(GATHER_MS) } else { wait };
+        self.hedge.due().since(now).clamp(1, wait)
+    }
+    /// Does what is due, after inputs were taken.
+    pub fn turn(&mut self, now: Tick) {
+        self.hedge.tick(now);
+        self.flush(now);
+        self.reconcile(now);
+        self.flush(now);
+        self.tell_moved(now);
+        self.pump(now);
+    }
+    /// Asked to stop: another is to lead.
+    pub fn leave(&mut self, now: Tick) {
+        self.hedge.hand_over(now);
+        self.flush(now);
+    }
+    pub fn hedge(&self) -> &Hedge {
+        &self.hedge
+    }
+    pub fn almanac(&self) -> &Almanac {
+        &self.almanac
+    }
+
     /// Lets the messages leave that may, starts the next write, and applies what was agreed.
     fn flush(&mut self, now: Tick) {
         let troubled = self.desk.troubled(now);
@@ -3029,7 +3290,7 @@
                 self.send_raft(to, message, now);
             }
             if let Some(sheaf) = self.desk.start(&mut self.hedge, now)
-                && self.scribe.send(sheaf).is_err()
+                && !self.effects.write(sheaf)
             {
                 error!(target: "hedge", "the thread that writes has ended");
             }
@@ -3054,89 +3315,22 @@
     }
 
     fn send_raft(&mut self, to: MemberId, message: Raft, now: Tick) {
-        let Some(member) = self.hedge.members().iter().find(|m| m.id == to) else {
-            return;
-        };
-        let address = member.peer;
-        let link = self.links.entry(to).or_insert(Link { line: None, dialing: false, retry: now });
-        // What a slow link has not taken yet is enough for now: entries that are left out here are
-        // asked for again.
-        let bulky = matches!(message.kind, RaftKind::Append { .. } | RaftKind::Snapshot { .. });
-        if bulky && link.line.as_ref().is_some_and(|l| !l.out.is_empty()) {
-            return;
-        }
-        let frame = encode(&Frame::Raft { to, message: Box::new(message) });
-        if let Some(line) = &mut link.line {
-            line.out.push(frame);
-            if line.pump().is_err() {
-                link.line = None;
-            }
-            return;
-        }
-        if !link.dialing && now >= link.retry {
-            link.retry = now.plus(100);
-            let tx = self.tx.clone();
-            link.dialing = start_thread(move || {
-                let stream = dial(address, REACH, Duration::from_secs(2));
-                let line = stream.ok().map(|stream| {
-                    let mut line = Wire::new(stream, Tick::now());
-                    line.out.push(frame);
-                    line
-                });
-                // The core may have ended meanwhile.
-                let _ = tx.send(Input::Linked(to, line));
-            });
+        if let Some(member) = self.hedge.members().iter().find(|m| m.id == to) {
+            self.effects.send_raft(member, message, now);
         }
     }
 
     /// Goes on with the peers that did not take everything at once.
     fn pump(&mut self, now: Tick) {
-        for link in self.links.values_mut() {
-            if link.line.as_mut().is_some_and(|l| l.pump().is_err()) {
-                link.line = None;
-            }
-        }
-        let waiting: Vec<u64> =
-            self.conns.iter().filter(|(_, l)| !l.out.is_empty()).map(|(id, _)| *id).collect();
-        for conn in waiting {
-            self.pump_conn(conn);
+        for conn in self.effects.pump() {
             self.catch_up(conn, now);
         }
     }
-    fn pump_conn(&mut self, conn: u64) {
-        if let Some(line) = self.conns.get_mut(&conn)
-            && line.pump().is_err()
-        {
-            line.close();
-        }
-    }
-    fn pumping(&self) -> bool {
-        self.conns.values().any(|l| !l.out.is_empty())
-            || self.links.values().any(|l| l.line.as_ref().is_some_and(|l| !l.out.is_empty()))
-    }
 
-    /// Lets go of peers that only cost. Their readers see the end.
-    fn drop_useless(&mut self, now: Tick) {
-        for (conn, line) in &mut self.conns {
-            if line.useless(self.stiles.contains_key(conn), now) {
-                info!(target: "peers", "let one go that did not read or speak");
-                line.close();
-            }
-        }
-    }
-
-    fn take(&mut self, input: Input, now: Tick) {
-        if let Input::Frame(conn, _) = &input
-            && let Some(line) = self.conns.get_mut(conn)
-        {
-            line.heard = Some(now);
-        }
+    /// Takes in what came; `turn` follows.
+    pub fn take(&mut self, input: Input, now: Tick) {
         match input {
-            Input::Opened(id, stream) => {
-                self.conns.insert(id, Wire::new(stream, now));
-            }
             Input::Closed(id) => {
-                self.conns.remove(&id);
                 if let Some(Guest { node, .. }) = self.stiles.remove(&id)
                     && let Some(office) = &mut self.office
                     && office.leases.lose(id, now).is_some()
@@ -3145,12 +3339,6 @@
                     info!(target: "stiles", "{node} lost");
                 }
             }
-            Input::Linked(member, line) => {
-                if let Some(link) = self.links.get_mut(&member) {
-                    link.dialing = false;
-                    link.line = line;
-                }
-            }
             Input::Frame(_, Frame::Raft { to, message }) => {
                 if to == self.hedge.kept.me {
                     self.hedge.step(*message, now);
@@ -3210,7 +3398,7 @@
                 Body::Members(members) => {
                     relisted = Some(members.clone());
                     self.joining.retain(|id, _| !members.iter().any(|m| m.id == *id));
-                    self.links.retain(|id, _| members.iter().any(|m| m.id == *id));
+                    self.effects.keep_links(members);
                 }
                 Body::Change(bytes) => match unpack::<Change>(bytes) {
                     Ok(change) => self.apply_change(&change, waiter, now),
@@ -3444,12 +3632,7 @@
         }
         at.remove(&member.peer);
         for to in at {
-            let (member, tx) = (member.clone(), self.tx.clone());
-            start_thread(move || {
-                // Asked again soon; one that is down is no reason to stop.
-                let answer = ask_standing(to, member, was).ok();
-                drop(tx.send(Input::Standing(me, to, answer)));
-            });
+            self.effects.ask_standing(to, member.clone(), was);
         }
     }
 
@@ -3495,11 +3678,11 @@
 
     /// With an empty log and a fresh id; the old one is never used again.
     fn start_over(&mut self, mut members: Vec<Member>, now: Tick) {
-        let me = fresh_id();
+        let me = fresh_id(self.random);
         members.iter_mut().for_each(|m| m.id = me);
         let snapshot = Snapshot { members, ..Snapshot::default() };
         let kept = Kept { me, epoch: self.hedge.kept.epoch, snapshot, ..Kept::default() };
-        self.hedge = Hedge::new(kept, false, now, rand::random::<u64>);
+        self.hedge = Hedge::new(kept, false, now, self.random);
         self.hedge.dirty = Dirty::all();
         self.desk.forget();
         self.almanac = Almanac::default();
@@ -3507,7 +3690,7 @@
         self.configure(None);
         self.versions.clear();
         self.listing = None;
-        self.links.clear();
+        self.effects.keep_links(&[]);
         self.joining.clear();
     }
 
@@ -3620,9 +3803,7 @@
                 let frame =
                     encode(&Frame::Steward(ToStile::Revoke { service: service.clone(), term }));
                 for conn in self.stiles.keys() {
-                    if let Some(line) = self.conns.get_mut(conn) {
-                        line.out.push_first(frame.clone());
-                    }
+                    self.effects.send_first(*conn, frame.clone());
                 }
                 self.pump(now);
             }
@@ -3639,19 +3820,8 @@
                     warn!(target: "failover", "no provider is set, {service} can't be moved");
                     return;
                 };
-                let (provider, holder) = (provider.address, self.settings.node_name.clone());
-                let (tx, service, fence) =
-                    (self.tx.clone(), service.clone(), self.hedge.kept.epoch);
-                let again = (self.tx.clone(), service.clone(), target.clone());
-                let started = start_thread(move || {
-                    let posted = post_failover(provider, &holder, fence, &service, &target);
-                    // The core may have ended meanwhile.
-                    drop(tx.send(Input::Posted(service, target, posted)));
-                });
-                if !started {
-                    let (tx, service, target) = again;
-                    drop(tx.send(Input::Posted(service, target, Posted::Busy)));
-                }
+                let (holder, fence) = (&self.settings.node_name, self.hedge.kept.epoch);
+                self.effects.post_failover(provider.address, holder, fence, service, &target);
             }
         }
     }
@@ -3664,19 +3834,8 @@
             let Some(record) = self.almanac.instances.get(&id) else {
                 continue;
             };
-            let (tx, address) = (self.tx.clone(), record.instance.address);
-            let started = start_thread(move || {
-                // Of use only where a dark machine is to be told from a slow one.
-                let reached = || {
-                    if ask == Ask::Describe {
-                        let (service, id) = (service.clone(), id.clone());
-                        drop(tx.send(Input::Told(service, id, ask, Told::Reached)));
-                    }
-                };
-                let told = ask_database(&service, &id, address, ask, reached);
-                // The core may have ended meanwhile.
-                drop(tx.send(Input::Told(service, id, ask, told)));
-            });
+            let address = record.instance.address;
+            let started = self.effects.ask_database(&service, &id, address, ask);
             // Without a thread it is not asked; whoever needs the answer asks again.
             self.asking += usize::from(started);
         }
@@ -3688,10 +3847,7 @@
         self.send_bytes(conn, encode(frame));
     }
     fn send_bytes(&mut self, conn: u64, frame: Arc<[u8]>) {
-        if let Some(line) = self.conns.get_mut(&conn) {
-            line.out.push(frame);
-            self.pump_conn(conn);
-        }
+        self.effects.send(conn, frame);
     }
     /// Tells all nodes which stewards there are now: one that lost this leader looks for another there.
     fn introduce(&mut self) {
@@ -3705,7 +3861,7 @@
         let frame = encode(&Frame::Steward(message));
         let conns: Vec<u64> = self.stiles.keys().copied().collect();
         for conn in conns {
-            let waiting = self.conns.get(&conn).map_or(0, |l| l.out.waiting());
+            let waiting = self.effects.waiting(conn).unwrap_or(0);
             if waiting + frame.len() <= CHANGES_WAITING {
                 self.send_bytes(conn, frame.clone());
             } else if let Some(guest) = self.stiles.get_mut(&conn) {
@@ -3744,7 +3900,7 @@
 
     /// Sends a stile what it is owed, as soon as nothing older waits for it.
     fn catch_up(&mut self, conn: u64, now: Tick) {
-        if self.conns.get(&conn).is_none_or(|l| !l.out.is_empty()) {
+        if self.effects.waiting(conn) != Some(0) {
             return;
         }
         let Some(guest) = self.stiles.get_mut(&conn) else {
@@ -4116,7 +4272,7 @@
             "databases": databases,
             "services": services,
             "stiles": stiles,
-            "peers": self.conns.len(),
+            "peers": self.effects.peers(),
             "questions_waiting": self.questions.len(),
         })
     }
