--- a/src/common/http.rs
+++ b/src/common/http.rs
@@ -10,7 +10,7 @@
 pub const MAX_BODY: usize = 1 << 20;
 const IDLE: Duration = Duration::from_secs(15);
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Request {
     pub method: String,
     pub path: String,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! `stile` carries the sessions on every machine, `wicket` the requests of a gateway; `steward` keeps the configuration, the
 //! directory of databases and who leads. `common` is what the two share.
 pub mod common;
+pub mod model;
 pub mod steward;
 pub mod stile;
 pub mod wicket;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,11 +5,12 @@
 use silvertack::common::errors::Fatal;
 use silvertack::common::settings::Settings;
 use silvertack::common::{http, logging};
-use silvertack::{steward, stile, wicket};
+use silvertack::{model, steward, stile, wicket};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// A pool of client sessions on databases, and the control plane that keeps it.
@@ -60,6 +61,18 @@
         #[command(subcommand)]
         what: ConfigurationCall,
     },
+    /// Play the control side in virtual time under drawn troubles, and check what it promises.
+    Model {
+        /// The first schedule that is drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many are drawn, one after the other.
+        #[arg(long, default_value_t = 1)]
+        plays: u64,
+        /// How many are played at once.
+        #[arg(long, default_value_t = 1)]
+        jobs: u64,
+    },
 }
 
 #[derive(Subcommand)]
@@ -138,6 +151,7 @@
             }
             print_json(address, &body)
         }
+        Command::Model { seed, plays, jobs } => play(seed, plays, jobs),
         Command::Configuration { what: ConfigurationCall::Get { address } } => {
             let body = call(address, "GET", "/configuration", &[], &[])?;
             print_json(address, &body)
@@ -197,3 +211,41 @@
     }
     Err(Fatal::Call(format!("{address} sends from node to node")))
 }
+
+/// Plays drawn schedules; prints what broke, each with the seed that plays it again.
+fn play(first: u64, plays: u64, jobs: u64) -> Result<(), Fatal> {
+    let next = AtomicU64::new(0);
+    let broken = AtomicU64::new(0);
+    std::thread::scope(|threads| {
+        for _ in 0..jobs.clamp(1, plays.max(1)) {
+            threads.spawn(|| {
+                loop {
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    if number >= plays {
+                        return;
+                    }
+                    let seed = first.wrapping_add(number);
+                    let schedule = model::Schedule::drawn(seed);
+                    match model::play(&schedule) {
+                        Ok(report) if plays == 1 => println!("{schedule:#?}\n{report:?}"),
+                        Ok(_) => {}
+                        Err(why) => {
+                            broken.fetch_add(1, Ordering::Relaxed);
+                            println!("--seed {seed}: {why}");
+                            if plays == 1 {
+                                println!("{schedule:#?}");
+                            }
+                        }
+                    }
+                }
+            });
+        }
+    });
+    let broken = broken.into_inner();
+    println!("{plays} schedules from --seed {first}: {broken} broken");
+    if broken == 0 {
+        Ok(())
+    } else {
+        Err(Fatal::Call(format!("{broken} schedules broke a promise")))
+    }
+}
--- /dev/null
+++ b/src/model.rs
@@ -0,0 +1,1875 @@
+//! The control side in virtual time: whole stewards with their disks, a network, operators, databases and
+//! nodes, all moved on by one queue of events and one seed. The same schedule always plays the same way.
+//!
+//! The stewards are the program's own, with other `Effects`. All else is a sketch of what the pages say of
+//! it, just true enough to press them. After every step a plain history is checked; see `World::broken`.
+use crate::common::config::{Lanes, Lifecycle, Role};
+use crate::common::ids::*;
+use crate::common::peer::*;
+use crate::common::settings::Settings;
+use crate::common::wire::Described;
+use crate::common::{config::Configuration, http::Request, http::Response};
+use crate::steward::{
+    Ask, Effects, Granary, Input, LEASE_MS, Posted, Sheaf, Steward, Told, first_state,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, sync_channel};
+
+// ---------------------------------------------------------------------------------------------
+// What is played
+
+/// What is played: who is there, and what goes wrong when. All times are milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Schedule {
+    pub seed: u64,
+    /// Stewards with a disk at the first start.
+    pub stewards: usize,
+    /// So many of them may be lost at once.
+    pub tolerated: usize,
+    pub operators: usize,
+    pub length: u64,
+    pub troubles: Vec<Trouble>,
+}
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trouble {
+    pub at: u64,
+    pub lasts: u64,
+    pub kind: Kind,
+}
+/// Whom a trouble strikes: the steward that leads, or one by number.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Whom {
+    Leader,
+    Number(u8),
+}
+/// Which messages a cut stops, seen from those that are cut off.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Way {
+    Both,
+    Out,
+    In,
+}
+#[derive(Clone, Debug, PartialEq)]
+pub enum Kind {
+    /// Cut off from the other stewards; each caller and node is on one of the two sides.
+    Cut(Whom, Way),
+    /// Stands still, perhaps between a decision and the bytes that tell of it.
+    Freeze(Whom),
+    Kill(Whom),
+    Power(Whom),
+    /// Loses power and comes back with an empty disk.
+    Wipe(Whom),
+    /// Gone for good; an empty machine comes at another address.
+    Replace(Whom),
+    /// All stewards at once; so many of them, of those that may still be lost, with their disks.
+    All {
+        power: bool,
+        wiped: u8,
+    },
+    DiskFull(Whom),
+    DiskStall(Whom),
+    /// All connections end.
+    Reset,
+    /// So many messages in a hundred are lost.
+    Lossy(u8),
+    /// A service's primary, or a replica by number, is down.
+    Crash {
+        primary: bool,
+        number: u8,
+    },
+    /// A replica receives nothing.
+    Deaf(u8),
+    /// A replica, or the primary, drains and leaves; a new one comes.
+    Leave {
+        primary: bool,
+        number: u8,
+    },
+    /// An order of the operators is as large as this many hundred routes, from here on.
+    Large(u8),
+    NodeKill(u8),
+}
+
+impl Schedule {
+    /// A schedule drawn from a seed, for the command line; the tests draw theirs with a library that can
+    /// shrink them.
+    pub fn drawn(seed: u64) -> Self {
+        seed_draws(seed);
+        let (stewards, tolerated) = [(3, 1), (4, 1), (5, 2), (6, 2), (7, 2)][upto(5) as usize];
+        let length = 20_000 + upto(20_000);
+        let whom = || if chance(50) { Whom::Leader } else { Whom::Number(upto(8) as u8) };
+        let trouble = |_| {
+            let lasts = [100, 500, 1_500, 5_000, 12_000, 20_000][upto(6) as usize];
+            let number = upto(3) as u8;
+            let kind = match upto(19) {
+                0..=2 => Kind::Cut(whom(), [Way::Both, Way::Out, Way::In][upto(3) as usize]),
+                3 | 4 => Kind::Freeze(whom()),
+                5 => Kind::Kill(whom()),
+                6 => Kind::Power(whom()),
+                7 => Kind::Wipe(whom()),
+                8 => Kind::Replace(whom()),
+                9 => Kind::All { power: chance(50), wiped: upto(3) as u8 },
+                10 => Kind::DiskFull(whom()),
+                11 => Kind::DiskStall(whom()),
+                12 => Kind::Reset,
+                13 => Kind::Lossy(3 + upto(10) as u8),
+                14 => Kind::Crash { primary: chance(60), number },
+                15 => Kind::Deaf(number),
+                16 => Kind::Leave { primary: chance(40), number },
+                17 => Kind::Large(1 + upto(10) as u8),
+                _ => Kind::NodeKill(number),
+            };
+            Trouble { at: 4_000 + upto(length - 4_000), lasts, kind }
+        };
+        let troubles = (0..2 + upto(8)).map(trouble).collect();
+        Self { seed, stewards, tolerated, operators: 2 + upto(7) as usize, length, troubles }
+    }
+}
+
+/// What a play came to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Orders that were acknowledged, refused, and sent again after they had been taken.
+    pub acknowledged: u64,
+    pub refused: u64,
+    pub resent: u64,
+    pub reads: u64,
+    pub epochs: u64,
+    pub promoted: u64,
+    pub passed_on: u64,
+    /// A number that any difference between two plays shows in.
+    pub trace: u64,
+}
+
+thread_local! {
+    static DRAWS: RefCell<SmallRng> = RefCell::new(SmallRng::seed_from_u64(0));
+}
+fn seed_draws(seed: u64) {
+    DRAWS.with_borrow_mut(|rng| *rng = SmallRng::seed_from_u64(seed));
+}
+fn draw() -> u64 {
+    DRAWS.with_borrow_mut(|rng| rng.next_u64())
+}
+fn upto(n: u64) -> u64 {
+    draw() % n.max(1)
+}
+fn chance(percent: u64) -> bool {
+    upto(100) < percent
+}
+
+/// Plays a schedule.
+///
+/// # Errors
+/// The first thing that did not hold, with its time.
+pub fn play(schedule: &Schedule) -> Result<Report, String> {
+    let mut world = World::new(schedule);
+    world.run();
+    match world.broken {
+        Some(why) => Err(why),
+        None => Ok(world.report),
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// The world
+
+/// What a steward wants done, until the world does it.
+#[derive(Default)]
+struct Queue {
+    raft: Vec<(SocketAddr, MemberId, Raft)>,
+    sheaf: Option<Sheaf>,
+    standing: Vec<(SocketAddr, Member, bool)>,
+    asks: Vec<(ServiceName, InstanceId, Ask)>,
+    posts: Vec<(ServiceName, InstanceId)>,
+    frames: VecDeque<(u64, Arc<[u8]>)>,
+    open: BTreeSet<u64>,
+}
+impl Effects for Queue {
+    fn send_raft(&mut self, to: &Member, message: Raft, _: Tick) {
+        self.raft.push((to.peer, to.id, message));
+    }
+    fn keep_links(&mut self, _: &[Member]) {}
+    fn write(&mut self, sheaf: Sheaf) -> bool {
+        self.sheaf = Some(sheaf);
+        true
+    }
+    fn ask_standing(&mut self, at: SocketAddr, member: Member, was: bool) {
+        self.standing.push((at, member, was));
+    }
+    fn ask_database(&mut self, s: &ServiceName, id: &InstanceId, _: SocketAddr, ask: Ask) -> bool {
+        self.asks.push((s.clone(), id.clone(), ask));
+        true
+    }
+    fn post_failover(&mut self, _: SocketAddr, _: &str, _: Epoch, s: &ServiceName, t: &InstanceId) {
+        self.posts.push((s.clone(), t.clone()));
+    }
+    fn send(&mut self, conn: u64, frame: Arc<[u8]>) {
+        self.frames.push_back((conn, frame));
+    }
+    fn send_first(&mut self, conn: u64, frame: Arc<[u8]>) {
+        self.frames.push_front((conn, frame));
+    }
+    fn waiting(&self, conn: u64) -> Option<usize> {
+        self.open.contains(&conn).then_some(0)
+    }
+    fn pump(&mut self) -> Vec<u64> {
+        Vec::new()
+    }
+    fn peers(&self) -> usize {
+        self.open.len()
+    }
+}
+
+struct Machine {
+    settings: Settings,
+    disk: Granary,
+    steward: Option<Steward<Queue>>,
+    /// Grows with each start, so that what was meant for an older process is known.
+    life: u64,
+    /// Its steady clock is ahead of the world's by this.
+    ahead: u64,
+    wake: u64,
+    frozen: Option<u64>,
+    /// Frozen in the middle of a step: what that step decides leaves only when it wakes.
+    midway: bool,
+    backlog: Vec<Input>,
+    writing: Option<Sheaf>,
+    /// The disk takes nothing until then; with `full` it says so.
+    disk_ill: Option<(u64, bool)>,
+    /// Counts as lost until then.
+    lost: u64,
+    gone: bool,
+    me: MemberId,
+    checked: Index,
+    applied: Index,
+}
+
+/// Who speaks: stewards by number, then everybody else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum End {
+    Steward(usize),
+    Operator(usize),
+    Node(usize),
+    Database(usize),
+}
+impl End {
+    /// On which side of a cut one that is no steward stands.
+    fn side(self, salt: u64) -> bool {
+        let (kind, number) = match self {
+            End::Steward(n) => (0, n),
+            End::Operator(n) => (1, n),
+            End::Node(n) => (2, n),
+            End::Database(n) => (3, n),
+        };
+        (salt >> ((kind * 7 + number as u64) % 61)) & 1 == 1
+    }
+}
+struct Cut {
+    steward: usize,
+    way: Way,
+    until: u64,
+    salt: u64,
+}
+
+enum Event {
+    Wake(usize, u64, u64),
+    Raft(usize, SocketAddr, MemberId, Raft),
+    Input(usize, u64, Input),
+    Written(usize, u64),
+    /// A frame for the far end of a connection on a peer port.
+    Frame(u64, Frame),
+    /// A call reaches a steward.
+    Call(usize, u64, Request),
+    Answer(usize, u64, Option<Response>),
+    Act(usize),
+    Node(usize, u64),
+    Ask(usize, u64, ServiceName, InstanceId, Ask),
+    Post(usize, u64, ServiceName, InstanceId),
+    Promote(ServiceName, usize),
+    Write(usize, usize, u64, DbTerm),
+    Replicate(usize, usize, DbTerm, Arc<Vec<Write>>),
+    Received(usize, usize, DbTerm, usize),
+    Committed(usize, u64, ServiceName, DbTerm, u64, Position),
+    Database(usize),
+    Strike(usize),
+    Start(usize),
+    Thaw(usize),
+    DatabaseUp(usize),
+    DatabaseLeaves(usize),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Write {
+    term: DbTerm,
+    id: u64,
+}
+
+/// A commit that a node passed on to its client, and when.
+#[derive(Clone, Copy)]
+struct Passed {
+    write: Write,
+    node: usize,
+    at: u64,
+}
+
+/// One that calls stewards over HTTP: an operator, or a database with its beats.
+#[derive(Default)]
+struct Caller {
+    attempt: u64,
+    sent: u64,
+    /// Where the next try goes.
+    next: usize,
+    redirects: u8,
+    pause: u64,
+    under_way: Option<Request>,
+    answer: Option<(usize, u64, Receiver<Response>)>,
+}
+
+#[derive(Clone)]
+struct Order {
+    base: Revision,
+    revision: Revision,
+    body: Vec<u8>,
+    /// It has been taken before, or can't be taken.
+    known: Option<bool>,
+}
+struct Operator {
+    caller: Caller,
+    order: Option<Order>,
+    made: u64,
+}
+
+struct Database {
+    id: InstanceId,
+    service: ServiceName,
+    caller: Caller,
+    up: bool,
+    gone: bool,
+    primary: bool,
+    term: DbTerm,
+    log: Vec<Write>,
+    paused: bool,
+    deaf: u64,
+    draining: bool,
+    drained: bool,
+    sequence: u64,
+    /// How much of its log each other one has.
+    received: BTreeMap<usize, usize>,
+    /// Who waits for which commit.
+    owed: Vec<(usize, u64, usize, u64)>,
+    told: Option<(Role, Lifecycle)>,
+    /// Since when it could reach a newer primary.
+    deposed: Option<u64>,
+}
+impl Database {
+    fn position(&self) -> Position {
+        let term = self.log.last().map_or(DbTerm(1), |w| w.term);
+        Position { term, number: self.log.len() as u64 }
+    }
+    fn role(&self) -> Role {
+        if self.primary { Role::Primary } else { Role::Replica }
+    }
+    fn lifecycle(&self) -> Lifecycle {
+        if self.draining { Lifecycle::Draining } else { Lifecycle::Available }
+    }
+}
+
+#[derive(Clone)]
+struct Lease {
+    term: DbTerm,
+    primary: InstanceId,
+    asked: u64,
+}
+/// A hollow node: it follows the leader as a stile does and writes at the primaries it is leased.
+struct Node {
+    life: u64,
+    conn: Option<(u64, usize)>,
+    welcome: bool,
+    known: Vec<SocketAddr>,
+    next: usize,
+    hint: Option<SocketAddr>,
+    heard: u64,
+    renewed: u64,
+    seq: u64,
+    sent: BTreeMap<u64, u64>,
+    config: Option<Lanes>,
+    leases: BTreeMap<ServiceName, Lease>,
+    revoked: BTreeMap<ServiceName, (DbTerm, u64)>,
+    highest: BTreeMap<ServiceName, Position>,
+}
+
+enum Far {
+    Node(usize, u64),
+    Join { asker: usize, life: u64, me: MemberId, at: SocketAddr },
+}
+
+/// A configuration that is known to have come into force, in the order in which they did.
+struct Forced {
+    revision: Revision,
+    base: Revision,
+    body: Vec<u8>,
+    at: u64,
+}
+
+struct World {
+    schedule: Schedule,
+    now: u64,
+    events: BTreeMap<u64, Event>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    numbered: u64,
+    machines: Vec<Machine>,
+    cuts: Vec<Cut>,
+    lossy: (u64, u64),
+    conns: BTreeMap<u64, (usize, Far)>,
+    /// When the last message on a connection arrives, so that the next one does not overtake it.
+    arrives: BTreeMap<(End, End), u64>,
+    operators: Vec<Operator>,
+    databases: Vec<Database>,
+    nodes: Vec<Node>,
+    large: u64,
+    healed: bool,
+    // The history.
+    forced: Vec<Forced>,
+    leaders: BTreeMap<Epoch, MemberId>,
+    entries: BTreeMap<Index, Entry>,
+    states: BTreeMap<Index, Vec<u8>>,
+    /// What a later read may not go behind: when it was known, and how far in `forced`.
+    floors: Vec<(u64, usize)>,
+    /// Commits that nodes passed on to clients.
+    passed: BTreeMap<ServiceName, Vec<Passed>>,
+    /// What each new primary began with.
+    promoted: BTreeMap<ServiceName, Vec<(DbTerm, Vec<Write>)>>,
+    goodbyes: BTreeSet<InstanceId>,
+    report: Report,
+    broken: Option<String>,
+}
+
+const ADMIN: u16 = 2;
+const PEER: u16 = 1;
+const JOIN_SYNC_MS: u64 = 4_000;
+const SERVICES: [&str; 2] = ["pears", "plums"];
+/// After the last trouble everything is well again and has this long to come to rest.
+const REST_MS: u64 = 25_000;
+
+fn place(machine: usize, port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, machine as u8 + 1, 1], port))
+}
+fn machine_at(at: SocketAddr) -> usize {
+    match at {
+        SocketAddr::V4(at) => usize::from(at.ip().octets()[2]) - 1,
+        SocketAddr::V6(_) => 0,
+    }
+}
+
+impl World {
+    fn new(schedule: &Schedule) -> Self {
+        seed_draws(schedule.seed);
+        let mut world = Self {
+            schedule: schedule.clone(),
+            now: 0,
+            events: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            numbered: 0,
+            machines: Vec::new(),
+            cuts: Vec::new(),
+            lossy: (0, 0),
+            conns: BTreeMap::new(),
+            arrives: BTreeMap::new(),
+            operators: Vec::new(),
+            databases: Vec::new(),
+            nodes: Vec::new(),
+            large: 0,
+            healed: false,
+            forced: Vec::new(),
+            leaders: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            states: BTreeMap::new(),
+            floors: Vec::new(),
+            passed: BTreeMap::new(),
+            promoted: BTreeMap::new(),
+            goodbyes: BTreeSet::new(),
+            report: Report::default(),
+            broken: None,
+        };
+        let seeds: Vec<usize> = (0..schedule.stewards.min(3)).collect();
+        for machine in 0..schedule.stewards {
+            world.add_machine(&seeds, true);
+            world.at(upto(300), Event::Start(machine));
+        }
+        for number in 0..schedule.operators {
+            let caller = Caller { next: number, ..Caller::default() };
+            world.operators.push(Operator { caller, order: None, made: 0 });
+            world.at(500 + upto(500), Event::Act(number));
+        }
+        for service in SERVICES {
+            for number in 0..3 {
+                world.add_database(service, number == 0, 1_000 + upto(500));
+            }
+        }
+        for number in 0..3 {
+            world.nodes.push(Node {
+                life: 1,
+                conn: None,
+                welcome: false,
+                known: seeds.iter().map(|m| place(*m, PEER)).collect(),
+                next: number,
+                hint: None,
+                heard: 0,
+                renewed: 0,
+                seq: 0,
+                sent: BTreeMap::new(),
+                config: None,
+                leases: BTreeMap::new(),
+                revoked: BTreeMap::new(),
+                highest: BTreeMap::new(),
+            });
+            world.at(500 + number as u64, Event::Node(number, 1));
+        }
+        for number in 0..schedule.troubles.len() {
+            world.at(schedule.troubles[number].at, Event::Strike(number));
+        }
+        world
+    }
+
+    fn at(&mut self, time: u64, event: Event) {
+        self.numbered += 1;
+        self.queue.push(Reverse((time, self.numbered)));
+        self.events.insert(self.numbered, event);
+    }
+    fn soon(&mut self, after: u64, event: Event) {
+        self.at(self.now + after, event);
+    }
+
+    fn run(&mut self) {
+        let (length, end) = (self.schedule.length, self.schedule.length + REST_MS);
+        while let Some(Reverse((time, number))) = self.queue.pop() {
+            if self.broken.is_some() {
+                return;
+            }
+            if !self.healed && time >= length {
+                self.now = self.now.max(length);
+                self.heal();
+            }
+            if time > end {
+                return self.look_back();
+            }
+            self.now = time;
+            let Some(event) = self.events.remove(&number) else { continue };
+            self.report.trace =
+                self.report.trace.wrapping_mul(31).wrapping_add(time).wrapping_add(number);
+            self.happen(event);
+        }
+    }
+
+    fn fail(&mut self, why: String) {
+        if self.broken.is_none() {
+            self.broken = Some(format!("at {} ms: {why}", self.now));
+        }
+    }
+
+    // -- the network -------------------------------------------------------------------------------
+
+    fn reaches(&self, from: End, to: End) -> bool {
+        self.cuts.iter().all(|cut| {
+            let within = |end: End| match end {
+                End::Steward(n) => n == cut.steward,
+                other => other.side(cut.salt),
+            };
+            let (from, to) = (within(from), within(to));
+            let stopped = match cut.way {
+                Way::Both => from != to,
+                Way::Out => from && !to,
+                Way::In => !from && to,
+            };
+            !stopped || self.now >= cut.until
+        })
+    }
+    fn lost(&self) -> bool {
+        self.now < self.lossy.0 && chance(self.lossy.1)
+    }
+    /// When something that leaves now, or once its sender wakes, arrives; none if it never does.
+    fn arrival(&mut self, from: End, to: End, held: u64) -> Option<u64> {
+        if !self.reaches(from, to) || self.lost() {
+            return None;
+        }
+        let late = if !self.healed && chance(2) { upto(900) } else { 0 };
+        let at = self.now + held + 1 + upto(4) + late;
+        // A connection that ended and was opened anew may overtake.
+        let last = self.arrives.entry((from, to)).or_default();
+        let at = if chance(2) { at } else { at.max(*last) };
+        *last = at;
+        Some(at)
+    }
+
+    // -- stewards ----------------------------------------------------------------------------------
+
+    fn add_machine(&mut self, seeds: &[usize], bootstrap: bool) -> usize {
+        let number = self.machines.len();
+        let seeds: Vec<String> =
+            seeds.iter().map(|m| format!("\"{}\"", place(*m, ADMIN))).collect();
+        let text = format!(
+            "node_name = \"n{number}\"\nip_address = \"{}\"\nzone = \"z{number}\"\n\
+             port_range = [{PEER}, {PEER}]\nseed_nodes = [{}]\nbootstrap = {bootstrap}\n\
+             data_path = \"/none\"\nheartbeat_ms = 1000\n[listeners]\nadmin = \"{}\"\n\
+             [fault_tolerance]\nmachines = {}\n[timing_bounds]\njoin_sync_s = {}\n\
+             [provider]\naddress = \"10.9.0.1:9\"\n",
+            place(number, ADMIN).ip(),
+            seeds.join(", "),
+            place(number, ADMIN),
+            self.schedule.tolerated,
+            JOIN_SYNC_MS / 1_000,
+        );
+        let (settings, disk) = match (Settings::parse(&text), Granary::none()) {
+            (Ok(settings), Ok(disk)) => (settings, disk),
+            (settings, disk) => {
+                // Neither depends on the schedule; a model that can't be set up plays nothing.
+                self.fail(format!("no machine: {:?} {:?}", settings.err(), disk.err()));
+                return number;
+            }
+        };
+        self.machines.push(Machine {
+            settings,
+            disk,
+            steward: None,
+            life: 0,
+            ahead: 10_000 + upto(1_000_000),
+            wake: 0,
+            frozen: None,
+            midway: false,
+            backlog: Vec::new(),
+            writing: None,
+            disk_ill: None,
+            lost: 0,
+            gone: false,
+            me: MemberId(0),
+            checked: Index(0),
+            applied: Index(0),
+        });
+        number
+    }
+
+    fn start(&mut self, number: usize) {
+        let now = self.now;
+        let machine = &mut self.machines[number];
+        if machine.gone || machine.steward.is_some() {
+            return;
+        }
+        machine.life += 1;
+        let kept = match machine.disk.kept() {
+            Ok(Some(kept)) => Ok((kept, true)),
+            Ok(None) => {
+                let first = first_state(&machine.settings, place(number, ADMIN), draw);
+                let saved = machine.disk.save(&Sheaf::of(&first, &crate::steward::Dirty::all()));
+                saved.map(|()| (first, false)).map_err(|e| e.to_string())
+            }
+            Err(e) => Err(e.to_string()),
+        };
+        let tick = Tick(now + machine.ahead);
+        let started = kept.and_then(|(kept, again)| {
+            machine.me = kept.me;
+            (machine.checked, machine.applied) = (kept.snapshot.last.1, kept.snapshot.last.1);
+            let settings = machine.settings.clone();
+            Steward::new(settings, kept, again, draw, Queue::default(), tick)
+                .map_err(|e| e.to_string())
+        });
+        match started {
+            Ok(steward) => {
+                machine.steward = Some(steward);
+                // Only the very first start is a bootstrap.
+                machine.settings.bootstrap = false;
+                self.step(number, None);
+            }
+            Err(e) => self.fail(format!("n{number} does not start: {e}")),
+        }
+    }
+
+    /// The process ends; with `power` the machine does. A write under way is kept or lost.
+    fn stop(&mut self, number: usize, wipe: bool) {
+        let machine = &mut self.machines[number];
+        if machine.steward.take().is_none() {
+            return;
+        }
+        let writing = machine.writing.take().filter(|_| chance(50));
+        if let Some(sheaf) = writing
+            && let Err(e) = machine.disk.save(&sheaf)
+        {
+            self.fail(format!("the model's disk: {e}"));
+        }
+        let machine = &mut self.machines[number];
+        if wipe && let Ok(empty) = Granary::none() {
+            machine.disk = empty;
+        }
+        (machine.frozen, machine.midway) = (None, false);
+        machine.backlog.clear();
+        let ended: Vec<u64> =
+            self.conns.iter().filter(|(_, (at, _))| *at == number).map(|(c, _)| *c).collect();
+        ended.into_iter().for_each(|conn| self.close(conn));
+    }
+
+    fn close(&mut self, conn: u64) {
+        let Some((at, far)) = self.conns.remove(&conn) else { return };
+        if let Some(steward) = &mut self.machines[at].steward {
+            steward.effects.open.remove(&conn);
+            let life = self.machines[at].life;
+            self.soon(2, Event::Input(at, life, Input::Closed(conn)));
+        }
+        if let Far::Node(node, life) = far
+            && self.nodes[node].life == life
+            && self.nodes[node].conn.is_some_and(|(c, _)| c == conn)
+        {
+            self.nodes[node].conn = None;
+        }
+    }
+
+    /// An input, or only a turn, and then everything that the steward wants done.
+    fn step(&mut self, number: usize, input: Option<Input>) {
+        let machine = &mut self.machines[number];
+        let midway = std::mem::take(&mut machine.midway);
+        if let Some(thaw) = machine.frozen
+            && !midway
+        {
+            if self.now < thaw {
+                machine.backlog.extend(input);
+                return;
+            }
+            machine.frozen = None;
+        }
+        let held = machine.frozen.map_or(0, |thaw| thaw.saturating_sub(self.now));
+        let Some(steward) = &mut machine.steward else { return };
+        let now = Tick(self.now + machine.ahead);
+        if let Some(input) = input {
+            steward.take(input, now);
+        }
+        steward.turn(now);
+        machine.wake += 1;
+        let wake = Event::Wake(number, machine.life, machine.wake);
+        let due = steward.due(now).max(1);
+        let life = machine.life;
+        let mut wants = std::mem::take(&mut steward.effects);
+        steward.effects.open = std::mem::take(&mut wants.open);
+        self.soon(held + due, wake);
+        self.look(number);
+        for (at, to, message) in wants.raft {
+            if let Some(time) =
+                self.arrival(End::Steward(number), End::Steward(machine_at(at)), held)
+            {
+                self.at(time, Event::Raft(number, at, to, message));
+            }
+        }
+        if let Some(sheaf) = wants.sheaf {
+            self.machines[number].writing = Some(sheaf);
+            self.soon(1 + upto(4), Event::Written(number, life));
+        }
+        for (at, member, was) in wants.standing {
+            self.ask_to_join(number, at, member, was, held);
+        }
+        for (conn, frame) in wants.frames {
+            let Some((_, far)) = self.conns.get(&conn) else { continue };
+            let to = match far {
+                Far::Node(node, _) => End::Node(*node),
+                Far::Join { asker, .. } => End::Steward(*asker),
+            };
+            if let (Some(time), Ok(frame)) =
+                (self.arrival(End::Steward(number), to, held), receive(&mut &frame[..]))
+            {
+                self.at(time, Event::Frame(conn, frame));
+            } else if matches!(to, End::Node(_)) {
+                // What is lost on the way ends the connection sooner or later.
+                self.close(conn);
+            }
+        }
+        for (service, id, ask) in wants.asks {
+            self.soon(held + 1 + upto(5), Event::Ask(number, life, service, id, ask));
+        }
+        for (service, target) in wants.posts {
+            self.soon(held + 1 + upto(20), Event::Post(number, life, service, target));
+        }
+        self.gather_answers(number, held);
+    }
+
+    fn ask_to_join(&mut self, from: usize, at: SocketAddr, member: Member, was: bool, held: u64) {
+        let (to, me, life) = (machine_at(at), member.id, self.machines[from].life);
+        let arrives = self.arrival(End::Steward(from), End::Steward(to), held);
+        let up = self.machines.get(to).is_some_and(|m| m.steward.is_some());
+        let (Some(time), true) = (arrives, up) else {
+            let after = held + if up { 1_000 } else { 3 };
+            return self.soon(after, Event::Input(from, life, Input::Standing(me, at, None)));
+        };
+        self.numbered += 1;
+        let conn = self.numbered;
+        self.conns.insert(conn, (to, Far::Join { asker: from, life, me, at }));
+        if let Some(steward) = &mut self.machines[to].steward {
+            steward.effects.open.insert(conn);
+        }
+        let there = self.machines[to].life;
+        self.at(time, Event::Input(to, there, Input::Frame(conn, Frame::Join { member, was })));
+    }
+
+    /// Checks what this steward holds against what any other ever held.
+    fn look(&mut self, number: usize) {
+        let machine = &mut self.machines[number];
+        let Some(steward) = &machine.steward else { return };
+        let (hedge, almanac) = (steward.hedge(), steward.almanac());
+        if hedge.kept.me != machine.me {
+            machine.me = hedge.kept.me;
+            (machine.checked, machine.applied) = (Index(0), Index(0));
+        }
+        let mut wrong = None;
+        if hedge.is_leader() {
+            let (epoch, me) = (hedge.kept.epoch, hedge.kept.me);
+            let first = *self.leaders.entry(epoch).or_insert(me);
+            if first != me {
+                wrong = Some(format!("two led epoch {epoch}: {first} and {me}"));
+            }
+        }
+        for entry in hedge.committed(machine.checked) {
+            machine.checked = entry.index;
+            let first = self.entries.entry(entry.index).or_insert_with(|| entry.clone());
+            if *first != entry {
+                wrong = Some(format!("entry {} differs at n{number}", entry.index));
+            }
+        }
+        let applied = steward.applied();
+        if applied > machine.applied {
+            machine.applied = applied;
+            let state = pack(almanac);
+            let first = self.states.entry(applied).or_insert_with(|| state.clone());
+            if *first != state {
+                wrong = Some(format!("the state at entry {applied} differs at n{number}"));
+            }
+            let newest = self.forced.last().map_or(Revision(0), |f| f.revision);
+            if almanac.revision > newest {
+                let body = almanac.body.to_vec();
+                let (revision, at) = (almanac.revision, self.now);
+                self.forced.push(Forced { revision, base: newest, body, at });
+            }
+        }
+        if let Some(why) = wrong {
+            self.fail(why);
+        }
+    }
+
+    // -- calls -------------------------------------------------------------------------------------
+
+    fn caller(&mut self, who: usize) -> &mut Caller {
+        let operators = self.operators.len();
+        match who.checked_sub(operators) {
+            None => &mut self.operators[who].caller,
+            Some(database) => &mut self.databases[database].caller,
+        }
+    }
+    fn end_of(&self, who: usize) -> End {
+        match who.checked_sub(self.operators.len()) {
+            None => End::Operator(who),
+            Some(database) => End::Database(database),
+        }
+    }
+    /// Sends a request, or the same one again, to the steward that is next.
+    fn call(&mut self, who: usize, request: Request) {
+        let running: Vec<usize> =
+            (0..self.machines.len()).filter(|m| !self.machines[*m].gone).collect();
+        let (now, from) = (self.now, self.end_of(who));
+        let caller = self.caller(who);
+        caller.attempt += 1;
+        caller.sent = now;
+        caller.under_way = Some(request.clone());
+        caller.answer = None;
+        let (attempt, next) = (caller.attempt, caller.next);
+        let to = if running.contains(&next) { next } else { running[next % running.len()] };
+        self.caller(who).next = to;
+        match self.arrival(from, End::Steward(to), 0) {
+            Some(time) if self.machines[to].steward.is_some() => {
+                self.at(time, Event::Call(who, attempt, request));
+            }
+            Some(time) => return self.at(time, Event::Answer(who, attempt, None)),
+            None => {}
+        }
+        self.soon(1_000, Event::Answer(who, attempt, None));
+    }
+    fn reach_steward(&mut self, who: usize, attempt: u64, request: Request) {
+        let caller = self.caller(who);
+        if caller.attempt != attempt {
+            // Gave up on it, but what is on its way arrives all the same.
+            let to = caller.next;
+            let (reply, _) = sync_channel(1);
+            return self.step(to, Some(Input::Http(request, reply)));
+        }
+        let to = caller.next;
+        let (reply, answer) = sync_channel(1);
+        let life = self.machines[to].life;
+        self.caller(who).answer = Some((to, life, answer));
+        self.step(to, Some(Input::Http(request, reply)));
+    }
+    /// What this steward has answered goes on its way.
+    fn gather_answers(&mut self, number: usize, held: u64) {
+        let life = self.machines[number].life;
+        for who in 0..self.operators.len() + self.databases.len() {
+            let caller = self.caller(who);
+            let Some((at, its, answer)) = &caller.answer else { continue };
+            if *at != number || *its != life {
+                continue;
+            }
+            let Ok(response) = answer.try_recv() else { continue };
+            let attempt = caller.attempt;
+            caller.answer = None;
+            let to = self.end_of(who);
+            let lost = !self.healed && chance(3);
+            if let Some(time) = self.arrival(End::Steward(number), to, held)
+                && !lost
+            {
+                self.at(time, Event::Answer(who, attempt, Some(response)));
+            }
+        }
+    }
+    fn answered(&mut self, who: usize, attempt: u64, response: Option<Response>) {
+        let machines = self.machines.len();
+        let caller = self.caller(who);
+        if caller.attempt != attempt {
+            return;
+        }
+        let Some(request) = caller.under_way.clone() else { return };
+        let response = response.filter(|r| r.status < 500);
+        if let Some(Response { status: 307, location: Some(to), .. }) = &response
+            && caller.redirects < 2
+        {
+            caller.redirects += 1;
+            let at = to.trim_start_matches("http://").split('/').next().map(str::parse);
+            if let Some(Ok(at)) = at {
+                caller.next = machine_at(at);
+                return self.call(who, request);
+            }
+        }
+        caller.redirects = 0;
+        match response.filter(|r| r.status != 307) {
+            Some(response) => {
+                caller.under_way = None;
+                caller.attempt += 1;
+                caller.pause = 0;
+                let sent = caller.sent;
+                match who.checked_sub(self.operators.len()) {
+                    None => self.operator_heard(who, sent, response),
+                    Some(database) => self.database_heard(database, &request, &response),
+                }
+            }
+            None => {
+                caller.next = (caller.next + 1) % machines;
+                caller.pause = (caller.pause * 2).clamp(50, 800);
+                caller.attempt += 1;
+                let after = caller.pause;
+                self.soon(after, Event::Act(who));
+            }
+        }
+    }
+
+    // -- operators ---------------------------------------------------------------------------------
+
+    fn act(&mut self, who: usize) {
+        if let Some(database) = who.checked_sub(self.operators.len()) {
+            return self.beat(database);
+        }
+        if let Some(request) = self.caller(who).under_way.clone() {
+            return self.call(who, request);
+        }
+        let request = match self.operators[who].order.clone() {
+            Some(order) => Request {
+                method: "PUT".into(),
+                path: "/configuration".into(),
+                if_match: Some(order.base.to_string()),
+                body: order.body,
+            },
+            None => Request {
+                method: "GET".into(),
+                path: "/configuration".into(),
+                if_match: None,
+                body: Vec::new(),
+            },
+        };
+        self.call(who, request);
+    }
+
+    /// How far in `forced` a read that began at `sent` must have come.
+    fn floor(&self, sent: u64) -> usize {
+        let before = self.floors.iter().filter(|(at, _)| *at <= sent);
+        before.map(|(_, place)| *place).max().unwrap_or(0)
+    }
+    fn find(&self, revision: Revision, body: &[u8]) -> Option<usize> {
+        self.forced.iter().position(|f| f.revision == revision && f.body == body).map(|at| at + 1)
+    }
+
+    fn operator_heard(&mut self, who: usize, sent: u64, response: Response) {
+        let pause = 20 + upto(600);
+        let Some(order) = self.operators[who].order.take() else {
+            let floor = self.floor(sent);
+            let read = Configuration::read(&response.body).map(|c| c.revision);
+            let revision = match (response.status, read) {
+                (200, Ok(revision)) => match self.find(revision, &response.body) {
+                    Some(place) if place < floor => {
+                        return self.fail(format!("a read gave {revision}, newer was known"));
+                    }
+                    Some(place) => {
+                        self.floors.push((self.now, place));
+                        revision
+                    }
+                    None => return self.fail(format!("a read gave {revision}, never in force")),
+                },
+                (404, _) if floor == 0 => Revision(0),
+                (status, _) => return self.fail(format!("a read was answered {status}")),
+            };
+            self.report.reads += 1;
+            self.operators[who].order = Some(self.make_order(who, revision));
+            return self.soon(upto(60), Event::Act(who));
+        };
+        let place = self.find(order.revision, &order.body);
+        let current = self.forced.last().map_or(Revision(0), |f| f.revision);
+        match response.status {
+            200 => {
+                let Some(place) = place else {
+                    let (base, number) = (order.base, order.revision);
+                    return self.fail(format!("{number} on {base} confirmed, not in force"));
+                };
+                if order.known == Some(false) || self.forced[place - 1].base != order.base {
+                    return self.fail(format!("{} confirmed on a wrong base", order.revision));
+                }
+                self.floors.push((self.now, place));
+                self.report.acknowledged += u64::from(order.known.is_none());
+                // The answer may have been lost for all that the sender knows.
+                if chance(25) {
+                    self.report.resent += 1;
+                    self.operators[who].order = Some(Order { known: Some(true), ..order });
+                }
+            }
+            status => {
+                if place.is_some() {
+                    let number = order.revision;
+                    return self.fail(format!("{number} was taken, and answered {status}"));
+                }
+                if status != 412 {
+                    return self.fail(format!("{} was answered {status}", order.revision));
+                }
+                if order.base == current {
+                    let why = format!("an order on {} refused, which is current", order.base);
+                    return self.fail(why);
+                }
+                self.report.refused += 1;
+            }
+        }
+        self.soon(pause, Event::Act(who));
+    }
+
+    fn make_order(&mut self, who: usize, base: Revision) -> Order {
+        self.operators[who].made += 1;
+        let number = self.operators[who].made;
+        if chance(5) && !self.healed {
+            // On top of a version that is still to come.
+            let (base, revision) = (Revision(base.0 + 500), Revision(base.0 + 501));
+            let body = self.body(who, number, revision);
+            return Order { base, revision, body, known: Some(false) };
+        }
+        if chance(5)
+            && let Some(forced) = self.forced.last()
+        {
+            // What is in force, with one blank more.
+            let (base, revision, mut body) = (forced.base, forced.revision, forced.body.clone());
+            body.push(b' ');
+            return Order { base, revision, body, known: Some(false) };
+        }
+        // Two operators may pick the same number.
+        let revision = Revision(base.0 + 1 + upto(2));
+        let body = self.body(who, number, revision);
+        Order { base, revision, body, known: None }
+    }
+    fn body(&self, who: usize, number: u64, revision: Revision) -> Vec<u8> {
+        let route = |n: u64| {
+            serde_json::json!({ "name": format!("r{who}-{number}-{n}"), "hostname": format!("h{n}"),
+                "route_type": "primary", "timeout_ms": 1000, "target_service": SERVICES[0] })
+        };
+        let service = |name: &str| serde_json::json!({ "name": name, "max_connections": 64, "sync_replicas": 1 });
+        let many = 1 + if chance(20) { self.large * 100 } else { 0 };
+        let routes: Vec<_> = (0..many).map(route).collect();
+        let services: Vec<_> = SERVICES.into_iter().map(service).collect();
+        serde_json::json!({ "revision": revision, "route_rules": routes, "services": services })
+            .to_string()
+            .into_bytes()
+    }
+
+    // -- databases ---------------------------------------------------------------------------------
+
+    fn add_database(&mut self, service: &str, primary: bool, after: u64) {
+        let number = self.databases.len();
+        self.databases.push(Database {
+            id: InstanceId(format!("d{number}")),
+            service: service.into(),
+            caller: Caller { next: number, ..Caller::default() },
+            up: true,
+            gone: false,
+            primary,
+            term: DbTerm(1),
+            log: Vec::new(),
+            paused: false,
+            deaf: 0,
+            draining: false,
+            drained: false,
+            sequence: 0,
+            received: BTreeMap::new(),
+            owed: Vec::new(),
+            told: None,
+            deposed: None,
+        });
+        let who = self.operators.len() + number;
+        self.soon(after, Event::Act(who));
+        self.soon(after, Event::Database(number));
+    }
+    fn of_service(&self, service: &ServiceName) -> Vec<usize> {
+        (0..self.databases.len())
+            .filter(|d| self.databases[*d].service == *service && !self.databases[*d].gone)
+            .collect()
+    }
+    /// The primary of the newest term, running or not.
+    fn primary(&self, service: &ServiceName) -> Option<usize> {
+        let all = self.of_service(service).into_iter().filter(|d| self.databases[*d].primary);
+        all.max_by_key(|d| self.databases[*d].term)
+    }
+
+    fn beat(&mut self, number: usize) {
+        let database = &mut self.databases[number];
+        if !database.up || database.gone {
+            return;
+        }
+        database.sequence += 1;
+        let path = format!("/instances/{}", database.id);
+        let request = if database.drained {
+            Request { method: "DELETE".into(), path, if_match: None, body: Vec::new() }
+        } else {
+            let body = serde_json::json!({
+                "target_service": database.service,
+                "address": SocketAddr::from(([10, 1, 0, number as u8 + 1], 7)),
+                "zone": "z", "revision": "v1", "capacity": 7,
+                "lifecycle_state": database.lifecycle(), "database_role": database.role(),
+                "sequence": database.sequence,
+            });
+            let body = body.to_string().into_bytes();
+            database.told = Some((database.role(), database.lifecycle()));
+            Request { method: "PUT".into(), path, if_match: None, body }
+        };
+        self.call(self.operators.len() + number, request);
+    }
+    fn database_heard(&mut self, number: usize, request: &Request, response: &Response) {
+        if response.status != 200 {
+            return self.fail(format!("a beat was answered {}", response.status));
+        }
+        let (id, told) = (self.databases[number].id.clone(), self.databases[number].told);
+        let best = self.machines.iter().filter_map(|m| m.steward.as_ref());
+        let best = best.max_by_key(|s| s.applied()).map(|s| s.almanac());
+        let listed = best.and_then(|a| a.instances.get(&id)).map(|r| r.instance.lifecycle_state);
+        if request.method == "DELETE" {
+            if listed.is_some() {
+                self.fail(format!("{id} said goodbye and is still listed"));
+            }
+            self.goodbyes.insert(id);
+            return self.end_database(number);
+        }
+        if told.is_some_and(|(_, l)| l == Lifecycle::Draining)
+            && listed == Some(Lifecycle::Available)
+        {
+            return self.fail(format!("{id} is draining, acknowledged and not known to be"));
+        }
+        let database = &mut self.databases[number];
+        let news = told != Some((database.role(), database.lifecycle()));
+        if database.draining && !news && !database.drained {
+            self.soon(3_000, Event::DatabaseLeaves(number));
+        }
+        let who = self.operators.len() + number;
+        self.soon(if news { 5 } else { 1_000 }, Event::Act(who));
+    }
+    fn end_database(&mut self, number: usize) {
+        let database = &mut self.databases[number];
+        (database.up, database.gone, database.primary) = (false, true, false);
+    }
+
+    /// A primary brings its replicas on, and one that was replaced gives way in the end.
+    fn replicate(&mut self, number: usize) {
+        if self.databases[number].gone {
+            return;
+        }
+        self.soon(40, Event::Database(number));
+        let now = self.now;
+        let database = &self.databases[number];
+        if !database.up || !database.primary {
+            return;
+        }
+        let newest = self.primary(&database.service.clone());
+        let (service, term) = (database.service.clone(), database.term);
+        if newest.is_some_and(|n| {
+            n != number
+                && self.databases[n].up
+                && self.reaches(End::Database(number), End::Database(n))
+        }) {
+            let since = *self.databases[number].deposed.get_or_insert(now);
+            if now - since > 1_000 {
+                let newer = newest.map_or(term, |n| self.databases[n].term);
+                let database = &mut self.databases[number];
+                (database.primary, database.term, database.deposed) = (false, newer, None);
+                return;
+            }
+        } else {
+            self.databases[number].deposed = None;
+        }
+        let log = Arc::new(self.databases[number].log.clone());
+        for replica in self.of_service(&service) {
+            let behind =
+                self.databases[number].received.get(&replica).is_none_or(|n| *n < log.len());
+            if replica != number
+                && behind
+                && let Some(time) =
+                    self.arrival(End::Database(number), End::Database(replica), upto(15))
+            {
+                self.at(time, Event::Replicate(number, replica, term, Arc::clone(&log)));
+            }
+        }
+    }
+    fn receive_log(&mut self, from: usize, to: usize, term: DbTerm, log: &[Write]) {
+        let now = self.now;
+        let database = &mut self.databases[to];
+        let takes = database.up && !database.primary && !database.paused && now >= database.deaf;
+        if !takes || database.term > term {
+            return;
+        }
+        if term > database.term || log.len() > database.log.len() {
+            database.log = log.to_vec();
+        }
+        database.term = term;
+        let has = database.log.len().min(log.len());
+        if let Some(time) = self.arrival(End::Database(to), End::Database(from), 0) {
+            self.at(time, Event::Received(from, to, term, has));
+        }
+    }
+    fn received(&mut self, number: usize, by: usize, term: DbTerm, has: usize) {
+        let database = &mut self.databases[number];
+        if !database.up || !database.primary || database.term != term {
+            return;
+        }
+        let most = database.received.entry(by).or_default();
+        *most = (*most).max(has);
+        let (service, log) = (database.service.clone(), &database.log);
+        let due: Vec<_> = database.owed.iter().filter(|o| o.2 <= has).copied().collect();
+        database.owed.retain(|o| o.2 > has);
+        let words: Vec<_> = due
+            .into_iter()
+            .map(|(node, life, upto, id)| {
+                let position = Position { term: log[upto - 1].term, number: upto as u64 };
+                (node, Event::Committed(node, life, service.clone(), term, id, position))
+            })
+            .collect();
+        for (node, event) in words {
+            if let Some(time) = self.arrival(End::Database(number), End::Node(node), 0) {
+                self.at(time, event);
+            }
+        }
+    }
+    fn write(&mut self, node: usize, to: usize, life: u64, term: DbTerm) {
+        self.numbered += 1;
+        let id = self.numbered;
+        let database = &mut self.databases[to];
+        if database.up && database.primary {
+            let term = if database.term == term { term } else { database.term };
+            database.log.push(Write { term, id });
+            let upto = database.log.len();
+            database.owed.push((node, life, upto, id));
+        }
+    }
+
+    fn asked(&mut self, from: usize, life: u64, service: ServiceName, id: InstanceId, ask: Ask) {
+        let number = self.databases.iter().position(|d| d.id == id);
+        let reached = number.filter(|n| {
+            let (here, there) = (End::Steward(from), End::Database(*n));
+            self.reaches(here, there) && self.reaches(there, here) && !self.lost()
+        });
+        let (told, after) = match reached {
+            None => (Told::Silent, 1_000),
+            Some(n) if !self.databases[n].up => (Told::Lost, 2),
+            Some(n) => {
+                let database = &mut self.databases[n];
+                let good = match ask {
+                    Ask::Describe => true,
+                    Ask::Pause(term) if !database.primary && term > database.term => {
+                        database.paused = true;
+                        true
+                    }
+                    Ask::Pause(_) => false,
+                    Ask::Continue => {
+                        database.paused = false;
+                        true
+                    }
+                    Ask::StepDown(term) => {
+                        if database.primary && database.term < term {
+                            (database.primary, database.term) = (false, term);
+                        }
+                        true
+                    }
+                };
+                let row = Described {
+                    primary: database.primary,
+                    term: database.term,
+                    received: database.position(),
+                };
+                let late = if !self.healed && chance(3) { upto(1_200) } else { upto(5) };
+                (if good { Told::Row(row) } else { Told::Alive }, 1 + late)
+            }
+        };
+        self.soon(after, Event::Input(from, life, Input::Told(service, id, ask, told)));
+    }
+    fn post(&mut self, from: usize, life: u64, service: ServiceName, target: InstanceId) {
+        let number = self.databases.iter().position(|d| d.id == target);
+        let running = number.filter(|n| self.databases[*n].up);
+        let (mut posted, mut after) = match running {
+            Some(_) => (Posted::Accepted, 20),
+            None => (Posted::Refused, 20),
+        };
+        if let Some(n) = running {
+            self.soon(100 + upto(300), Event::Promote(service.clone(), n));
+        }
+        if !self.healed && chance(10) {
+            (posted, after) = (Posted::Unclear, 1_000);
+        }
+        self.soon(after, Event::Input(from, life, Input::Posted(service, target, posted)));
+    }
+    fn promote(&mut self, service: &ServiceName, target: usize) {
+        let newest = self.of_service(service).into_iter().map(|d| self.databases[d].term).max();
+        let Some(newest) = newest else { return };
+        let already = self.databases[target].primary && self.databases[target].term == newest;
+        if !self.databases[target].up || already {
+            return;
+        }
+        let log = &self.databases[target].log;
+        let passed = self.passed.get(service).into_iter().flatten();
+        let missing = passed.copied().find(|p| !log.contains(&p.write));
+        let log = log.clone();
+        let term = DbTerm(newest.0 + 1);
+        if let Some(Passed { write, node, at }) = missing {
+            let (name, of) = (&self.databases[target].id, write.term);
+            return self.fail(format!(
+                "{name} leads {service} in {term} without a commit of {of}, passed on by node{node} at {at}"
+            ));
+        }
+        self.promoted.entry(service.clone()).or_default().push((term, log));
+        self.report.promoted += 1;
+        let database = &mut self.databases[target];
+        (database.primary, database.term, database.paused) = (true, term, false);
+        database.received.clear();
+        database.owed.clear();
+        for other in self.of_service(service) {
+            let hears = self.reaches(End::Database(target), End::Database(other));
+            let database = &mut self.databases[other];
+            if other != target && hears && database.up && !database.primary {
+                database.term = term;
+            }
+        }
+    }
+
+    // -- nodes -------------------------------------------------------------------------------------
+
+    fn tell(&mut self, node: usize, message: ToSteward) {
+        let Some((conn, at)) = self.nodes[node].conn else { return };
+        let life = self.machines[at].life;
+        match self.arrival(End::Node(node), End::Steward(at), 0) {
+            Some(time) => {
+                self.at(time, Event::Input(at, life, Input::Frame(conn, Frame::Stile(message))));
+            }
+            // Lost on its way: the connection does not get over it.
+            None => self.close(conn),
+        }
+    }
+    fn node_turn(&mut self, number: usize, life: u64) {
+        if self.nodes[number].life != life {
+            return;
+        }
+        self.soon(40, Event::Node(number, life));
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        if let Some((conn, _)) = node.conn {
+            if now - node.heard > if node.welcome { 1_200 } else { 400 } {
+                self.close(conn);
+            } else if node.welcome && now - node.renewed >= 450 {
+                self.renew(number);
+            }
+        } else {
+            let to = node.hint.take().unwrap_or_else(|| {
+                node.next += 1;
+                node.known[node.next % node.known.len()]
+            });
+            let at = machine_at(to);
+            if self.machines.get(at).is_some_and(|m| m.steward.is_some()) {
+                self.numbered += 1;
+                let conn = self.numbered;
+                self.conns.insert(conn, (at, Far::Node(number, life)));
+                if let Some(steward) = &mut self.machines[at].steward {
+                    steward.effects.open.insert(conn);
+                }
+                let node = &mut self.nodes[number];
+                (node.conn, node.welcome, node.heard) = (Some((conn, at)), false, now);
+                let revision = node.config.as_ref().map_or(Revision(0), |c| c.revision);
+                let name = NodeName(format!("node{number}"));
+                let zone = "z".to_owned();
+                self.tell(number, ToSteward::Hello { node: name, life, revision, zone });
+            }
+        }
+        for service in SERVICES.map(ServiceName::from) {
+            let Some(lease) = self.nodes[number].leases.get(&service).cloned() else { continue };
+            let to = self.databases.iter().position(|d| d.id == lease.primary);
+            if now < lease.asked + LEASE_MS
+                && chance(60)
+                && let Some(to) = to
+                && let Some(time) = self.arrival(End::Node(number), End::Database(to), 0)
+            {
+                self.at(time, Event::Write(number, to, life, lease.term));
+            }
+        }
+    }
+    fn renew(&mut self, number: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        node.renewed = now;
+        node.seq += 1;
+        let seq = node.seq;
+        node.sent.insert(seq, now);
+        if node.sent.len() > 16 {
+            node.sent.pop_first();
+        }
+        let (shares, wants, saw, asks) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        let renewal =
+            ToSteward::Renew { seq, heard: 0, shares, wants, saw, asks, busy: Vec::new() };
+        self.tell(number, renewal);
+    }
+    fn node_heard(&mut self, number: usize, conn: u64, frame: Frame) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        node.heard = now;
+        let Frame::Steward(message) = frame else {
+            return self.fail("a node was sent what is not for it".into());
+        };
+        match message {
+            ToStile::Welcome { stewards } => {
+                if !stewards.is_empty() {
+                    node.known = stewards;
+                }
+                if !std::mem::replace(&mut node.welcome, true) {
+                    self.renew(number);
+                }
+            }
+            ToStile::Elsewhere(leader) => {
+                node.hint = leader;
+                self.close(conn);
+            }
+            ToStile::Configured(lanes) => self.configured(number, *lanes),
+            ToStile::Changed(changed) => {
+                match node.config.as_ref().and_then(|c| c.with(&changed)) {
+                    Some(lanes) => self.configured(number, lanes),
+                    None => self.tell(number, ToSteward::Whole),
+                }
+            }
+            ToStile::Directory(_) | ToStile::Moved { .. } => {}
+            ToStile::Granted { seq, whole, grants, .. } => {
+                let Some(asked) = node.sent.get(&seq).copied() else { return };
+                node.sent.retain(|s, _| *s >= seq);
+                if whole {
+                    node.leases.clear();
+                }
+                for grant in grants {
+                    match grant.standing {
+                        Standing::Led { term, primary } => {
+                            let last = node.revoked.get(&grant.service);
+                            if last.is_none_or(|(last, upto)| term > *last || seq > *upto) {
+                                let lease = Lease { term, primary, asked };
+                                node.leases.insert(grant.service, lease);
+                            }
+                        }
+                        _ => drop(node.leases.remove(&grant.service)),
+                    }
+                }
+                node.leases.values_mut().for_each(|l| l.asked = l.asked.max(asked));
+                self.one_lease();
+            }
+            ToStile::Revoke { service, term } => {
+                node.revoked.insert(service.clone(), (term, node.seq));
+                if node.leases.get(&service).is_some_and(|l| l.term <= term) {
+                    node.leases.remove(&service);
+                }
+                let highest = node.highest.get(&service).copied();
+                self.tell(number, ToSteward::Revoked { service, term, highest });
+            }
+            ToStile::Renew => self.renew(number),
+        }
+    }
+    fn configured(&mut self, number: usize, lanes: Lanes) {
+        if !self.forced.iter().any(|f| f.revision == lanes.revision) {
+            return self.fail(format!("a node has {}, never in force", lanes.revision));
+        }
+        let node = &mut self.nodes[number];
+        if node.config.as_ref().is_none_or(|c| c.revision < lanes.revision) {
+            node.config = Some(lanes);
+        }
+    }
+    /// At any time all valid leases on a service are on one term.
+    fn one_lease(&mut self) {
+        for service in SERVICES.map(ServiceName::from) {
+            let now = self.now;
+            let held = self.nodes.iter().filter_map(|n| n.leases.get(&service));
+            let terms: BTreeSet<DbTerm> =
+                held.filter(|l| now < l.asked + LEASE_MS).map(|l| l.term).collect();
+            if terms.len() > 1 {
+                self.fail(format!("{service} is leased in two terms at once"));
+            }
+        }
+    }
+    fn committed(
+        &mut self,
+        number: usize,
+        life: u64,
+        service: ServiceName,
+        write: Write,
+        position: Position,
+    ) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        let leased = node
+            .leases
+            .get(&service)
+            .is_some_and(|l| l.term == write.term && now < l.asked + LEASE_MS);
+        if node.life != life || !leased {
+            return;
+        }
+        let highest = node.highest.entry(service.clone()).or_insert(position);
+        *highest = position.max(*highest);
+        self.report.passed_on += 1;
+        let newer = self.promoted.get(&service).into_iter().flatten();
+        let lacks =
+            |(term, log): &&(DbTerm, Vec<Write>)| *term > write.term && !log.contains(&write);
+        if let Some((term, _)) = newer.clone().find(lacks) {
+            let why =
+                format!("{service} has a commit of {} passed on that {term} lacks", write.term);
+            return self.fail(why);
+        }
+        self.passed.entry(service).or_default().push(Passed { write, node: number, at: now });
+    }
+
+    // -- troubles ----------------------------------------------------------------------------------
+
+    fn whom(&self, whom: Whom) -> Option<usize> {
+        let here = |m: &Machine| !m.gone && m.steward.is_some();
+        let leads = |m: &Machine| {
+            let now = Tick(self.now + m.ahead);
+            m.steward.as_ref().is_some_and(|s| s.hedge().granting(now))
+        };
+        let all: Vec<usize> =
+            (0..self.machines.len()).filter(|m| here(&self.machines[*m])).collect();
+        match whom {
+            Whom::Leader => all.into_iter().find(|m| leads(&self.machines[*m])),
+            Whom::Number(n) => all.get(usize::from(n) % all.len().max(1)).copied(),
+        }
+    }
+    /// Whether a steward may be lost now for so long; it then counts as lost.
+    fn may_lose(&mut self, whom: Whom, lasts: u64) -> Option<usize> {
+        let number = self.whom(whom)?;
+        let now = self.now;
+        let lost = (0..self.machines.len())
+            .filter(|m| *m != number && !self.machines[*m].gone && self.machines[*m].lost > now);
+        let replaced = self.machines.iter().filter(|m| m.gone && m.lost > now).count();
+        if lost.count() + replaced >= self.schedule.tolerated {
+            return None;
+        }
+        let machine = &mut self.machines[number];
+        machine.lost = machine.lost.max(now + lasts + JOIN_SYNC_MS);
+        Some(number)
+    }
+    fn strike(&mut self, number: usize) {
+        if self.healed {
+            return;
+        }
+        let Trouble { lasts, kind, .. } = self.schedule.troubles[number].clone();
+        let until = self.now + lasts;
+        match kind {
+            Kind::Cut(whom, way) => {
+                if let Some(steward) = self.may_lose(whom, lasts) {
+                    self.cuts.push(Cut { steward, way, until, salt: draw() });
+                }
+            }
+            Kind::Freeze(whom) => {
+                if let Some(number) = self.may_lose(whom, lasts) {
+                    let machine = &mut self.machines[number];
+                    (machine.frozen, machine.midway) = (Some(until), chance(60));
+                    self.at(until, Event::Thaw(number));
+                }
+            }
+            Kind::Kill(whom) | Kind::Power(whom) | Kind::Wipe(whom) => {
+                if let Some(number) = self.may_lose(whom, lasts) {
+                    self.stop(number, matches!(kind, Kind::Wipe(_)));
+                    self.at(until, Event::Start(number));
+                }
+            }
+            Kind::Replace(whom) => {
+                if let Some(number) = self.may_lose(whom, lasts) {
+                    self.stop(number, true);
+                    self.machines[number].gone = true;
+                    let seeds: Vec<usize> =
+                        (0..self.machines.len()).filter(|m| !self.machines[*m].gone).collect();
+                    let start = upto(seeds.len() as u64) as usize;
+                    let seeds: Vec<usize> =
+                        seeds.iter().cycle().skip(start).take(3).copied().collect();
+                    let new = self.add_machine(&seeds, false);
+                    self.at(until, Event::Start(new));
+                }
+            }
+            Kind::All { wiped, .. } => {
+                let now = self.now;
+                let lost = self.machines.iter().filter(|m| m.lost > now).count();
+                let mut wipes =
+                    usize::from(wiped).min(self.schedule.tolerated.saturating_sub(lost));
+                for number in 0..self.machines.len() {
+                    let wipe = wipes > 0 && self.machines[number].steward.is_some();
+                    wipes -= usize::from(wipe);
+                    if wipe {
+                        self.machines[number].lost = now + lasts + JOIN_SYNC_MS;
+                    }
+                    self.stop(number, wipe);
+                    let back = lasts.min(3_000) + upto(300);
+                    self.soon(back, Event::Start(number));
+                }
+            }
+            Kind::DiskFull(whom) | Kind::DiskStall(whom) => {
+                if let Some(number) = self.may_lose(whom, lasts) {
+                    let full = matches!(kind, Kind::DiskFull(_));
+                    self.machines[number].disk_ill = Some((until, full));
+                }
+            }
+            Kind::Reset => {
+                let all: Vec<u64> = self.conns.keys().copied().collect();
+                all.into_iter().for_each(|conn| self.close(conn));
+            }
+            Kind::Lossy(percent) => self.lossy = (until, u64::from(percent)),
+            Kind::Crash { primary, number } => {
+                if let Some(number) = self.pick_database(primary, number) {
+                    self.databases[number].up = false;
+                    self.at(until, Event::DatabaseUp(number));
+                }
+            }
+            Kind::Deaf(number) => {
+                if let Some(number) = self.pick_database(false, number) {
+                    self.databases[number].deaf = until;
+                }
+            }
+            Kind::Leave { primary, number } => {
+                if let Some(number) = self.pick_database(primary, number)
+                    && !self.databases[number].draining
+                {
+                    self.databases[number].draining = true;
+                    let service = self.databases[number].service.clone();
+                    self.add_database(&service.0, false, 50);
+                }
+            }
+            Kind::Large(hundreds) => self.large = u64::from(hundreds),
+            Kind::NodeKill(number) => {
+                let number = usize::from(number) % self.nodes.len();
+                if let Some((conn, _)) = self.nodes[number].conn {
+                    self.close(conn);
+                }
+                let node = &mut self.nodes[number];
+                node.life += 1;
+                (node.config, node.hint) = (None, None);
+                node.leases.clear();
+                node.revoked.clear();
+                node.highest.clear();
+                node.sent.clear();
+                let life = node.life;
+                self.soon(lasts.min(4_000), Event::Node(number, life));
+            }
+        }
+    }
+    fn pick_database(&self, primary: bool, number: u8) -> Option<usize> {
+        let service = ServiceName::from(SERVICES[usize::from(number) % SERVICES.len()]);
+        let newest = self.primary(&service);
+        if primary {
+            return newest.filter(|d| self.databases[*d].up);
+        }
+        let mut replicas = self.of_service(&service);
+        replicas.retain(|d| Some(*d) != newest && self.databases[*d].up);
+        replicas.get(usize::from(number) % replicas.len().max(1)).copied()
+    }
+
+    /// All is well again from here on.
+    fn heal(&mut self) {
+        self.healed = true;
+        self.cuts.clear();
+        self.lossy = (0, 0);
+        for number in 0..self.machines.len() {
+            self.machines[number].disk_ill = None;
+            if self.machines[number].frozen.is_some() {
+                self.machines[number].frozen = Some(self.now);
+                self.soon(0, Event::Thaw(number));
+            }
+            self.soon(1, Event::Start(number));
+        }
+        for number in 0..self.databases.len() {
+            self.databases[number].deaf = 0;
+            self.soon(1, Event::DatabaseUp(number));
+        }
+    }
+
+    /// With everything well for long, all must agree and be served.
+    fn look_back(&mut self) {
+        let leading: Vec<usize> = (0..self.machines.len())
+            .filter(|m| {
+                let machine = &self.machines[*m];
+                let now = Tick(self.now + machine.ahead);
+                machine.steward.as_ref().is_some_and(|s| s.hedge().granting(now))
+            })
+            .collect();
+        let [leader] = leading[..] else {
+            return self.fail(format!("in the end {} lead", leading.len()));
+        };
+        let Some(steward) = &self.machines[leader].steward else { return };
+        let (revision, applied) = (steward.almanac().revision, steward.applied());
+        let voters = steward.hedge().members().iter().filter(|m| m.voter).count();
+        let listed = steward.almanac().instances.keys().find(|id| self.goodbyes.contains(*id));
+        let behind = self
+            .machines
+            .iter()
+            .position(|m| m.steward.as_ref().is_some_and(|s| s.applied().0 + 40 < applied.0));
+        let late = self.nodes.iter().position(|n| {
+            let newest = n.config.as_ref().map(|c| c.revision);
+            let old = self.forced.iter().rev().find(|f| f.at + 3_000 < self.now);
+            newest < old.map(|f| f.revision)
+        });
+        let wrong = if self.forced.last().map(|f| f.revision) != Some(revision) {
+            Some("in the end not all that was in force is".to_owned())
+        } else if let Some(number) = behind {
+            Some(format!("n{number} never caught up"))
+        } else if let Some(id) = listed {
+            Some(format!("{id} said goodbye and is listed again"))
+        } else if let Some(number) = late {
+            Some(format!("node{number} has an old configuration"))
+        } else if voters < 2 * self.schedule.tolerated + 1 {
+            Some(format!("in the end {voters} vote"))
+        } else if self.report.acknowledged == 0 {
+            Some("no order was ever acknowledged".to_owned())
+        } else {
+            None
+        };
+        self.report.epochs = self.leaders.len() as u64;
+        if let Some(why) = wrong {
+            self.fail(why);
+        }
+    }
+
+    // -- events ------------------------------------------------------------------------------------
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Wake(number, life, wake) => {
+                let machine = &self.machines[number];
+                if machine.life == life && machine.wake == wake {
+                    self.step(number, None);
+                }
+            }
+            Event::Raft(from, at, to, message) => {
+                let number = machine_at(at);
+                let message = Box::new(message);
+                if self.reaches(End::Steward(from), End::Steward(number)) {
+                    let frame = Frame::Raft { to, message };
+                    self.step(number, Some(Input::Frame(0, frame)));
+                }
+            }
+            Event::Input(number, life, input) => {
+                if self.machines[number].life == life {
+                    self.step(number, Some(input));
+                }
+            }
+            Event::Written(number, life) => {
+                let now = self.now;
+                let machine = &mut self.machines[number];
+                if machine.life != life {
+                    return;
+                }
+                match machine.disk_ill.filter(|(until, _)| now < *until) {
+                    Some((until, false)) => return self.at(until, Event::Written(number, life)),
+                    Some((_, true)) => {
+                        machine.writing = None;
+                        let failed = Input::Saved(Err("full".to_owned()));
+                        return self.step(number, Some(failed));
+                    }
+                    None => {}
+                }
+                if let Some(sheaf) = machine.writing.take() {
+                    let saved = machine.disk.save(&sheaf).map_err(|e| e.to_string());
+                    self.step(number, Some(Input::Saved(saved)));
+                }
+            }
+            Event::Frame(conn, frame) => match self.conns.get(&conn) {
+                Some((_, Far::Node(node, life))) => {
+                    let (node, life) = (*node, *life);
+                    if self.nodes[node].life == life {
+                        self.node_heard(node, conn, frame);
+                    }
+                }
+                Some((_, Far::Join { asker, life, me, at })) => {
+                    let (asker, life, me, at) = (*asker, *life, *me, *at);
+                    let answer = match frame {
+                        Frame::Joined(answer) => Some(answer),
+                        _ => None,
+                    };
+                    self.close(conn);
+                    if self.machines[asker].life == life {
+                        self.step(asker, Some(Input::Standing(me, at, answer)));
+                    }
+                }
+                None => {}
+            },
+            Event::Call(who, attempt, request) => self.reach_steward(who, attempt, request),
+            Event::Answer(who, attempt, response) => self.answered(who, attempt, response),
+            Event::Act(who) => self.act(who),
+            Event::Node(number, life) => self.node_turn(number, life),
+            Event::Ask(from, life, service, id, ask) => self.asked(from, life, service, id, ask),
+            Event::Post(from, life, service, target) => self.post(from, life, service, target),
+            Event::Promote(service, target) => self.promote(&service, target),
+            Event::Write(node, to, life, term) => self.write(node, to, life, term),
+            Event::Replicate(from, to, term, log) => self.receive_log(from, to, term, &log),
+            Event::Received(number, by, term, has) => self.received(number, by, term, has),
+            Event::Committed(node, life, service, term, id, position) => {
+                self.committed(node, life, service, Write { term, id }, position);
+            }
+            Event::Database(number) => self.replicate(number),
+            Event::Strike(number) => self.strike(number),
+            Event::Start(number) => self.start(number),
+            Event::Thaw(number) => {
+                let machine = &mut self.machines[number];
+                if machine.frozen.is_some_and(|t| t <= self.now) {
+                    (machine.frozen, machine.midway) = (None, false);
+                    for input in std::mem::take(&mut machine.backlog) {
+                        self.step(number, Some(input));
+                    }
+                    self.step(number, None);
+                }
+            }
+            Event::DatabaseUp(number) => {
+                let database = &mut self.databases[number];
+                if database.gone || database.up {
+                    return;
+                }
+                (database.up, database.paused) = (true, false);
+                database.owed.clear();
+                let (service, term) = (database.service.clone(), database.term);
+                let newest = self.primary(&service).map(|p| self.databases[p].term);
+                let database = &mut self.databases[number];
+                if database.primary && newest.is_some_and(|t| t > term) {
+                    database.primary = false;
+                }
+                let who = self.operators.len() + number;
+                self.soon(5, Event::Act(who));
+            }
+            Event::DatabaseLeaves(number) => self.databases[number].drained = true,
+        }
+    }
+}
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -893,6 +893,14 @@
         Ok((granary, kept, false))
     }
 
+    /// What it holds; `None` if nothing was ever saved.
+    ///
+    /// # Errors
+    /// `Fatal::State` if that can't be read, `Fatal::Disk` if the file can't.
+    pub fn kept(&self) -> Result<Option<Kept>, Fatal> {
+        Self::load(&self.db)
+    }
+
     fn load(db: &Connection) -> Result<Option<Kept>, Fatal> {
         let broken = |e: std::io::Error| Fatal::State(format!("damaged, left as it is: {e}"));
         let hard = db
@@ -3274,6 +3282,10 @@
     pub fn almanac(&self) -> &Almanac {
         &self.almanac
     }
+    /// Up to where the almanac holds what was agreed.
+    pub fn applied(&self) -> Index {
+        self.applied
+    }
 
     /// Lets the messages leave that may, starts the next write, and applies what was agreed.
     fn flush(&mut self, now: Tick) {
