--- a/src/model.rs
+++ b/src/model.rs
@@ -16,6 +16,7 @@
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, sync_channel};
@@ -436,7 +437,8 @@
     forced: Vec<Forced>,
     leaders: BTreeMap<Epoch, MemberId>,
     entries: BTreeMap<Index, Entry>,
-    states: BTreeMap<Index, Vec<u8>>,
+    /// A hash of the state at each entry.
+    states: BTreeMap<Index, u64>,
     /// What a later read may not go behind: when it was known, and how far in `forced`.
     floors: Vec<(u64, usize)>,
     /// Commits that nodes passed on to clients.
@@ -836,9 +838,10 @@
         let applied = steward.applied();
         if applied > machine.applied {
             machine.applied = applied;
-            let state = pack(almanac);
-            let first = self.states.entry(applied).or_insert_with(|| state.clone());
-            if *first != state {
+            let mut hasher = DefaultHasher::new();
+            pack(almanac).hash(&mut hasher);
+            let state = hasher.finish();
+            if *self.states.entry(applied).or_insert(state) != state {
                 wrong = Some(format!("the state at entry {applied} differs at n{number}"));
             }
             let newest = self.forced.last().map_or(Revision(0), |f| f.revision);
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -5,6 +5,9 @@
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use silvertack::model::{Kind, Schedule, Trouble, Way, Whom, play};
 
+/// Threads that draw and play, each with its own luck.
+const RUNNERS: u64 = 8;
+
 fn whom() -> impl Strategy<Value = Whom> {
     prop_oneof![Just(Whom::Leader), (0..8u8).prop_map(Whom::Number)]
 }
@@ -44,16 +47,21 @@
 
 #[test]
 fn what_was_promised_holds_under_drawn_troubles() {
-    let fixed = std::env::var_os("PROPTEST_RNG_SEED").is_none();
-    let mut config = Config { failure_persistence: None, ..Config::default() };
-    if fixed {
-        (config.cases, config.rng_seed) = (config.cases.min(48), RngSeed::Fixed(1_202));
-    }
-    let played = TestRunner::new(config)
-        .run(&schedule(), |schedule| play(&schedule).map(drop).map_err(TestCaseError::fail));
-    if let Err(why) = played {
-        panic!("{why}");
-    }
+    let asked = std::env::var("PROPTEST_RNG_SEED").ok().and_then(|seed| seed.parse().ok());
+    let first: u64 = asked.unwrap_or(1_202);
+    let cases = Config::default().cases / RUNNERS as u32;
+    let run = |number: u64| {
+        let rng_seed = RngSeed::Fixed(first.wrapping_mul(RUNNERS).wrapping_add(number));
+        let cases = if asked.is_none() { cases.min(12) } else { cases };
+        let config = Config { failure_persistence: None, rng_seed, cases, ..Config::default() };
+        let held = |schedule| play(&schedule).map(drop).map_err(TestCaseError::fail);
+        TestRunner::new(config).run(&schedule(), held).map_err(|why| why.to_string())
+    };
+    let played: Vec<Result<(), String>> = std::thread::scope(|threads| {
+        let runners: Vec<_> = (0..RUNNERS).map(|n| threads.spawn(move || run(n))).collect();
+        runners.into_iter().map(|r| r.join().expect("played")).collect()
+    });
+    assert_eq!(played, vec![Ok(()); RUNNERS as usize]);
 }
 
 #[test]
