Members: a replacement that is lost again no longer takes the majority with it

Cause: a newcomer was made a voter while the one that it replaces was still listed. Of three voters (one to be borne) that made four with a dead one among them; the newcomer counts as lost for join_sync_s and may be lost again, then two of four were left. With five and two to be borne alike. Also, who is to stay was judged by time alone, so a new leader, whose count of silence starts anew, left the dead one listed longer than its replacement counts as lost.

Now: a newcomer votes once the voters that are there, without it and without all others that may be lost, are more than half of the new list; otherwise the longest silent voter goes first. A voter counts as there for it only if it has answered something that was sent after the newcomer was known, so the one that is replaced never does. And a learner is judged by rounds of catching up instead of by one instant in which it has all that is committed.

Ruled out: making two changes in one entry (majorities of the two lists need not meet).

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -69,6 +69,16 @@
     acked: Tick,
     /// Since when this leader has cared for it.
     since: Tick,
+    /// What it is to reach in this round of catching up, and when the round began.
+    round: (Index, Tick),
+    /// Its last round was short: it keeps up with what comes.
+    keeps_up: bool,
+}
+impl Progress {
+    fn new(next: Index, last: Index, now: Tick) -> Self {
+        let (matched, acked) = (Index(0), Tick(0));
+        Self { next, matched, acked, since: now, round: (last, now), keeps_up: false }
+    }
 }
 
 /// What differs from the disk.
@@ -124,6 +134,7 @@
 
 /// The set of stewards, seen from one of them: Raft with trial votes, a quorum check, hand-over
 /// and one change of members at a time.
+#[derive(Clone)]
 pub struct Hedge {
     pub kept: Kept,
     pub commit: Index,
@@ -351,13 +362,8 @@
         self.kept.led = Some(self.kept.epoch);
         self.dirty.hard = true;
         self.leaving = None;
-        self.peers = self
-            .others()
-            .into_iter()
-            .map(|id| {
-                (id, Progress { next: opened, matched: Index(0), acked: Tick(0), since: now })
-            })
-            .collect();
+        self.peers =
+            self.others().into_iter().map(|id| (id, Progress::new(opened, opened, now))).collect();
         self.push(Body::Opened, now);
     }
 
@@ -379,12 +385,7 @@
         self.peers.retain(|id, _| others.contains(id));
         for id in others {
             // A new member starts from the beginning: it can't yet say what it lacks.
-            self.peers.entry(id).or_insert(Progress {
-                next: Index(1),
-                matched: Index(0),
-                acked: Tick(0),
-                since: now,
-            });
+            self.peers.entry(id).or_insert(Progress::new(Index(1), index, now));
             self.append_to(id, now);
         }
         index
@@ -501,6 +502,11 @@
                 if ok {
                     progress.matched = progress.matched.max(upto);
                     progress.next = progress.next.max(Index(progress.matched.0 + 1));
+                    let (goal, began) = progress.round;
+                    if progress.matched >= goal {
+                        progress.keeps_up = now.since(began) < ELECTION_MIN_MS;
+                        progress.round = (last, now);
+                    }
                     let behind = progress.next <= last;
                     self.advance();
                     if behind {
@@ -723,8 +729,9 @@
     }
 
     /// The next single change that brings the members closer to what is wanted, if any: whoever
-    /// asks to join learns first and votes once it has caught up. Of more voters than
-    /// are needed to bear the loss of `tolerated`, the one that has been silent longest goes.
+    /// asks to join learns first and votes once it keeps up. If the voters that are there would
+    /// not bear its loss, the one that has been silent longest goes before. Of more voters than
+    /// are needed to bear the loss of `tolerated`, the one that has been silent too long goes too.
     pub fn wanted_members<'a>(
         &self,
         joining: impl Iterator<Item = &'a Member>,
@@ -759,23 +766,35 @@
             let learner = Member { voter: false, ..joiner.clone() };
             return Some(members.iter().cloned().chain([learner]).collect());
         }
-        let caught_up = |m: &&Member| {
-            !m.voter
-                && self.silence(m.id, now) < PRESENT_MS
-                && self.peers.get(&m.id).is_some_and(|p| p.matched >= self.commit)
+        let voters = self.voters();
+        let silent = |voter: bool, for_ms: u64| {
+            let others = members.iter().filter(move |m| m.id != self.kept.me);
+            let told = others.filter(move |m| m.voter == voter).map(|m| m.id);
+            told.map(|id| (self.silence(id, now), id)).filter(|s| s.0 > for_ms).max()
         };
-        if let Some(id) = members.iter().find(caught_up).map(|m| m.id) {
-            let promote = |m: &Member| Member { voter: m.voter || m.id == id, ..m.clone() };
-            return Some(members.iter().map(promote).collect());
-        }
-        let spare = self.voters().len() > 2 * tolerated + 1;
-        let silent = members
-            .iter()
-            .filter(|m| m.id != self.kept.me && (spare || !m.voter))
-            .map(|m| (self.silence(m.id, now), m.id))
-            .filter(|(silence, _)| *silence > silent_ms)
-            .max()?;
-        without(silent.1)
+        let ready = members.iter().filter(|m| !m.voter).find_map(|m| {
+            let there = self.silence(m.id, now) < PRESENT_MS;
+            self.peers.get(&m.id).filter(|p| p.keeps_up && there).map(|p| (m.id, p.since))
+        });
+        if let Some((id, since)) = ready {
+            // One that has answered since the newcomer is known is not the one that it replaces.
+            let there = |v: &&MemberId| {
+                let answered = self.peers.get(v).is_some_and(|p| p.acked >= since);
+                **v == self.kept.me || (answered && self.silence(**v, now) < PRESENT_MS)
+            };
+            let there = voters.iter().filter(there).count();
+            // The newcomer may be lost again at once, and counts as one of those to be borne: the
+            // voters that are there have to be enough without it and without all others of these.
+            let (more, longer) = (tolerated.saturating_sub(1), voters.len() + 1);
+            if there == voters.len() || there > more + longer / 2 {
+                let promote = |m: &Member| Member { voter: m.voter || m.id == id, ..m.clone() };
+                return Some(members.iter().map(promote).collect());
+            }
+            return without(silent(true, PRESENT_MS)?.1);
+        }
+        let spare = voters.len() > 2 * tolerated + 1;
+        let spare = if spare { silent(true, silent_ms) } else { None };
+        without(silent(false, silent_ms).max(spare)?.1)
     }
     /// How a process that asks to join, or whether it still belongs, stands with this steward.
     pub fn standing(&self, member: &Member, was: bool, now: Tick) -> Joined {
--- /dev/null
+++ b/tests/support/stewards.rs
@@ -0,0 +1,184 @@
+//! Machines with a steward each, whose time and network are the test's; they are lost and come back.
+use silvertack::common::ids::*;
+use silvertack::common::peer::*;
+use silvertack::steward::{Dirty, Hedge, Kept};
+use std::collections::VecDeque;
+
+/// How long after its return or its start a machine still counts as lost (`join_sync_s`).
+pub const SYNC_MS: u64 = 4_000;
+/// A voter that is silent for so long may be removed as a spare one.
+pub const GIVEN_UP_MS: u64 = 2_000;
+/// How long one that was removed needs to hear of it, and one that is new to ask.
+const TOLD_MS: u64 = 1_500;
+const ASK_MS: u64 = 300;
+const TURN_MS: u64 = 50;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum State {
+    Up,
+    /// Cut off, with all it knows.
+    Cut,
+    /// Down, and its disk is lost.
+    Gone,
+}
+#[derive(Clone)]
+pub struct Machine {
+    pub id: u64,
+    pub place: u64,
+    pub state: State,
+    pub back: Tick,
+    pub hedge: Hedge,
+}
+
+pub fn member(id: u64, place: u64, voter: bool) -> Member {
+    Member {
+        id: MemberId(id),
+        node: NodeName(format!("n{id}")),
+        peer: format!("10.0.0.{place}:1").parse().expect("address"),
+        admin: format!("10.0.0.{place}:2").parse().expect("address"),
+        voter,
+        can_vote: true,
+    }
+}
+fn steward(id: u64, members: Vec<Member>, now: Tick) -> Hedge {
+    const SPREADS: [fn() -> u64; 5] = [|| 10, || 130, || 250, || 370, || 70];
+    let snapshot = Snapshot { members, ..Snapshot::default() };
+    let kept = Kept { me: MemberId(id), snapshot, ..Kept::default() };
+    Hedge::new(kept, false, now, SPREADS[id as usize % 5])
+}
+
+/// One machine for each place in the deployment: a replacement takes the place of a lost one.
+#[derive(Clone)]
+pub struct Orchard {
+    pub now: Tick,
+    pub bears: usize,
+    pub machines: Vec<Machine>,
+    /// What was acknowledged, by place in the log.
+    pub acked: Vec<(Index, u8)>,
+    next: u64,
+}
+impl Orchard {
+    pub fn new(count: u64, bears: usize) -> Self {
+        let now = Tick(100_000);
+        let members: Vec<Member> = (1..=count).map(|i| member(i, i, true)).collect();
+        let machines = (1..=count).map(|id| Machine {
+            id,
+            place: id,
+            state: State::Up,
+            back: Tick(0),
+            hedge: steward(id, members.clone(), now),
+        });
+        let machines = machines.collect();
+        Self { now, bears, machines, acked: Vec::new(), next: count + 1 }
+    }
+    pub fn settled(&self, at: usize) -> bool {
+        let machine = &self.machines[at];
+        machine.state == State::Up && self.now.since(machine.back) >= SYNC_MS
+    }
+    pub fn lost(&self) -> usize {
+        (0..self.machines.len()).filter(|i| !self.settled(*i)).count()
+    }
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |m: &Machine| m.state == State::Up && m.hedge.granting(self.now);
+        self.machines.iter().position(leads)
+    }
+    /// The members, as the one with the newest log among those that can be reached has them.
+    pub fn members(&self) -> &[Member] {
+        let there = self.machines.iter().filter(|m| m.state == State::Up);
+        there.map(|m| &m.hedge).max_by_key(|h| h.last()).map_or(&[], |h| h.members())
+    }
+
+    pub fn lose(&mut self, at: usize, state: State) {
+        self.machines[at].state = state;
+    }
+    /// Comes back with all it knows, or empty, at its own address or another one.
+    pub fn back(&mut self, at: usize, elsewhere: bool) {
+        let (now, id) = (self.now, self.next);
+        let machine = &mut self.machines[at];
+        (machine.back, self.next) = (now, id + 1);
+        if machine.state == State::Gone {
+            machine.id = id;
+            machine.place = if elsewhere { id } else { machine.place };
+            machine.hedge = steward(id, Vec::new(), now);
+        }
+        machine.state = State::Up;
+    }
+
+    /// Delivers until all are at rest. Whatever goes out is on disk before.
+    pub fn settle(&mut self) {
+        let mut wire: VecDeque<(MemberId, Raft)> = VecDeque::new();
+        for _ in 0..10_000 {
+            for machine in &mut self.machines {
+                let hedge = &mut machine.hedge;
+                if std::mem::take(&mut hedge.dirty) != Dirty::default() {
+                    hedge.stored(hedge.last());
+                }
+                let up = machine.state == State::Up;
+                wire.extend(hedge.out.drain(..).filter(|_| up));
+            }
+            let Some((to, message)) = wire.pop_front() else { return };
+            let now = self.now;
+            let up = |m: &&mut Machine| m.id == to.0 && m.state == State::Up;
+            if let Some(machine) = self.machines.iter_mut().find(up) {
+                machine.hedge.step(message, now);
+            }
+        }
+        panic!("the stewards never come to rest");
+    }
+    fn reconcile(&mut self) {
+        let now = self.now;
+        let Some(leader) = self.leader() else { return };
+        let listed =
+            |m: &Machine| self.machines[leader].hedge.members().iter().any(|l| l.id.0 == m.id);
+        let outside = |m: &&Machine| m.state == State::Up && !listed(m);
+        let (known, new): (Vec<&Machine>, Vec<&Machine>) = self
+            .machines
+            .iter()
+            .filter(outside)
+            .partition(|m| m.hedge.members().iter().any(|l| l.id.0 == m.id));
+        let told = known.iter().find(|m| now.since(m.back) >= TOLD_MS).map(|m| m.id);
+        let asks: Vec<Member> = new
+            .iter()
+            .filter(|m| now.since(m.back) >= ASK_MS)
+            .map(|m| member(m.id, m.place, false))
+            .collect();
+        if let Some(id) = told {
+            let fresh = self.next;
+            self.next += 1;
+            let machine = self.machines.iter_mut().find(|m| m.id == id).expect("it was told");
+            (machine.id, machine.hedge) = (fresh, steward(fresh, Vec::new(), now));
+        }
+        let hedge = &mut self.machines[leader].hedge;
+        if let Some(list) = hedge.wanted_members(asks.iter(), self.bears, GIVEN_UP_MS, now) {
+            hedge.propose(Body::Members(list), now);
+        }
+    }
+    pub fn turn(&mut self) {
+        self.now = self.now.plus(TURN_MS);
+        let now = self.now;
+        for machine in &mut self.machines {
+            machine.hedge.tick(now);
+        }
+        self.settle();
+        self.reconcile();
+        self.settle();
+    }
+    /// Has something acknowledged, if there is somebody to do so.
+    pub fn order(&mut self) -> bool {
+        let Some(leader) = self.leader() else { return false };
+        let (number, now) = (self.acked.len() as u8, self.now);
+        let body = Body::Change(serde_bytes::ByteBuf::from(vec![number]));
+        let index = self.machines[leader].hedge.propose(body, now);
+        self.settle();
+        let Some(index) = index.filter(|i| *i <= self.machines[leader].hedge.commit) else {
+            return false;
+        };
+        self.acked.push((index, number));
+        true
+    }
+    /// What stands at this place of a steward's log.
+    pub fn holds(&self, at: usize, (index, number): (Index, u8)) -> bool {
+        let body = Body::Change(serde_bytes::ByteBuf::from(vec![number]));
+        self.machines[at].hedge.kept.log.iter().any(|e| e.index == index && e.body == body)
+    }
+}
