--- a/src/steward.rs
+++ b/src/steward.rs
@@ -152,6 +152,8 @@
     members: Vec<Member>,
     /// Since when another was asked to take over; nothing is granted from then on.
     leaving: Option<Tick>,
+    /// That other one has been asked; before, none was there that holds enough.
+    asked: bool,
     /// The disk is in trouble: this steward does not lead.
     ailing: bool,
     /// Everything up to here is on this steward's disk.
@@ -181,6 +183,7 @@
             peers: BTreeMap::new(),
             members: Vec::new(),
             leaving: None,
+            asked: false,
             ailing: false,
             durable: Index(0),
             owed: None,
@@ -300,13 +303,15 @@
                 // Whoever was asked to take over may do so no more: it would be in this epoch.
                 let declined = self.leaving.is_some_and(|t| now.since(t) > HAND_OVER_MS);
                 if deserted || declined {
-                    self.follow(None, now);
-                } else if now >= self.next_beat {
+                    return self.follow(None, now);
+                }
+                if now >= self.next_beat {
                     self.next_beat = now.plus(HEARTBEAT_MS);
                     for id in self.others() {
                         self.append_to(id, now);
                     }
                 }
+                self.pass_on(now);
             }
             _ if now >= self.deadline => {
                 self.rest(now);
@@ -512,6 +517,7 @@
                     if behind {
                         self.append_to(from, now);
                     }
+                    self.pass_on(now);
                 } else {
                     progress.next = Index(progress.matched.max(upto).0 + 1);
                     self.append_to(from, now);
@@ -705,20 +711,33 @@
         self.dirty.mark_log(Index(0));
     }
 
-    /// Asks the voter that is furthest along to lead. No lease is given from here on.
+    /// Another is to lead. No lease is given from here on, and nothing is added to the log.
     pub fn hand_over(&mut self, now: Tick) {
         if !self.is_leader() || self.leaving.is_some() {
             return;
         }
         self.leaving = Some(now);
+        self.asked = false;
+        self.pass_on(now);
+    }
+    /// Asks a voter that has answered lately and holds the whole log to lead, as soon as there is
+    /// one. After half of the time it is enough that it holds all that is committed.
+    fn pass_on(&mut self, now: Tick) {
+        let Some(since) = self.leaving.filter(|_| self.is_leader() && !self.asked) else {
+            return;
+        };
+        let late = now.since(since) >= HAND_OVER_MS / 2;
+        let least = if late { self.commit } else { self.last().1 };
+        let fits = |p: &Progress| p.matched >= least && now.since(p.acked) < QUORUM_FRESH_MS;
         let voters = self.voters();
         let best = self
             .peers
             .iter()
-            .filter(|(id, _)| voters.contains(id))
+            .filter(|(id, p)| voters.contains(id) && fits(p))
             .max_by_key(|(_, p)| (p.matched, p.acked))
             .map(|(id, _)| *id);
         if let Some(id) = best {
+            self.asked = true;
             self.say(id, RaftKind::TakeOver);
         }
     }
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -1,8 +1,11 @@
 //! Who belongs to the stewards: losses, returns and replacements in every order.
 #[path = "support/stewards.rs"]
 mod stewards;
+use silvertack::common::ids::*;
+use silvertack::common::peer::*;
+use silvertack::steward::{Dirty, Hedge, Kept};
 use std::collections::HashSet;
-use stewards::{Orchard, SYNC_MS, State};
+use stewards::{Orchard, SYNC_MS, State, member};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Event {
@@ -130,3 +133,117 @@
         }
     });
 }
+
+/// A leader and what it sends; the others are played here.
+struct Led {
+    hedge: Hedge,
+    now: Tick,
+}
+impl Led {
+    fn new(voters: u64) -> Self {
+        let members = (1..=voters).map(|i| member(i, i, true)).collect();
+        let snapshot = Snapshot { members, ..Snapshot::default() };
+        let kept = Kept { me: MemberId(1), snapshot, ..Kept::default() };
+        let mut this = Self { hedge: Hedge::new(kept, false, Tick(1_000), || 0), now: Tick(2_000) };
+        this.hedge.tick(this.now);
+        for trial in [true, false] {
+            for from in 2..=voters {
+                this.hear(from, RaftKind::Vote { trial, granted: true });
+            }
+        }
+        assert!(this.hedge.is_leader());
+        this.store();
+        this
+    }
+    fn store(&mut self) {
+        self.hedge.dirty = Dirty::default();
+        self.hedge.stored(self.hedge.last());
+    }
+    fn hear(&mut self, from: u64, kind: RaftKind) {
+        let trial = matches!(kind, RaftKind::Vote { trial: true, .. });
+        let epoch = Epoch(self.hedge.kept.epoch.0 + u64::from(trial));
+        self.hedge.step(Raft { from: MemberId(from), epoch, kind }, self.now);
+    }
+    /// One says that it holds everything up to here, in answer to what was sent just now.
+    fn holds(&mut self, from: u64, upto: u64) {
+        let sent = self.now.0;
+        self.hear(from, RaftKind::Appended { upto: Index(upto), ok: true, sent });
+    }
+    fn propose(&mut self) {
+        self.hedge.propose(Body::Opened, self.now);
+        self.store();
+    }
+    fn wait(&mut self, ms: u64) {
+        self.now = self.now.plus(ms);
+        self.hedge.tick(self.now);
+    }
+    /// Who was asked to take over.
+    fn asked(&mut self) -> Vec<u64> {
+        let out = self.hedge.out.drain(..);
+        out.filter(|(_, m)| m.kind == RaftKind::TakeOver).map(|(to, _)| to.0).collect()
+    }
+}
+
+#[test]
+fn one_that_is_there_and_holds_the_whole_log_is_asked_to_lead() {
+    // (what, how far each is and after how long the last answer of 2 came, who is asked at once,
+    // what 3 says then, who is asked after so many milliseconds)
+    type Case = (&'static str, [u64; 2], u64, &'static [u64], Option<u64>, u64, &'static [u64]);
+    let cases: [Case; 5] = [
+        ("both are there", [4, 3], 0, &[2], None, 0, &[]),
+        ("the one that is furthest is dark", [4, 3], 500, &[], Some(4), 10, &[3]),
+        ("none has all of it yet", [3, 2], 0, &[], Some(4), 10, &[3]),
+        ("none gets it in time, one has what is committed", [3, 2], 0, &[], None, 260, &[2]),
+        ("nobody is there", [4, 4], 500, &[], None, 300, &[]),
+    ];
+    for (what, [second, third], dark, at_once, then, after, later) in cases {
+        let mut led = Led::new(3);
+        for _ in 0..3 {
+            led.propose();
+        }
+        led.holds(2, second);
+        led.wait(dark);
+        if what != "nobody is there" {
+            led.holds(3, third);
+        }
+        led.asked();
+        led.hedge.hand_over(led.now);
+        assert_eq!(led.asked(), at_once, "{what}");
+        led.wait(after);
+        if let Some(upto) = then {
+            led.holds(3, upto);
+        }
+        assert_eq!(led.asked(), later, "{what}, later");
+        led.wait(510);
+        assert!(!led.hedge.is_leader(), "{what}: it does not lead on");
+    }
+}
+
+#[test]
+fn a_learner_that_keeps_up_with_a_steady_stream_becomes_a_voter() {
+    // (how long its answers take, whether it is to vote)
+    for (late, votes) in [(0, true), (60, true), (400, true), (900, false)] {
+        let mut led = Led::new(1);
+        let joiner = member(2, 2, false);
+        let mut answers: std::collections::VecDeque<(Tick, u64, Tick)> = Default::default();
+        for _ in 0..400 {
+            led.wait(10);
+            led.propose();
+            led.hedge.out.clear();
+            answers.push_back((led.now.plus(late), led.hedge.last().1.0, led.now));
+            while let Some((due, upto, sent)) = answers.front().copied()
+                && due <= led.now
+            {
+                answers.pop_front();
+                led.hear(2, RaftKind::Appended { upto: Index(upto), ok: true, sent: sent.0 });
+            }
+            let wanted = led.hedge.wanted_members([&joiner].into_iter(), 0, 4_000, led.now);
+            if let Some(list) = wanted {
+                led.hedge.propose(Body::Members(list), led.now);
+                led.store();
+            }
+        }
+        let list = led.hedge.members();
+        assert_eq!(list.iter().any(|m| m.id == MemberId(2) && m.voter), votes, "{late} ms late");
+    }
+}
