Founding: nothing is taken before 2f + 1 stewards have voted once

Cause: five seconds after its founding, or at once after a restart, the first steward acknowledged alone, whatever fault_tolerance says; its disk was then the only copy.

Now: whether anything was ever taken stands in the replicated state itself (a configuration or a database in it), so it outlasts folds, restarts and a change of leader, and a disk of the landed program needs no new field. Until then 2f + 1 have to vote. With f < voters < 2f + 1 the first order is taken 5 s after the list last changed and with no learner in it: then those missing are among the lost ones, and the inequality holds (docs/control.md). With f or fewer voters, where the promise can't hold, 60 s, with a warning.

Before: no test; the check was 'young and too few' with young_until of 5 s, none after a restart. After: nothing_is_taken_before_enough_have_voted_once and that_something_was_taken_is_kept_in_the_state; the first is red when the long wait is made 5 s (1 voters, 1 lost, 5100 ms).

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -50,6 +50,10 @@
 const PRESENT_MS: u64 = 1_000;
 /// Asked to lead, another does so within this or not at all.
 const HAND_OVER_MS: u64 = 500;
+/// After its founding the hedge waits so long for more stewards before it takes the first order with
+/// fewer voters than the loss of so many needs, and so long if there are hardly any.
+const YOUNG_MS: u64 = 5_000;
+const SPARSE_MS: u64 = 60_000;
 /// Entries sent in one message; one at least, and well within the largest frame.
 const BATCH: usize = 64;
 const BATCH_BYTES: usize = 512 << 10;
@@ -154,6 +158,8 @@
     leaving: Option<Tick>,
     /// That other one has been asked; before, none was there that holds enough.
     asked: bool,
+    /// Since when this leader knows the list of members as it is.
+    relisted: Tick,
     /// The disk is in trouble: this steward does not lead.
     ailing: bool,
     /// Everything up to here is on this steward's disk.
@@ -184,6 +190,7 @@
             members: Vec::new(),
             leaving: None,
             asked: false,
+            relisted: now,
             ailing: false,
             durable: Index(0),
             owed: None,
@@ -367,6 +374,7 @@
         self.kept.led = Some(self.kept.epoch);
         self.dirty.hard = true;
         self.leaving = None;
+        self.relisted = now;
         self.peers =
             self.others().into_iter().map(|id| (id, Progress::new(opened, opened, now))).collect();
         self.push(Body::Opened, now);
@@ -383,6 +391,7 @@
         let index = Index(self.last().1.0 + 1);
         if let Body::Members(members) = &body {
             self.members = members.clone();
+            self.relisted = now;
         }
         self.kept.log.push(Entry { epoch: self.kept.epoch, index, body });
         self.dirty.mark_log(index);
@@ -815,6 +824,17 @@
         let spare = if spare { silent(true, silent_ms) } else { None };
         without(silent(false, silent_ms).max(spare)?.1)
     }
+    /// Whether a hedge that has taken nothing yet may begin to: there are voters enough to bear the
+    /// loss of `tolerated`. Fewer will do once nobody has come for a while, so that a deployment
+    /// with few disks works at all. Those who are missing then are among the lost ones, unless
+    /// more are missing than may be: then this steward itself may be the one that is cut off.
+    pub fn may_begin(&self, tolerated: usize, now: Tick) -> bool {
+        let voters = self.voters().len();
+        let patience = if voters > tolerated { YOUNG_MS } else { SPARSE_MS };
+        let all_vote = self.members().iter().all(|m| m.voter);
+        let waited = all_vote && now.since(self.relisted) > patience;
+        self.is_leader() && (voters > 2 * tolerated || waited)
+    }
     /// How a process that asks to join, or whether it still belongs, stands with this steward.
     pub fn standing(&self, member: &Member, was: bool, now: Tick) -> Joined {
         if !self.granting(now) {
@@ -1215,6 +1235,11 @@
         }
         Ok(almanac)
     }
+    /// Whether anything was taken yet. Whoever founds a hedge has to wait for enough stewards
+    /// before; afterwards there may be fewer for a moment, while one is exchanged.
+    pub fn begun(&self) -> bool {
+        !self.body.is_empty() || !self.instances.is_empty()
+    }
     fn unlist(&mut self, id: &InstanceId) -> Option<Record> {
         let record = self.instances.remove(id)?;
         let service = &record.instance.target_service;
@@ -2649,8 +2674,6 @@
     next_join: Tick,
     /// The steward that is said to lead, for asking it to be taken in.
     join_at: Option<SocketAddr>,
-    /// Founded by this process: until then nothing is taken before enough stewards hold it.
-    young_until: Option<Tick>,
     /// The one that this process told to found the hedge, as no seed has a disk.
     nominated: Option<MemberId>,
     /// Without a disk this steward is in no list and only points at the one that leads.
@@ -2671,8 +2694,6 @@
 const QUESTIONS_WAITING: usize = 4_096;
 /// A database whose beats miss this many intervals is doubted.
 const MISSED_BEATS: u64 = 3;
-/// After its founding the hedge takes nothing for so long, unless enough stewards are in.
-const YOUNG_MS: u64 = 5_000;
 /// Who asked to join and does not ask again is forgotten after this.
 const JOIN_KEPT_MS: u64 = 3_000;
 const JOIN_AGAIN_MS: u64 = 250;
@@ -2702,7 +2723,6 @@
         .ok_or_else(|| Fatal::Settings("listeners.admin is needed by a steward".into()))?;
     let signals = Signals::install().map_err(|e| Fatal::Call(e.to_string()))?;
     let first = || first_state(&settings, admin);
-    let founds = settings.can_vote() && settings.founder() == Some(admin);
     let opened = || match &settings.data_path {
         Some(folder) if settings.can_vote() => Granary::found(folder, first),
         _ => Ok((Granary::none()?, first(), false)),
@@ -2760,7 +2780,6 @@
         joining: BTreeMap::new(),
         next_join: now,
         join_at: None,
-        young_until: (!restarted && founds).then(|| now.plus(YOUNG_MS)),
         nominated: None,
         pointed: None,
         office: None,
@@ -3524,7 +3543,6 @@
                 };
                 info!(target: "hedge", "founds the hedge");
                 let founder = Member { voter: true, ..as_member(&self.settings, admin, me) };
-                self.young_until = Some(now.plus(YOUNG_MS));
                 self.start_over(vec![founder], now);
             }
             _ => {}
@@ -4022,10 +4040,17 @@
             return say(Response::refusal(503, "no quorum"));
         }
         self.apply(now);
-        let needed = 2 * self.settings.tolerated() + 1;
-        let young = self.young_until.is_some_and(|t| now < t);
-        if parsed.is_some() && young && self.hedge.voters().len() < needed {
-            return say(Response::refusal(503, "being founded"));
+        let tolerated = self.settings.tolerated();
+        if parsed.is_some() && !self.almanac.begun() {
+            let (voters, needed) = (self.hedge.voters().len(), 2 * tolerated + 1);
+            if !self.hedge.may_begin(tolerated, now) {
+                let why = format!("being founded: {voters} of {needed} stewards vote");
+                return say(Response::refusal(503, &why));
+            }
+            if voters < needed {
+                warn!(target: "hedge", "begins with {voters} voters of {needed}: not as many \
+                    machines may be lost as fault_tolerance says");
+            }
         }
         match parsed {
             None if self.almanac.body.is_empty() => {
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -3,7 +3,7 @@
 mod stewards;
 use silvertack::common::ids::*;
 use silvertack::common::peer::*;
-use silvertack::steward::{Dirty, Hedge, Kept};
+use silvertack::steward::{Almanac, Change, Dirty, Hedge, Kept};
 use std::collections::HashSet;
 use stewards::{Orchard, SYNC_MS, State, member};
 
@@ -247,3 +247,51 @@
         assert_eq!(list.iter().any(|m| m.id == MemberId(2) && m.voter), votes, "{late} ms late");
     }
 }
+
+#[test]
+fn nothing_is_taken_before_enough_have_voted_once() {
+    // (voters, losses to be borne, learners, when the first order may be taken: after so long)
+    let never = u64::MAX;
+    let cases = [
+        (1, 0, 0, 0),
+        (1, 1, 0, 60_000),
+        (1, 1, 1, never),
+        (2, 1, 0, 5_000),
+        (3, 1, 0, 0),
+        (3, 1, 1, 0),
+        (2, 2, 0, 60_000),
+        (3, 2, 0, 5_000),
+        (4, 2, 1, never),
+        (5, 2, 0, 0),
+    ];
+    for (voters, bears, learners, after) in cases {
+        let mut led = Led::new(voters);
+        let joins = (0..learners).map(|i| member(100 + i, 100 + i, false));
+        let list: Vec<Member> = led.hedge.members().iter().cloned().chain(joins).collect();
+        led.hedge.propose(Body::Members(list), led.now);
+        for waited in [0, 4_900, 5_100, 59_900, 60_100, 600_000] {
+            let now = led.now.plus(waited);
+            let may = led.hedge.may_begin(bears, now);
+            assert_eq!(may, waited >= after, "{voters} voters, {bears} lost, {waited} ms");
+        }
+        // A restart waits anew; whoever does not lead never says so.
+        let kept = led.hedge.kept.clone();
+        let again = Hedge::new(kept, true, led.now.plus(600_000), || 0);
+        assert!(!again.may_begin(bears, led.now.plus(600_000)));
+    }
+}
+
+#[test]
+fn that_something_was_taken_is_kept_in_the_state() {
+    let configure = Change::Configure {
+        base: Revision(0),
+        revision: Revision(1),
+        body: serde_bytes::ByteBuf::from(b"{}".to_vec()),
+    };
+    let mut almanac = Almanac::default();
+    assert!(!almanac.begun());
+    almanac.apply(&configure);
+    assert!(almanac.begun());
+    let again = Almanac::read(&pack(&almanac)).expect("read");
+    assert!(again.begun(), "after a fold, and on a disk of before");
+}
