A steward that was removed while it was away comes back with what it has

Cause: a spare voter that is silent for half of join_sync_s is removed; when it came back it threw its id, vote, log and state away and got everything anew, for a cut of twenty seconds.

Now: it asks and is taken in again as a learner under its id. That is safe: the id stands for its disk, vote and epoch are still on it, and an empty disk always draws a fresh id, so no id votes twice in an epoch; an acknowledgement of before its removal, in the same epoch, still tells the truth. The leader offers a new member its newest entry first instead of its first, and goes back as the answers say. A member that hears no leader asks after 1.2 s instead of 2.5 s, so that it is a voter again well within join_sync_s of its return.

Ruled out: not removing spare silent voters (of four voters with one away three must then write each entry; of three, two).

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -398,8 +398,8 @@
         let others = self.others();
         self.peers.retain(|id, _| others.contains(id));
         for id in others {
-            // A new member starts from the beginning: it can't yet say what it lacks.
-            self.peers.entry(id).or_insert(Progress::new(Index(1), index, now));
+            // A new member may hold much of it from before; if not, its first answer says so.
+            self.peers.entry(id).or_insert(Progress::new(index, index, now));
             self.append_to(id, now);
         }
         index
@@ -846,7 +846,7 @@
             // One that can't vote is kept in no list; it only asks who leads.
             _ if !member.can_vote => Joined::Listed,
             (true, _) => Joined::Listed,
-            // An id is never used again, so one that is not listed now never will be.
+            // One that is being taken in or out stands neither way yet.
             (false, true) if !self.members_pending() => Joined::Removed,
             (false, true) => Joined::Elsewhere(None),
             (false, false) => Joined::Noted,
@@ -2698,7 +2698,7 @@
 const JOIN_KEPT_MS: u64 = 3_000;
 const JOIN_AGAIN_MS: u64 = 250;
 /// A member that hears no leader for this long asks whether it still is one.
-const LONELY_MS: u64 = 2_500;
+const LONELY_MS: u64 = 1_200;
 /// A seed without a disk waits this long for the first stewards before it names a founder.
 const NOMINATE_MS: u64 = 500;
 /// How often all services are looked at; those that something happens to are at once.
@@ -3218,7 +3218,8 @@
                 if self.names(&member, now) {
                     answer = Joined::Found;
                 }
-                if answer == Joined::Noted {
+                // One that was removed is taken in again with what it has on its disk.
+                if matches!(answer, Joined::Noted | Joined::Removed) {
                     self.joining.insert(member.id, (member, now));
                 }
                 self.send_conn(conn, &Frame::Joined(answer));
@@ -3533,9 +3534,9 @@
                 self.join_at = Some(leader);
                 self.next_join = now;
             }
+            // An id stands for a disk with its vote and its log, so it may come back as a learner.
             Joined::Removed if listed && !self.hedge.is_leader() => {
-                warn!(target: "hedge", "member {me} was removed, begins anew");
-                self.start_over(Vec::new(), now);
+                info!(target: "hedge", "member {me} was removed, is to be taken in again");
             }
             Joined::Found if !listed && self.settings.bootstrap && self.settings.can_vote() => {
                 let Some(admin) = self.settings.listeners.admin else {
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -295,3 +295,29 @@
     let again = Almanac::read(&pack(&almanac)).expect("read");
     assert!(again.begun(), "after a fold, and on a disk of before");
 }
+
+#[test]
+fn one_that_was_cut_off_for_long_comes_back_with_what_it_has() {
+    let mut orchard = Orchard::new(4, 1);
+    let run = |orchard: &mut Orchard, ms: u64| (0..ms / 50).for_each(|_| orchard.turn());
+    run(&mut orchard, 3_000);
+    for _ in 0..60 {
+        assert!(orchard.order());
+    }
+    let at = orchard.leader().map_or(0, |leader| (leader + 1) % 4);
+    orchard.lose(at, State::Cut);
+    run(&mut orchard, 20_000);
+    assert_eq!(orchard.members().len(), 3, "a spare one that is silent goes");
+    let last = orchard.machines[at].hedge.last();
+    assert!((0..5).all(|_| orchard.order()));
+    orchard.back(at, false);
+    orchard.sent_to = (orchard.machines[at].id, 0);
+    run(&mut orchard, SYNC_MS);
+    assert!(orchard.members().iter().any(|m| m.id.0 == orchard.sent_to.0 && m.voter));
+    let hedge = &orchard.machines[at].hedge;
+    let missing = hedge.last().1.0 - last.1.0;
+    assert!(missing < 20, "it has missed a little: {missing}");
+    let sent = orchard.sent_to.1 as u64;
+    assert!(sent <= 2 * missing, "{sent} entries for {missing} that it had missed");
+    assert!(orchard.acked.iter().all(|order| orchard.holds(at, *order)));
+}
--- a/tests/support/stewards.rs
+++ b/tests/support/stewards.rs
@@ -8,7 +8,7 @@
 pub const SYNC_MS: u64 = 4_000;
 /// A voter that is silent for so long may be removed as a spare one.
 pub const GIVEN_UP_MS: u64 = 2_000;
-/// How long one that was removed needs to hear of it, and one that is new to ask.
+/// How long one that was removed needs to ask to be taken in again, and one that is new to ask.
 const TOLD_MS: u64 = 1_500;
 const ASK_MS: u64 = 300;
 const TURN_MS: u64 = 50;
@@ -55,6 +55,8 @@
     pub machines: Vec<Machine>,
     /// What was acknowledged, by place in the log.
     pub acked: Vec<(Index, u8)>,
+    /// Entries and folds that were sent to this member since it was named.
+    pub sent_to: (u64, usize),
     next: u64,
 }
 impl Orchard {
@@ -69,7 +71,7 @@
             hedge: steward(id, members.clone(), now),
         });
         let machines = machines.collect();
-        Self { now, bears, machines, acked: Vec::new(), next: count + 1 }
+        Self { now, bears, machines, acked: Vec::new(), sent_to: (0, 0), next: count + 1 }
     }
     pub fn settled(&self, at: usize) -> bool {
         let machine = &self.machines[at];
@@ -118,6 +120,13 @@
             }
             let Some((to, message)) = wire.pop_front() else { return };
             let now = self.now;
+            if to.0 == self.sent_to.0 {
+                self.sent_to.1 += match &message.kind {
+                    RaftKind::Append { entries, .. } => entries.len(),
+                    RaftKind::Snapshot { .. } => 1_000,
+                    _ => 0,
+                };
+            }
             let up = |m: &&mut Machine| m.id == to.0 && m.state == State::Up;
             if let Some(machine) = self.machines.iter_mut().find(up) {
                 machine.hedge.step(message, now);
@@ -130,24 +139,17 @@
         let Some(leader) = self.leader() else { return };
         let listed =
             |m: &Machine| self.machines[leader].hedge.members().iter().any(|l| l.id.0 == m.id);
-        let outside = |m: &&Machine| m.state == State::Up && !listed(m);
-        let (known, new): (Vec<&Machine>, Vec<&Machine>) = self
+        // One that believes that it is a member asks only once it has heard no leader for a while.
+        let asks: Vec<Member> = self
             .machines
             .iter()
-            .filter(outside)
-            .partition(|m| m.hedge.members().iter().any(|l| l.id.0 == m.id));
-        let told = known.iter().find(|m| now.since(m.back) >= TOLD_MS).map(|m| m.id);
-        let asks: Vec<Member> = new
-            .iter()
-            .filter(|m| now.since(m.back) >= ASK_MS)
+            .filter(|m| m.state == State::Up && !listed(m))
+            .filter(|m| {
+                let was = m.hedge.members().iter().any(|l| l.id.0 == m.id);
+                now.since(m.back) >= if was { TOLD_MS } else { ASK_MS }
+            })
             .map(|m| member(m.id, m.place, false))
             .collect();
-        if let Some(id) = told {
-            let fresh = self.next;
-            self.next += 1;
-            let machine = self.machines.iter_mut().find(|m| m.id == id).expect("it was told");
-            (machine.id, machine.hedge) = (fresh, steward(fresh, Vec::new(), now));
-        }
         let hedge = &mut self.machines[leader].hedge;
         if let Some(list) = hedge.wanted_members(asks.iter(), self.bears, GIVEN_UP_MS, now) {
             hedge.propose(Body::Members(list), now);
