A new member is sent the log from its beginning; one that is taken in again, from where it was

Now the leader remembers what each one held that it removed in this term and goes on from there; all others begin at the first entry, as they did.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -152,6 +152,8 @@
     /// Just started, and it had led the newest epoch it knows: nobody waits for that leader.
     returning: bool,
     peers: BTreeMap<MemberId, Progress>,
+    /// What those held that this leader has removed.
+    removed: BTreeMap<MemberId, Index>,
     /// The newest list of members in the log, committed or not.
     members: Vec<Member>,
     /// Since when another was asked to take over; nothing is granted from then on.
@@ -187,6 +189,7 @@
             quiet_until: if quiet { now.plus(QUIET_MS) } else { now },
             returning,
             peers: BTreeMap::new(),
+            removed: BTreeMap::new(),
             members: Vec::new(),
             leaving: None,
             asked: false,
@@ -299,6 +302,7 @@
         self.role = Rank::Follower;
         self.leader = leader;
         self.peers.clear();
+        self.removed.clear();
         self.rest(now);
     }
 
@@ -396,10 +400,15 @@
         self.kept.log.push(Entry { epoch: self.kept.epoch, index, body });
         self.dirty.mark_log(index);
         let others = self.others();
+        let gone = self.peers.iter().filter(|(id, _)| !others.contains(id));
+        self.removed.extend(gone.map(|(id, p)| (*id, p.matched)));
         self.peers.retain(|id, _| others.contains(id));
         for id in others {
-            // A new member may hold much of it from before; if not, its first answer says so.
-            self.peers.entry(id).or_insert(Progress::new(index, index, now));
+            // A new member starts from the beginning: without a list it can't say what it lacks.
+            // One that is taken in again goes on where it was.
+            let held = self.removed.remove(&id).unwrap_or_default();
+            let next = Index(held.0 + 1);
+            self.peers.entry(id).or_insert(Progress::new(next, index, now));
             self.append_to(id, now);
         }
         index
--- a/tests/support/stewards.rs
+++ b/tests/support/stewards.rs
@@ -116,7 +116,10 @@
                     hedge.stored(hedge.last());
                 }
                 let up = machine.state == State::Up;
-                wire.extend(hedge.out.drain(..).filter(|_| up));
+                let list = hedge.members().to_vec();
+                // Whoever is not in its list has no address that it knows.
+                let knows = |to: MemberId| list.iter().any(|m| m.id == to);
+                wire.extend(hedge.out.drain(..).filter(|(to, _)| up && knows(*to)));
             }
             let Some((to, message)) = wire.pop_front() else { return };
             let now = self.now;
