--- a/src/steward.rs
+++ b/src/steward.rs
@@ -50,6 +50,10 @@
 const PRESENT_MS: u64 = 1_000;
 /// Asked to lead, another does so within this or not at all.
 const HAND_OVER_MS: u64 = 500;
+/// After its founding the hedge waits so long for more stewards before it takes the first order with
+/// fewer voters than the loss of so many needs, and so long if there are hardly any.
+const YOUNG_MS: u64 = 5_000;
+const SPARSE_MS: u64 = 60_000;
 /// Entries sent in one message; one at least, and well within the largest frame.
 const BATCH: usize = 64;
 const BATCH_BYTES: usize = 512 << 10;
@@ -69,6 +73,16 @@
     acked: Tick,
     /// Since when this leader has cared for it.
     since: Tick,
+    /// What it is to reach in this round of catching up, and when the round began.
+    round: (Index, Tick),
+    /// Its last round was short: it keeps up with what comes.
+    keeps_up: bool,
+}
+impl Progress {
+    fn new(next: Index, last: Index, now: Tick) -> Self {
+        let (matched, acked) = (Index(0), Tick(0));
+        Self { next, matched, acked, since: now, round: (last, now), keeps_up: false }
+    }
 }
 
 /// What differs from the disk.
@@ -124,6 +138,7 @@
 
 /// The set of stewards, seen from one of them: Raft with trial votes, a quorum check, hand-over
 /// and one change of members at a time.
+#[derive(Clone)]
 pub struct Hedge {
     pub kept: Kept,
     pub commit: Index,
@@ -137,10 +152,16 @@
     /// Just started, and it had led the newest epoch it knows: nobody waits for that leader.
     returning: bool,
     peers: BTreeMap<MemberId, Progress>,
+    /// What those held that this leader has removed.
+    removed: BTreeMap<MemberId, Index>,
     /// The newest list of members in the log, committed or not.
     members: Vec<Member>,
     /// Since when another was asked to take over; nothing is granted from then on.
     leaving: Option<Tick>,
+    /// That other one has been asked; before, none was there that holds enough.
+    asked: bool,
+    /// Since when this leader knows the list of members as it is.
+    relisted: Tick,
     /// The disk is in trouble: this steward does not lead.
     ailing: bool,
     /// Everything up to here is on this steward's disk.
@@ -168,8 +189,11 @@
             quiet_until: if quiet { now.plus(QUIET_MS) } else { now },
             returning,
             peers: BTreeMap::new(),
+            removed: BTreeMap::new(),
             members: Vec::new(),
             leaving: None,
+            asked: false,
+            relisted: now,
             ailing: false,
             durable: Index(0),
             owed: None,
@@ -278,6 +302,7 @@
         self.role = Rank::Follower;
         self.leader = leader;
         self.peers.clear();
+        self.removed.clear();
         self.rest(now);
     }
 
@@ -289,13 +314,15 @@
                 // Whoever was asked to take over may do so no more: it would be in this epoch.
                 let declined = self.leaving.is_some_and(|t| now.since(t) > HAND_OVER_MS);
                 if deserted || declined {
-                    self.follow(None, now);
-                } else if now >= self.next_beat {
+                    return self.follow(None, now);
+                }
+                if now >= self.next_beat {
                     self.next_beat = now.plus(HEARTBEAT_MS);
                     for id in self.others() {
                         self.append_to(id, now);
                     }
                 }
+                self.pass_on(now);
             }
             _ if now >= self.deadline => {
                 self.rest(now);
@@ -351,13 +378,9 @@
         self.kept.led = Some(self.kept.epoch);
         self.dirty.hard = true;
         self.leaving = None;
-        self.peers = self
-            .others()
-            .into_iter()
-            .map(|id| {
-                (id, Progress { next: opened, matched: Index(0), acked: Tick(0), since: now })
-            })
-            .collect();
+        self.relisted = now;
+        self.peers =
+            self.others().into_iter().map(|id| (id, Progress::new(opened, opened, now))).collect();
         self.push(Body::Opened, now);
     }
 
@@ -372,19 +395,20 @@
         let index = Index(self.last().1.0 + 1);
         if let Body::Members(members) = &body {
             self.members = members.clone();
+            self.relisted = now;
         }
         self.kept.log.push(Entry { epoch: self.kept.epoch, index, body });
         self.dirty.mark_log(index);
         let others = self.others();
+        let gone = self.peers.iter().filter(|(id, _)| !others.contains(id));
+        self.removed.extend(gone.map(|(id, p)| (*id, p.matched)));
         self.peers.retain(|id, _| others.contains(id));
         for id in others {
-            // A new member starts from the beginning: it can't yet say what it lacks.
-            self.peers.entry(id).or_insert(Progress {
-                next: Index(1),
-                matched: Index(0),
-                acked: Tick(0),
-                since: now,
-            });
+            // A new member starts from the beginning: without a list it can't say what it lacks.
+            // One that is taken in again goes on where it was.
+            let held = self.removed.remove(&id).unwrap_or_default();
+            let next = Index(held.0 + 1);
+            self.peers.entry(id).or_insert(Progress::new(next, index, now));
             self.append_to(id, now);
         }
         index
@@ -501,11 +525,17 @@
                 if ok {
                     progress.matched = progress.matched.max(upto);
                     progress.next = progress.next.max(Index(progress.matched.0 + 1));
+                    let (goal, began) = progress.round;
+                    if progress.matched >= goal {
+                        progress.keeps_up = now.since(began) < ELECTION_MIN_MS;
+                        progress.round = (last, now);
+                    }
                     let behind = progress.next <= last;
                     self.advance();
                     if behind {
                         self.append_to(from, now);
                     }
+                    self.pass_on(now);
                 } else {
                     progress.next = Index(progress.matched.max(upto).0 + 1);
                     self.append_to(from, now);
@@ -699,20 +729,33 @@
         self.dirty.mark_log(Index(0));
     }
 
-    /// Asks the voter that is furthest along to lead. No lease is given from here on.
+    /// Another is to lead. No lease is given from here on, and nothing is added to the log.
     pub fn hand_over(&mut self, now: Tick) {
         if !self.is_leader() || self.leaving.is_some() {
             return;
         }
         self.leaving = Some(now);
+        self.asked = false;
+        self.pass_on(now);
+    }
+    /// Asks a voter that has answered lately and holds the whole log to lead, as soon as there is
+    /// one. After half of the time it is enough that it holds all that is committed.
+    fn pass_on(&mut self, now: Tick) {
+        let Some(since) = self.leaving.filter(|_| self.is_leader() && !self.asked) else {
+            return;
+        };
+        let late = now.since(since) >= HAND_OVER_MS / 2;
+        let least = if late { self.commit } else { self.last().1 };
+        let fits = |p: &Progress| p.matched >= least && now.since(p.acked) < QUORUM_FRESH_MS;
         let voters = self.voters();
         let best = self
             .peers
             .iter()
-            .filter(|(id, _)| voters.contains(id))
+            .filter(|(id, p)| voters.contains(id) && fits(p))
             .max_by_key(|(_, p)| (p.matched, p.acked))
             .map(|(id, _)| *id);
         if let Some(id) = best {
+            self.asked = true;
             self.say(id, RaftKind::TakeOver);
         }
     }
@@ -723,8 +766,9 @@
     }
 
     /// The next single change that brings the members closer to what is wanted, if any: whoever
-    /// asks to join learns first and votes once it has caught up. Of more voters than
-    /// are needed to bear the loss of `tolerated`, the one that has been silent longest goes.
+    /// asks to join learns first and votes once it keeps up. If the voters that are there would
+    /// not bear its loss, the one that has been silent longest goes before. Of more voters than
+    /// are needed to bear the loss of `tolerated`, the one that has been silent too long goes too.
     pub fn wanted_members<'a>(
         &self,
         joining: impl Iterator<Item = &'a Member>,
@@ -759,23 +803,46 @@
             let learner = Member { voter: false, ..joiner.clone() };
             return Some(members.iter().cloned().chain([learner]).collect());
         }
-        let caught_up = |m: &&Member| {
-            !m.voter
-                && self.silence(m.id, now) < PRESENT_MS
-                && self.peers.get(&m.id).is_some_and(|p| p.matched >= self.commit)
+        let voters = self.voters();
+        let silent = |voter: bool, for_ms: u64| {
+            let others = members.iter().filter(move |m| m.id != self.kept.me);
+            let told = others.filter(move |m| m.voter == voter).map(|m| m.id);
+            told.map(|id| (self.silence(id, now), id)).filter(|s| s.0 > for_ms).max()
         };
-        if let Some(id) = members.iter().find(caught_up).map(|m| m.id) {
-            let promote = |m: &Member| Member { voter: m.voter || m.id == id, ..m.clone() };
-            return Some(members.iter().map(promote).collect());
-        }
-        let spare = self.voters().len() > 2 * tolerated + 1;
-        let silent = members
-            .iter()
-            .filter(|m| m.id != self.kept.me && (spare || !m.voter))
-            .map(|m| (self.silence(m.id, now), m.id))
-            .filter(|(silence, _)| *silence > silent_ms)
-            .max()?;
-        without(silent.1)
+        let ready = members.iter().filter(|m| !m.voter).find_map(|m| {
+            let there = self.silence(m.id, now) < PRESENT_MS;
+            self.peers.get(&m.id).filter(|p| p.keeps_up && there).map(|p| (m.id, p.since))
+        });
+        if let Some((id, since)) = ready {
+            // One that has answered since the newcomer is known is not the one that it replaces.
+            let there = |v: &&MemberId| {
+                let answered = self.peers.get(v).is_some_and(|p| p.acked >= since);
+                **v == self.kept.me || (answered && self.silence(**v, now) < PRESENT_MS)
+            };
+            let there = voters.iter().filter(there).count();
+            // The newcomer may be lost again at once, and counts as one of those to be borne: the
+            // voters that are there have to be enough without it and without all others of these.
+            let (more, longer) = (tolerated.saturating_sub(1), voters.len() + 1);
+            if there == voters.len() || there > more + longer / 2 {
+                let promote = |m: &Member| Member { voter: m.voter || m.id == id, ..m.clone() };
+                return Some(members.iter().map(promote).collect());
+            }
+            return without(silent(true, PRESENT_MS)?.1);
+        }
+        let spare = voters.len() > 2 * tolerated + 1;
+        let spare = if spare { silent(true, silent_ms) } else { None };
+        without(silent(false, silent_ms).max(spare)?.1)
+    }
+    /// Whether a hedge that has taken nothing yet may begin to: there are voters enough to bear the
+    /// loss of `tolerated`. Fewer will do once nobody has come for a while, so that a deployment
+    /// with few disks works at all. Those who are missing then are among the lost ones, unless
+    /// more are missing than may be: then this steward itself may be the one that is cut off.
+    pub fn may_begin(&self, tolerated: usize, now: Tick) -> bool {
+        let voters = self.voters().len();
+        let patience = if voters > tolerated { YOUNG_MS } else { SPARSE_MS };
+        let all_vote = self.members().iter().all(|m| m.voter);
+        let waited = all_vote && now.since(self.relisted) > patience;
+        self.is_leader() && (voters > 2 * tolerated || waited)
     }
     /// How a process that asks to join, or whether it still belongs, stands with this steward.
     pub fn standing(&self, member: &Member, was: bool, now: Tick) -> Joined {
@@ -788,7 +855,7 @@
             // One that can't vote is kept in no list; it only asks who leads.
             _ if !member.can_vote => Joined::Listed,
             (true, _) => Joined::Listed,
-            // An id is never used again, so one that is not listed now never will be.
+            // One that is being taken in or out stands neither way yet.
             (false, true) if !self.members_pending() => Joined::Removed,
             (false, true) => Joined::Elsewhere(None),
             (false, false) => Joined::Noted,
@@ -1185,6 +1252,11 @@
         }
         Ok(almanac)
     }
+    /// Whether anything was taken yet. Whoever founds a hedge has to wait for enough stewards
+    /// before; afterwards there may be fewer for a moment, while one is exchanged.
+    pub fn begun(&self) -> bool {
+        !self.body.is_empty() || !self.instances.is_empty()
+    }
     fn unlist(&mut self, id: &InstanceId) -> Option<Record> {
         let record = self.instances.remove(id)?;
         let service = &record.instance.target_service;
@@ -2702,10 +2774,6 @@
     next_join: Tick,
     /// The steward that is said to lead, for asking it to be taken in.
     join_at: Option<SocketAddr>,
-    /// The members it last knew of: the seeds may all have been replaced since.
-    acquainted: BTreeSet<SocketAddr>,
-    /// Founded by this process: until then nothing is taken before enough stewards hold it.
-    young_until: Option<Tick>,
     /// The one that this process told to found the hedge, as no seed has a disk.
     nominated: Option<MemberId>,
     /// Without a disk this steward is in no list and only points at the one that leads.
@@ -2728,13 +2796,11 @@
 const QUESTIONS_WAITING: usize = 4_096;
 /// A database whose beats miss this many intervals is doubted.
 const MISSED_BEATS: u64 = 3;
-/// After its founding the hedge takes nothing for so long, unless enough stewards are in.
-const YOUNG_MS: u64 = 5_000;
 /// Who asked to join and does not ask again is forgotten after this.
 const JOIN_KEPT_MS: u64 = 3_000;
 const JOIN_AGAIN_MS: u64 = 250;
 /// A member that hears no leader for this long asks whether it still is one.
-const LONELY_MS: u64 = 2_500;
+const LONELY_MS: u64 = 1_200;
 /// A seed without a disk waits this long for the first stewards before it names a founder.
 const NOMINATE_MS: u64 = 500;
 /// How often all services are looked at; those that something happens to are at once.
@@ -3267,7 +3333,6 @@
         };
         let applied = kept.snapshot.last.1;
         let config = Configuration::read(&almanac.body).ok();
-        let founds = settings.can_vote() && settings.founder() == settings.listeners.admin;
         let mut steward = Self {
             hedge: Hedge::new(kept, restarted, now, random),
             settings,
@@ -3288,8 +3353,6 @@
             joining: BTreeMap::new(),
             next_join: now,
             join_at: None,
-            acquainted: BTreeSet::new(),
-            young_until: (!restarted && founds).then(|| now.plus(YOUNG_MS)),
             nominated: None,
             pointed: None,
             office: None,
@@ -3411,7 +3474,8 @@
                 if self.names(&member, now) {
                     answer = Joined::Found;
                 }
-                if answer == Joined::Noted {
+                // One that was removed is taken in again with what it has on its disk.
+                if matches!(answer, Joined::Noted | Joined::Removed) {
                     self.joining.insert(member.id, (member, now));
                 }
                 self.send_conn(conn, &Frame::Joined(answer));
@@ -3689,7 +3753,6 @@
         let member = as_member(&self.settings, admin, me);
         let mut at: BTreeSet<SocketAddr> = self.settings.seed_peers().into_iter().collect();
         at.extend(self.hedge.members().iter().map(|m| m.peer));
-        at.extend(&self.acquainted);
         if let Some(leader) = self.join_at.take().or(self.pointed) {
             at = BTreeSet::from([leader]);
         }
@@ -3722,9 +3785,9 @@
                 self.join_at = Some(leader);
                 self.next_join = now;
             }
+            // An id stands for a disk with its vote and its log, so it may come back as a learner.
             Joined::Removed if listed && !self.hedge.is_leader() => {
-                warn!(target: "hedge", "member {me} was removed, begins anew");
-                self.start_over(Vec::new(), now);
+                info!(target: "hedge", "member {me} was removed, is to be taken in again");
             }
             Joined::Found if !listed && self.settings.bootstrap && self.settings.can_vote() => {
                 let Some(admin) = self.settings.listeners.admin else {
@@ -3732,7 +3795,6 @@
                 };
                 info!(target: "hedge", "founds the hedge");
                 let founder = Member { voter: true, ..as_member(&self.settings, admin, me) };
-                self.young_until = Some(now.plus(YOUNG_MS));
                 self.start_over(vec![founder], now);
             }
             _ => {}
@@ -3741,10 +3803,6 @@
 
     /// With an empty log and a fresh id; the old one is never used again.
     fn start_over(&mut self, mut members: Vec<Member>, now: Tick) {
-        let known = self.hedge.members().iter().map(|m| m.peer).collect::<BTreeSet<_>>();
-        if !known.is_empty() {
-            self.acquainted = known;
-        }
         let me = fresh_id(self.random);
         members.iter_mut().for_each(|m| m.id = me);
         let snapshot = Snapshot { members, ..Snapshot::default() };
@@ -4209,10 +4267,17 @@
             return say(Response::refusal(503, "no quorum"));
         }
         self.apply(now);
-        let needed = 2 * self.settings.tolerated() + 1;
-        let young = self.young_until.is_some_and(|t| now < t);
-        if parsed.is_some() && young && self.hedge.voters().len() < needed {
-            return say(Response::refusal(503, "being founded"));
+        let tolerated = self.settings.tolerated();
+        if parsed.is_some() && !self.almanac.begun() {
+            let (voters, needed) = (self.hedge.voters().len(), 2 * tolerated + 1);
+            if !self.hedge.may_begin(tolerated, now) {
+                let why = format!("being founded: {voters} of {needed} stewards vote");
+                return say(Response::refusal(503, &why));
+            }
+            if voters < needed {
+                warn!(target: "hedge", "begins with {voters} voters of {needed}: not as many \
+                    machines may be lost as fault_tolerance says");
+            }
         }
         match parsed {
             None if self.almanac.body.is_empty() => {
--- /dev/null
+++ b/tests/members.rs
@@ -0,0 +1,323 @@
+//! Who belongs to the stewards: losses, returns and replacements in every order.
+#[path = "support/stewards.rs"]
+mod stewards;
+use silvertack::common::ids::*;
+use silvertack::common::peer::*;
+use silvertack::steward::{Almanac, Change, Dirty, Hedge, Kept};
+use std::collections::HashSet;
+use stewards::{Orchard, SYNC_MS, State, member};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Event {
+    Lose(usize, State),
+    Back(usize, bool),
+    Wait(u64),
+}
+/// What tells two moments apart, whoever it concerns.
+type Key = (Vec<(State, u64, u8, bool)>, usize, usize);
+
+fn key(orchard: &Orchard) -> Key {
+    let (list, leader) = (orchard.members(), orchard.leader());
+    let vote = |id: u64| list.iter().find(|m| m.id.0 == id).map_or(0, |m| 1 + u8::from(m.voter));
+    let mut each: Vec<_> = (0..orchard.machines.len())
+        .map(|i| {
+            let m = &orchard.machines[i];
+            let age = orchard.now.since(m.back).min(SYNC_MS) / 500;
+            (m.state, if m.state == State::Up { age } else { 0 }, vote(m.id), leader == Some(i))
+        })
+        .collect();
+    each.sort();
+    let voters = list.iter().filter(|m| m.voter).count();
+    (each, voters, list.len())
+}
+
+/// What may happen now, within what a deployment promises: no more than so many lost at once. One
+/// that still counts as lost may be lost again. Of machines that are alike one stands for all.
+fn events(orchard: &Orchard) -> Vec<Event> {
+    let (list, leader, mut seen) = (orchard.members(), orchard.leader(), HashSet::new());
+    let mut all = vec![Event::Wait(700), Event::Wait(SYNC_MS)];
+    for (i, m) in orchard.machines.iter().enumerate() {
+        let vote = list.iter().find(|l| l.id.0 == m.id).map(|l| l.voter);
+        if !seen.insert((m.state, orchard.settled(i), vote, leader == Some(i))) {
+            continue;
+        }
+        match m.state {
+            State::Up if !orchard.settled(i) || orchard.lost() < orchard.bears => {
+                all.extend([State::Cut, State::Gone].map(|s| Event::Lose(i, s)));
+            }
+            State::Up => {}
+            State::Cut => all.extend([Event::Back(i, false), Event::Lose(i, State::Gone)]),
+            State::Gone => all.extend([true, false].map(|e| Event::Back(i, e))),
+        }
+    }
+    all
+}
+
+/// The inequality that has to hold at every moment: whichever machines are lost next, as many as
+/// still may be, those left are more than half of the voters, and hold what was acknowledged.
+fn check(orchard: &Orchard, told: &[Event]) {
+    let list = orchard.members();
+    let mut places: Vec<_> = list.iter().map(|m| m.admin).collect();
+    places.sort();
+    places.dedup();
+    assert_eq!(places.len(), list.len(), "one address twice after {told:?}: {list:?}");
+    let voters: Vec<u64> = list.iter().filter(|m| m.voter).map(|m| m.id.0).collect();
+    let lost = orchard.lost();
+    let more = orchard.bears.checked_sub(lost).expect("within the promise");
+    let settled: Vec<usize> = (0..orchard.machines.len()).filter(|i| orchard.settled(*i)).collect();
+    let vote = settled.iter().filter(|i| voters.contains(&orchard.machines[**i].id)).count();
+    assert!(
+        vote > more + voters.len() / 2,
+        "after {told:?}: {lost} lost, {more} more may be; {vote} of the voters are safe: {list:?}"
+    );
+    if let Some(last) = orchard.acked.last() {
+        let hold = settled.iter().filter(|i| orchard.holds(**i, *last)).count();
+        assert!(hold > more, "after {told:?}: only {hold} hold what was acknowledged");
+    }
+}
+
+fn walk(orchard: &Orchard, told: &mut Vec<Event>, deep: usize, known: &mut HashSet<(Key, usize)>) {
+    if deep == 0 || (0..=12).any(|d| d >= deep && known.contains(&(key(orchard), d))) {
+        return;
+    }
+    known.insert((key(orchard), deep));
+    for event in events(orchard) {
+        let mut next = orchard.clone();
+        told.push(event);
+        let ms = match event {
+            Event::Lose(at, state) => {
+                next.lose(at, state);
+                100
+            }
+            Event::Back(at, elsewhere) => {
+                next.back(at, elsewhere);
+                100
+            }
+            Event::Wait(ms) => ms,
+        };
+        check(&next, told);
+        for _ in 0..ms / 50 {
+            next.turn();
+            check(&next, told);
+        }
+        if ms == SYNC_MS {
+            assert!(next.order(), "after {told:?}: nothing is acknowledged");
+            let leader = next.leader().expect("it acknowledged");
+            for order in &next.acked {
+                assert!(next.holds(leader, *order), "after {told:?}: {order:?} is lost");
+            }
+        } else {
+            next.order();
+        }
+        walk(&next, told, deep - 1, known);
+        told.pop();
+    }
+}
+
+#[test]
+fn whatever_order_machines_are_lost_and_come_back_in_the_rest_agree_and_hold_everything() {
+    // (machines, losses to be borne at once, how many things happen)
+    let cases = [(3, 1, 10), (4, 1, 9), (5, 2, 8), (6, 2, 8), (7, 2, 8)];
+    std::thread::scope(|scope| {
+        for (count, bears, deep) in cases {
+            scope.spawn(move || {
+                let mut orchard = Orchard::new(count, bears);
+                for _ in 0..100 {
+                    orchard.turn();
+                }
+                assert!(orchard.order(), "{count}");
+                let mut known = HashSet::new();
+                walk(&orchard, &mut Vec::new(), deep, &mut known);
+                println!("{count} machines, {bears} lost at once: {} moments", known.len());
+            });
+        }
+    });
+}
+
+/// A leader and what it sends; the others are played here.
+struct Led {
+    hedge: Hedge,
+    now: Tick,
+}
+impl Led {
+    fn new(voters: u64) -> Self {
+        let members = (1..=voters).map(|i| member(i, i, true)).collect();
+        let snapshot = Snapshot { members, ..Snapshot::default() };
+        let kept = Kept { me: MemberId(1), snapshot, ..Kept::default() };
+        let mut this = Self { hedge: Hedge::new(kept, false, Tick(1_000), || 0), now: Tick(2_000) };
+        this.hedge.tick(this.now);
+        for trial in [true, false] {
+            for from in 2..=voters {
+                this.hear(from, RaftKind::Vote { trial, granted: true });
+            }
+        }
+        assert!(this.hedge.is_leader());
+        this.store();
+        this
+    }
+    fn store(&mut self) {
+        self.hedge.dirty = Dirty::default();
+        self.hedge.stored(self.hedge.last());
+    }
+    fn hear(&mut self, from: u64, kind: RaftKind) {
+        let trial = matches!(kind, RaftKind::Vote { trial: true, .. });
+        let epoch = Epoch(self.hedge.kept.epoch.0 + u64::from(trial));
+        self.hedge.step(Raft { from: MemberId(from), epoch, kind }, self.now);
+    }
+    /// One says that it holds everything up to here, in answer to what was sent just now.
+    fn holds(&mut self, from: u64, upto: u64) {
+        let sent = self.now.0;
+        self.hear(from, RaftKind::Appended { upto: Index(upto), ok: true, sent });
+    }
+    fn propose(&mut self) {
+        self.hedge.propose(Body::Opened, self.now);
+        self.store();
+    }
+    fn wait(&mut self, ms: u64) {
+        self.now = self.now.plus(ms);
+        self.hedge.tick(self.now);
+    }
+    /// Who was asked to take over.
+    fn asked(&mut self) -> Vec<u64> {
+        let out = self.hedge.out.drain(..);
+        out.filter(|(_, m)| m.kind == RaftKind::TakeOver).map(|(to, _)| to.0).collect()
+    }
+}
+
+#[test]
+fn one_that_is_there_and_holds_the_whole_log_is_asked_to_lead() {
+    // (what, how far each is and after how long the last answer of 2 came, who is asked at once,
+    // what 3 says then, who is asked after so many milliseconds)
+    type Case = (&'static str, [u64; 2], u64, &'static [u64], Option<u64>, u64, &'static [u64]);
+    let cases: [Case; 5] = [
+        ("both are there", [4, 3], 0, &[2], None, 0, &[]),
+        ("the one that is furthest is dark", [4, 3], 500, &[], Some(4), 10, &[3]),
+        ("none has all of it yet", [3, 2], 0, &[], Some(4), 10, &[3]),
+        ("none gets it in time, one has what is committed", [3, 2], 0, &[], None, 260, &[2]),
+        ("nobody is there", [4, 4], 500, &[], None, 300, &[]),
+    ];
+    for (what, [second, third], dark, at_once, then, after, later) in cases {
+        let mut led = Led::new(3);
+        for _ in 0..3 {
+            led.propose();
+        }
+        led.holds(2, second);
+        led.wait(dark);
+        if what != "nobody is there" {
+            led.holds(3, third);
+        }
+        led.asked();
+        led.hedge.hand_over(led.now);
+        assert_eq!(led.asked(), at_once, "{what}");
+        led.wait(after);
+        if let Some(upto) = then {
+            led.holds(3, upto);
+        }
+        assert_eq!(led.asked(), later, "{what}, later");
+        led.wait(510);
+        assert!(!led.hedge.is_leader(), "{what}: it does not lead on");
+    }
+}
+
+#[test]
+fn a_learner_that_keeps_up_with_a_steady_stream_becomes_a_voter() {
+    // (how long its answers take, whether it is to vote)
+    for (late, votes) in [(0, true), (60, true), (400, true), (900, false)] {
+        let mut led = Led::new(1);
+        let joiner = member(2, 2, false);
+        let mut answers: std::collections::VecDeque<(Tick, u64, Tick)> = Default::default();
+        for _ in 0..400 {
+            led.wait(10);
+            led.propose();
+            led.hedge.out.clear();
+            answers.push_back((led.now.plus(late), led.hedge.last().1.0, led.now));
+            while let Some((due, upto, sent)) = answers.front().copied()
+                && due <= led.now
+            {
+                answers.pop_front();
+                led.hear(2, RaftKind::Appended { upto: Index(upto), ok: true, sent: sent.0 });
+            }
+            let wanted = led.hedge.wanted_members([&joiner].into_iter(), 0, 4_000, led.now);
+            if let Some(list) = wanted {
+                led.hedge.propose(Body::Members(list), led.now);
+                led.store();
+            }
+        }
+        let list = led.hedge.members();
+        assert_eq!(list.iter().any(|m| m.id == MemberId(2) && m.voter), votes, "{late} ms late");
+    }
+}
+
+#[test]
+fn nothing_is_taken_before_enough_have_voted_once() {
+    // (voters, losses to be borne, learners, when the first order may be taken: after so long)
+    let never = u64::MAX;
+    let cases = [
+        (1, 0, 0, 0),
+        (1, 1, 0, 60_000),
+        (1, 1, 1, never),
+        (2, 1, 0, 5_000),
+        (3, 1, 0, 0),
+        (3, 1, 1, 0),
+        (2, 2, 0, 60_000),
+        (3, 2, 0, 5_000),
+        (4, 2, 1, never),
+        (5, 2, 0, 0),
+    ];
+    for (voters, bears, learners, after) in cases {
+        let mut led = Led::new(voters);
+        let joins = (0..learners).map(|i| member(100 + i, 100 + i, false));
+        let list: Vec<Member> = led.hedge.members().iter().cloned().chain(joins).collect();
+        led.hedge.propose(Body::Members(list), led.now);
+        for waited in [0, 4_900, 5_100, 59_900, 60_100, 600_000] {
+            let now = led.now.plus(waited);
+            let may = led.hedge.may_begin(bears, now);
+            assert_eq!(may, waited >= after, "{voters} voters, {bears} lost, {waited} ms");
+        }
+        // A restart waits anew; whoever does not lead never says so.
+        let kept = led.hedge.kept.clone();
+        let again = Hedge::new(kept, true, led.now.plus(600_000), || 0);
+        assert!(!again.may_begin(bears, led.now.plus(600_000)));
+    }
+}
+
+#[test]
+fn that_something_was_taken_is_kept_in_the_state() {
+    let configure = Change::Configure {
+        base: Revision(0),
+        revision: Revision(1),
+        body: serde_bytes::ByteBuf::from(b"{}".to_vec()),
+    };
+    let mut almanac = Almanac::default();
+    assert!(!almanac.begun());
+    almanac.apply(&configure);
+    assert!(almanac.begun());
+    let again = Almanac::read(&pack(&almanac)).expect("read");
+    assert!(again.begun(), "after a fold, and on a disk of before");
+}
+
+#[test]
+fn one_that_was_cut_off_for_long_comes_back_with_what_it_has() {
+    let mut orchard = Orchard::new(4, 1);
+    let run = |orchard: &mut Orchard, ms: u64| (0..ms / 50).for_each(|_| orchard.turn());
+    run(&mut orchard, 3_000);
+    for _ in 0..60 {
+        assert!(orchard.order());
+    }
+    let at = orchard.leader().map_or(0, |leader| (leader + 1) % 4);
+    orchard.lose(at, State::Cut);
+    run(&mut orchard, 20_000);
+    assert_eq!(orchard.members().len(), 3, "a spare one that is silent goes");
+    let last = orchard.machines[at].hedge.last();
+    assert!((0..5).all(|_| orchard.order()));
+    orchard.back(at, false);
+    orchard.sent_to = (orchard.machines[at].id, 0);
+    run(&mut orchard, SYNC_MS);
+    assert!(orchard.members().iter().any(|m| m.id.0 == orchard.sent_to.0 && m.voter));
+    let hedge = &orchard.machines[at].hedge;
+    let missing = hedge.last().1.0 - last.1.0;
+    assert!(missing < 20, "it has missed a little: {missing}");
+    let sent = orchard.sent_to.1 as u64;
+    assert!(sent <= 2 * missing, "{sent} entries for {missing} that it had missed");
+    assert!(orchard.acked.iter().all(|order| orchard.holds(at, *order)));
+}
