Reads and refusals go out only after a quorum was asked later: ReadIndex

Cause: GET /configuration, 200 to a known resend, 412, 400 and the goodbye of an unknown database were answered at once while `granting`, which rests on answers of the last 450 ms. A freeze between that look and the bytes, or between reading the clock and the look, let a deposed leader say what was no longer so.

Now such a call waits until a majority of voters answered, in the same epoch, a message stamped later than the call's own millisecond, and is judged from what is applied then. A round of heartbeats begins in the next millisecond; all that come while one is under way share the next. A lone voter answers at once. After 800 ms without certainty, or when the epoch is over: 503. What goes into the log anyway (a new order, a beat with news, the goodbye of a known one) waits for nothing more. The queue of callers whose change is in the log is a value too (`Proposed`), as it was otherwise.

Ruled out: beats that tell nothing new stay as they were (docs/control.md says why).

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -43,6 +43,9 @@
 /// leader that is there was heard by then.
 const QUIET_MS: u64 = QUORUM_FRESH_MS + 20;
 const AFTER_QUIET_MS: u64 = 150;
+/// A round of heartbeats for waiting reads that is not answered by then is not waited for: the
+/// next may begin.
+const ROUND_MS: u64 = 20;
 /// The log is folded into a snapshot when it is longer than this, or larger.
 const COMPACT_AFTER: usize = 256;
 const COMPACT_BYTES: usize = 1 << 20;
@@ -71,6 +74,15 @@
     since: Tick,
 }
 
+/// A question about what is current, at the time it came: Raft's ReadIndex.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReadIndex {
+    epoch: Epoch,
+    /// All that any leader had acknowledged when it came is at or below this.
+    pub upto: Index,
+    pub asked: Tick,
+}
+
 /// What differs from the disk.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Dirty {
@@ -132,6 +144,10 @@
     heard: Option<Tick>,
     deadline: Tick,
     next_beat: Tick,
+    /// When the newest read came that no round of heartbeats was begun for yet.
+    uncovered: Option<Tick>,
+    /// When the last round began.
+    round: Tick,
     /// After a restart nothing is known of what the leader was last told, so no vote is given yet.
     quiet_until: Tick,
     /// Just started, and it had led the newest epoch it knows: nobody waits for that leader.
@@ -165,6 +181,8 @@
             heard: None,
             deadline: now,
             next_beat: now,
+            uncovered: None,
+            round: Tick(0),
             quiet_until: if quiet { now.plus(QUIET_MS) } else { now },
             returning,
             peers: BTreeMap::new(),
@@ -247,17 +265,52 @@
         self.leaving.is_none() && self.commit >= opened && self.fresh(now, QUORUM_FRESH_MS)
     }
     fn fresh(&self, now: Tick, within: u64) -> bool {
+        self.quorum_answered(|sent| now.since(sent) < within)
+    }
+    /// Whether a quorum answered messages that were sent when `counts` says.
+    fn quorum_answered(&self, counts: impl Fn(Tick) -> bool) -> bool {
         let count = self
             .voters()
             .iter()
             .filter(|id| {
-                **id == self.kept.me
-                    || self.peers.get(id).is_some_and(|p| now.since(p.acked) < within)
+                **id == self.kept.me || self.peers.get(id).is_some_and(|p| counts(p.acked))
             })
             .count();
         count >= self.quorum()
     }
 
+    /// Takes in a question about what is current; `None` if this steward can't know. A round of
+    /// heartbeats is begun for it: see `tick`.
+    pub fn read_index(&mut self, now: Tick) -> Option<ReadIndex> {
+        let Rank::Leader { opened, .. } = self.role else {
+            return None;
+        };
+        if self.commit < opened {
+            return None;
+        }
+        let read = ReadIndex { epoch: self.kept.epoch, upto: self.commit, asked: now };
+        if self.confirmed(&read) != Some(true) {
+            self.uncovered = Some(now);
+        }
+        Some(read)
+    }
+    /// Whether this steward still led after the question came: a quorum answered, in its epoch,
+    /// what was sent later. `None` while that is open, `Some(false)` if it will never be known.
+    pub fn confirmed(&self, read: &ReadIndex) -> Option<bool> {
+        if !self.is_leader() || self.kept.epoch != read.epoch {
+            return Some(false);
+        }
+        // In the same millisecond it may have been sent before the question came.
+        self.quorum_answered(|sent| sent > read.asked).then_some(true)
+    }
+    /// When a round is to begin for the reads that wait for one. One that is under way is waited
+    /// for: all that come meanwhile share the next.
+    fn round_due(&self) -> Option<Tick> {
+        let next = self.uncovered?.plus(1);
+        let free = self.quorum_answered(|sent| sent >= self.round);
+        Some(if free { next } else { next.max(self.round.plus(ROUND_MS)) })
+    }
+
     fn say(&mut self, to: MemberId, kind: RaftKind) {
         let message = Raft { from: self.kept.me, epoch: self.kept.epoch, kind };
         self.out.push((to, message));
@@ -278,6 +331,7 @@
         self.role = Rank::Follower;
         self.leader = leader;
         self.peers.clear();
+        self.uncovered = None;
         self.rest(now);
     }
 
@@ -290,8 +344,10 @@
                 let declined = self.leaving.is_some_and(|t| now.since(t) > HAND_OVER_MS);
                 if deserted || declined {
                     self.follow(None, now);
-                } else if now >= self.next_beat {
+                } else if now >= self.due() {
                     self.next_beat = now.plus(HEARTBEAT_MS);
+                    self.round = now;
+                    self.uncovered = self.uncovered.filter(|asked| *asked >= now);
                     for id in self.others() {
                         self.append_to(id, now);
                     }
@@ -309,7 +365,10 @@
     }
     /// When `tick` next has something to do.
     pub fn due(&self) -> Tick {
-        if self.is_leader() { self.next_beat } else { self.deadline }
+        match self.is_leader() {
+            true => self.round_due().map_or(self.next_beat, |round| round.min(self.next_beat)),
+            false => self.deadline,
+        }
     }
 
     fn campaign(&mut self, trial: bool, handover: bool, now: Tick) {
@@ -2427,6 +2486,123 @@
     }
 }
 
+// ---------------------------------------------------------------------------------------------
+// Calls about what is current
+
+/// A call whose answer tells what is current.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    ReadConfiguration,
+    Change(Change),
+}
+/// What becomes of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    Answer(Response),
+    /// It has to go into the log; what it comes to shows when it is applied.
+    Propose(Change),
+}
+
+impl Call {
+    pub fn judge(self, almanac: &Almanac) -> Verdict {
+        let effect = match &self {
+            Self::ReadConfiguration if almanac.body.is_empty() => {
+                return Verdict::Answer(Response::refusal(404, "no configuration yet"));
+            }
+            Self::ReadConfiguration => {
+                return Verdict::Answer(Response::json(200, almanac.body.to_vec()));
+            }
+            Self::Change(Change::Configure { base, revision, body }) => {
+                almanac.judge(*base, *revision, body)
+            }
+            Self::Change(Change::Gone { id, .. }) if !almanac.instances.contains_key(id) => {
+                Effect::Nothing
+            }
+            Self::Change(_) => Effect::Done,
+        };
+        match self {
+            Self::Change(change) if effect == Effect::Done => Verdict::Propose(change),
+            _ => Verdict::Answer(judged(&effect)),
+        }
+    }
+}
+
+/// Calls that are answered from what is applied, once this steward is known to have led after
+/// they came.
+pub struct Reads<R> {
+    waiting: Vec<(ReadIndex, Call, R)>,
+}
+impl<R> Default for Reads<R> {
+    fn default() -> Self {
+        Self { waiting: Vec::new() }
+    }
+}
+impl<R> Reads<R> {
+    /// Takes in a call. What goes into the log anyway waits for nothing: it is judged once more
+    /// where it is applied.
+    pub fn ask(
+        &mut self,
+        hedge: &mut Hedge,
+        almanac: &Almanac,
+        call: Call,
+        from: R,
+        now: Tick,
+    ) -> Option<(R, Verdict)> {
+        if let Verdict::Propose(change) = call.clone().judge(almanac) {
+            return Some((from, Verdict::Propose(change)));
+        }
+        match hedge.read_index(now) {
+            Some(read) => self.waiting.push((read, call, from)),
+            None => return Some((from, Verdict::Answer(Response::refusal(503, "no quorum")))),
+        }
+        None
+    }
+    /// The calls that wait no longer, judged by what is applied now.
+    pub fn settled(
+        &mut self,
+        hedge: &Hedge,
+        almanac: &Almanac,
+        applied: Index,
+        now: Tick,
+    ) -> Vec<(R, Verdict)> {
+        let mut settled = Vec::new();
+        let unclear = |why| Verdict::Answer(Response::refusal(503, why));
+        for (read, call, from) in std::mem::take(&mut self.waiting) {
+            match hedge.confirmed(&read) {
+                Some(false) => settled.push((from, unclear("no longer the leader"))),
+                _ if now.since(read.asked) > READ_MS => settled.push((from, unclear("no quorum"))),
+                Some(true) if applied >= read.upto => settled.push((from, call.judge(almanac))),
+                _ => self.waiting.push((read, call, from)),
+            }
+        }
+        settled
+    }
+}
+
+/// Callers whose change is on its way into the log, by its place there.
+pub struct Proposed<R> {
+    waiting: BTreeMap<Index, (Epoch, R)>,
+}
+impl<R> Default for Proposed<R> {
+    fn default() -> Self {
+        Self { waiting: BTreeMap::new() }
+    }
+}
+impl<R> Proposed<R> {
+    pub fn add(&mut self, epoch: Epoch, index: Index, from: R) {
+        self.waiting.insert(index, (epoch, from));
+    }
+    /// Whose change this is. Another leader's entry may have come to stand in its place.
+    pub fn take(&mut self, entry: &Entry) -> Option<R> {
+        let (epoch, from) = self.waiting.remove(&entry.index)?;
+        (epoch == entry.epoch).then_some(from)
+    }
+    /// All that wait, as this steward no longer leads.
+    pub fn give_up(&mut self) -> impl Iterator<Item = R> + use<R> {
+        std::mem::take(&mut self.waiting).into_values().map(|(_, from)| from)
+    }
+}
+
 // ---------------------------------------------------------------------------------------------
 // The program
 
@@ -2555,12 +2731,6 @@
     answers: VecDeque<(u64, Tick)>,
 }
 
-/// A caller whose change is on its way into the log.
-struct Waiter {
-    epoch: Epoch,
-    reply: SyncSender<Response>,
-}
-
 /// What only the leader keeps, and forgets when it no longer leads.
 struct Office {
     leases: LeaseBook,
@@ -2618,7 +2788,8 @@
     /// Without a disk this steward is in no list and only points at the one that leads.
     pointed: Option<SocketAddr>,
     office: Option<Office>,
-    waiting: BTreeMap<Index, Waiter>,
+    proposed: Proposed<SyncSender<Response>>,
+    reads: Reads<SyncSender<Response>>,
     tx: Sender<Input>,
     known_leader: Option<MemberId>,
     /// Questions to databases: how many are under way, and those that wait.
@@ -2654,6 +2825,8 @@
 const GATHER_MS: u64 = 20;
 /// How often peers are looked at that did not take all at once.
 const PUMP_MS: u64 = 5;
+/// A call that can't be answered for certain is given up after this; callers go on after a second.
+const READ_MS: u64 = 800;
 /// One that stays silent this long is dropped from the directory.
 const FORGOTTEN_MS: u64 = 60_000;
 
@@ -2726,7 +2899,8 @@
         nominated: None,
         pointed: None,
         office: None,
-        waiting: BTreeMap::new(),
+        proposed: Proposed::default(),
+        reads: Reads::default(),
         tx,
         known_leader: None,
         asking: 0,
@@ -3203,8 +3377,7 @@
         let mut relisted = None;
         for entry in self.hedge.committed(self.applied) {
             self.applied = entry.index;
-            // Another leader's entry may have come to stand where the caller's was.
-            let waiter = self.waiting.remove(&entry.index).filter(|w| w.epoch == entry.epoch);
+            let waiter = self.proposed.take(&entry);
             match &entry.body {
                 Body::Opened => {}
                 Body::Members(members) => {
@@ -3251,9 +3424,9 @@
         }
     }
 
-    fn apply_change(&mut self, change: &Change, waiter: Option<Waiter>, now: Tick) {
+    fn apply_change(&mut self, change: &Change, waiter: Option<SyncSender<Response>>, now: Tick) {
         let effect = self.almanac.apply(change);
-        if let Some(Waiter { reply, .. }) = waiter {
+        if let Some(reply) = waiter {
             // A caller that no longer waits is none of our business.
             let answer = match change {
                 Change::Beat { .. } => self.beaten(),
@@ -3338,9 +3511,9 @@
                 self.questions.clear();
                 self.moved.clear();
                 self.moved_since = None;
-                for (_, waiter) in std::mem::take(&mut self.waiting) {
+                for reply in self.proposed.give_up() {
                     // Whether it will be in force is not known here; asked again it shows.
-                    drop(waiter.reply.try_send(Response::refusal(503, "no longer the leader")));
+                    drop(reply.try_send(Response::refusal(503, "no longer the leader")));
                 }
                 let elsewhere = Frame::Steward(ToStile::Elsewhere(self.leads_at().map(|l| l.0)));
                 for (conn, _) in std::mem::take(&mut self.stiles) {
@@ -3364,6 +3537,7 @@
 
     /// Compares what is wanted with what is, and acts on the difference.
     fn reconcile(&mut self, now: Tick) {
+        self.answer_reads(now);
         self.ask_to_join(now);
         if !self.early.is_empty() && (self.office.is_none() || self.hedge.granting(now)) {
             for (conn, message) in std::mem::take(&mut self.early) {
@@ -3978,8 +4152,8 @@
                 None => Response::refusal(503, "no leader"),
             });
         }
-        // Only a leader that is certain of it may say what is current, and only from all that is
-        // committed: a new leader may not have applied yet what the one before acknowledged.
+        // Without a quorum nothing can be confirmed, and a new leader may not have applied yet what
+        // the one before acknowledged.
         if !self.hedge.granting(now) {
             return say(Response::refusal(503, "no quorum"));
         }
@@ -3989,25 +4163,34 @@
         if parsed.is_some() && young && self.hedge.voters().len() < needed {
             return say(Response::refusal(503, "being founded"));
         }
-        match parsed {
-            None if self.almanac.body.is_empty() => {
-                say(Response::refusal(404, "no configuration yet"));
-            }
-            None => say(Response::json(200, self.almanac.body.to_vec())),
-            Some(Change::Configure { base, revision, body }) => {
-                let effect = self.almanac.judge(base, revision, &body);
-                if effect != Effect::Done {
-                    return say(judged(&effect));
-                }
-                self.await_change(&Change::Configure { base, revision, body }, reply, now);
-            }
+        let call = match parsed {
             Some(Change::Beat { id, instance, sequence }) => {
-                self.take_beat(id, instance, sequence, reply, now);
+                return self.take_beat(id, instance, sequence, reply, now);
             }
-            Some(Change::Gone { id, .. }) if !self.almanac.instances.contains_key(&id) => {
-                say(Response::ok())
+            Some(change) => Call::Change(change),
+            None => Call::ReadConfiguration,
+        };
+        let ready = self.reads.ask(&mut self.hedge, &self.almanac, call, reply, now);
+        self.carry_through(ready, now);
+        // One that is alone has nobody to wait for.
+        self.answer_reads(now);
+    }
+
+    fn answer_reads(&mut self, now: Tick) {
+        let settled = self.reads.settled(&self.hedge, &self.almanac, self.applied, now);
+        self.carry_through(settled, now);
+    }
+    fn carry_through(
+        &mut self,
+        verdicts: impl IntoIterator<Item = (SyncSender<Response>, Verdict)>,
+        now: Tick,
+    ) {
+        for (reply, verdict) in verdicts {
+            match verdict {
+                // A caller that no longer waits is none of our business.
+                Verdict::Answer(response) => drop(reply.try_send(response)),
+                Verdict::Propose(change) => self.await_change(&change, reply, now),
             }
-            Some(change) => self.await_change(&change, reply, now),
         }
     }
 
@@ -4055,10 +4238,7 @@
     /// Proposes what a caller asked for; it is answered when that is committed and applied.
     fn await_change(&mut self, change: &Change, reply: SyncSender<Response>, now: Tick) {
         match self.propose(change, now) {
-            Some(index) => {
-                let waiter = Waiter { epoch: self.hedge.kept.epoch, reply };
-                self.waiting.insert(index, waiter);
-            }
+            Some(index) => self.proposed.add(self.hedge.kept.epoch, index, reply),
             // A caller that no longer waits is none of our business.
             None => drop(reply.try_send(Response::refusal(503, "no leader"))),
         }
--- /dev/null
+++ b/tests/orders.rs
@@ -0,0 +1,472 @@
+//! Orders and reads: what a steward may answer, and when. Time and the network are the test's.
+use serde_bytes::ByteBuf;
+use silvertack::common::ids::*;
+use silvertack::common::peer::*;
+use silvertack::steward::{
+    Almanac, Call, Change, Dirty, Effect, Hedge, Kept, Proposed, Reads, Verdict,
+};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const SPREADS: [fn() -> u64; 5] = [|| 10, || 130, || 250, || 370, || 70];
+
+fn founder(id: u64, of: u64) -> Kept {
+    let member = |i: u64| Member {
+        id: MemberId(i),
+        node: NodeName(format!("n{i}")),
+        peer: format!("10.0.0.{i}:1").parse().expect("address"),
+        admin: format!("10.0.0.{i}:2").parse().expect("address"),
+        voter: true,
+        can_vote: true,
+    };
+    let members = (1..=of).map(member).collect();
+    let snapshot = Snapshot { members, ..Snapshot::default() };
+    Kept { me: MemberId(id), snapshot, ..Kept::default() }
+}
+fn body(revision: u64, of: char) -> ByteBuf {
+    ByteBuf::from(format!("{{\"revision\":{revision},\"by\":\"{of}\"}}"))
+}
+/// The order of an operator: what it builds on, its number, whose it is.
+fn order(base: u64, revision: u64, of: char) -> Change {
+    let (base, number) = (Revision(base), Revision(revision));
+    Change::Configure { base, revision: number, body: body(revision, of) }
+}
+fn put(base: u64, revision: u64, of: char) -> Call {
+    Call::Change(order(base, revision, of))
+}
+fn gone(id: &str) -> Call {
+    Call::Change(Change::Gone { id: id.into(), sequence: u64::MAX })
+}
+fn beat(id: &str) -> Change {
+    let instance = serde_json::json!({
+        "target_service": "s", "address": "10.0.0.9:1", "zone": "z", "revision": "v1",
+        "capacity": 7, "lifecycle_state": "available", "warmup_left_ms": 0,
+        "database_role": "replica",
+    });
+    let instance = serde_json::from_value(instance).expect("instance");
+    Change::Beat { id: id.into(), instance, sequence: 1 }
+}
+
+struct Node {
+    hedge: Hedge,
+    almanac: Almanac,
+    applied: Index,
+    reads: Reads<u32>,
+    proposed: Proposed<u32>,
+}
+impl Node {
+    fn new(kept: Kept, restarted: bool, now: Tick) -> Self {
+        let spread = SPREADS[kept.me.0 as usize - 1];
+        let state = &kept.snapshot.state;
+        let almanac = match state.is_empty() {
+            true => Almanac::default(),
+            false => Almanac::read(state).expect("state"),
+        };
+        let applied = kept.snapshot.last.1;
+        let hedge = Hedge::new(kept, restarted, now, spread);
+        let (reads, proposed) = (Reads::default(), Proposed::default());
+        Self { hedge, almanac, applied, reads, proposed }
+    }
+    fn carry(&mut self, from: u32, verdict: Verdict, now: Tick) -> Option<(u32, u16, Vec<u8>)> {
+        match verdict {
+            Verdict::Answer(response) => Some((from, response.status, response.body)),
+            Verdict::Propose(change) => {
+                let index = self.hedge.propose(Body::Change(ByteBuf::from(pack(&change))), now);
+                let Some(index) = index else { return Some((from, 503, Vec::new())) };
+                self.proposed.add(self.hedge.kept.epoch, index, from);
+                None
+            }
+        }
+    }
+    /// Applies what is committed and gives the answers that are due.
+    fn turn(&mut self, now: Tick) -> Vec<(u32, u16, Vec<u8>)> {
+        let mut answers = Vec::new();
+        if self.hedge.kept.snapshot.last.1 > self.applied {
+            self.almanac = Almanac::read(&self.hedge.kept.snapshot.state).expect("state");
+            self.applied = self.hedge.kept.snapshot.last.1;
+        }
+        for entry in self.hedge.committed(self.applied) {
+            self.applied = entry.index;
+            let caller = self.proposed.take(&entry);
+            if let Body::Change(bytes) = &entry.body {
+                let effect = self.almanac.apply(&unpack(bytes).expect("change"));
+                let status = match effect {
+                    Effect::Done | Effect::Nothing => 200,
+                    Effect::Outdated => 412,
+                    Effect::NotAbove => 400,
+                };
+                answers.extend(caller.map(|from| (from, status, Vec::new())));
+            }
+        }
+        let almanac = &self.almanac;
+        self.hedge.compact(self.applied, || pack(almanac));
+        if !self.hedge.is_leader() {
+            answers.extend(self.proposed.give_up().map(|from| (from, 503, Vec::new())));
+        }
+        let settled = self.reads.settled(&self.hedge, &self.almanac, self.applied, now);
+        for (from, verdict) in settled {
+            answers.extend(self.carry(from, verdict, now));
+        }
+        answers
+    }
+}
+
+/// Stewards with what they keep, the messages under way, and the answers that callers got.
+struct Site {
+    now: Tick,
+    nodes: BTreeMap<u64, Node>,
+    disks: BTreeMap<u64, Kept>,
+    /// To whom, from whom, and when it may arrive.
+    wire: VecDeque<(u64, u64, Tick, Raft)>,
+    delay: u64,
+    frozen: BTreeSet<u64>,
+    cut: BTreeSet<u64>,
+    answers: BTreeMap<u32, (u16, Vec<u8>)>,
+    calls: u32,
+    /// Heartbeats and entries that left any leader.
+    appends: usize,
+}
+impl Site {
+    fn new(count: u64) -> Self {
+        let now = Tick(1_000);
+        let start = |i| (i, Node::new(founder(i, count), false, now));
+        Self {
+            now,
+            nodes: (1..=count).map(start).collect(),
+            disks: (1..=count).map(|i| (i, founder(i, count))).collect(),
+            wire: VecDeque::new(),
+            delay: 0,
+            frozen: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            calls: 0,
+            appends: 0,
+        }
+    }
+    fn settle(&mut self) {
+        for _ in 0..100_000 {
+            for (id, node) in self.nodes.iter_mut().filter(|(id, _)| !self.frozen.contains(id)) {
+                for (from, status, body) in node.turn(self.now) {
+                    assert!(self.answers.insert(from, (status, body)).is_none(), "once");
+                }
+                if std::mem::take(&mut node.hedge.dirty) != Dirty::default() {
+                    self.disks.insert(*id, node.hedge.kept.clone());
+                    node.hedge.stored(node.hedge.last());
+                }
+                for (to, message) in node.hedge.out.drain(..) {
+                    let append = matches!(message.kind, RaftKind::Append { .. });
+                    self.appends += usize::from(append);
+                    let at = self.now.plus(self.delay);
+                    self.wire.push_back((to.0, *id, at, message));
+                }
+            }
+            let (cut, frozen, now) = (&self.cut, &self.frozen, self.now);
+            self.wire.retain(|(to, from, ..)| !cut.contains(to) && !cut.contains(from));
+            let due = |(to, _, at, _): &(u64, u64, Tick, Raft)| *at <= now && !frozen.contains(to);
+            let (arriving, later): (VecDeque<_>, VecDeque<_>) = self.wire.drain(..).partition(due);
+            self.wire = later;
+            // All that has come is taken in before a steward's next turn.
+            if arriving.is_empty() {
+                return;
+            }
+            for (to, .., message) in arriving {
+                if let Some(node) = self.nodes.get_mut(&to) {
+                    node.hedge.step(message, now);
+                }
+            }
+        }
+        panic!("the stewards never come to rest");
+    }
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.now = self.now.plus(1);
+            self.settle();
+            for (_, node) in self.nodes.iter_mut().filter(|(id, _)| !self.frozen.contains(id)) {
+                if self.now >= node.hedge.due() {
+                    node.hedge.tick(self.now);
+                }
+            }
+            self.settle();
+        }
+    }
+    fn lead(&mut self) -> u64 {
+        self.run(3_000);
+        let granting = |(id, n): (&u64, &Node)| n.hedge.granting(self.now).then_some(*id);
+        let leaders: Vec<u64> = self.nodes.iter().filter_map(granting).collect();
+        assert_eq!(leaders.len(), 1, "{leaders:?}");
+        leaders[0]
+    }
+    /// A call reaches a steward, whose clock was read at `at`; nothing else happens yet.
+    fn call_at(&mut self, to: u64, call: Call, at: Tick) -> u32 {
+        self.calls += 1;
+        let (from, node) = (self.calls, self.nodes.get_mut(&to).expect("node"));
+        let answer = match node.hedge.granting(at) {
+            false => Some((from, 503, Vec::new())),
+            true => node
+                .reads
+                .ask(&mut node.hedge, &node.almanac, call, from, at)
+                .and_then(|(from, verdict)| node.carry(from, verdict, at)),
+        };
+        if let Some((from, status, body)) = answer {
+            self.answers.insert(from, (status, body));
+        }
+        from
+    }
+    fn call(&mut self, to: u64, call: Call) -> u32 {
+        self.call_at(to, call, self.now)
+    }
+    /// The status that a call got, if it was answered.
+    fn status(&self, call: u32) -> u16 {
+        self.answers.get(&call).map_or(0, |(status, _)| *status)
+    }
+    /// Calls and waits for the answer.
+    fn ask(&mut self, to: u64, call: Call) -> (u16, Vec<u8>) {
+        let call = self.call(to, call);
+        self.run(1_000);
+        self.answers.get(&call).cloned().expect("answered within a second")
+    }
+    fn restart(&mut self, ids: &[u64]) {
+        for id in ids {
+            self.nodes.insert(*id, Node::new(self.disks[id].clone(), true, self.now));
+        }
+        self.wire.retain(|(to, from, ..)| !ids.contains(to) && !ids.contains(from));
+    }
+}
+
+#[test]
+fn a_leader_frozen_between_a_call_and_its_answer_says_nothing_of_what_is_current() {
+    // (the call at the old leader, the answer at the new one)
+    let calls: [(&str, Call, u16); 5] = [
+        ("read", Call::ReadConfiguration, 200),
+        ("built on the newer version", put(5, 7, 'c'), 200),
+        ("stale here, stale there", put(2, 7, 'c'), 412),
+        ("not above", put(3, 3, 'x'), 412),
+        ("goodbye of one that is new", gone("late"), 200),
+    ];
+    let mut wrong = Vec::new();
+    // Whether the clock was read, or the call was even taken in, before the freeze.
+    for taken_in in [true, false] {
+        for (what, call, then) in calls.clone() {
+            let mut site = Site::new(3);
+            let old = site.lead();
+            assert_eq!(site.ask(old, put(0, 3, 'a')).0, 200);
+            let before = site.now;
+            let early = taken_in.then(|| site.call(old, call.clone()));
+            site.frozen.insert(old);
+            site.run(3_000);
+            let live = site.nodes.iter().find(|(id, n)| **id != old && n.hedge.granting(site.now));
+            let new = *live.expect("another leads").0;
+            assert_eq!(site.ask(new, put(3, 5, 'b')).0, 200);
+            assert_eq!(site.ask(new, Call::Change(beat("late"))).0, 200);
+            site.frozen.clear();
+            // Thawed, it goes on where it was, with the clock that it had read.
+            let asked = early.unwrap_or_else(|| site.call_at(old, call.clone(), before));
+            site.run(1_000);
+            if site.status(asked) != 503 {
+                wrong.push((what, taken_in, site.status(asked)));
+            }
+            let (status, said) = site.ask(new, call);
+            assert_eq!(status, then, "{what}");
+            assert!(what != "read" || said == body(5, 'b').to_vec());
+        }
+    }
+    assert_eq!(wrong, []);
+}
+
+#[test]
+fn a_read_waits_for_a_quorum_that_was_asked_later_and_is_given_up_within_a_second() {
+    let mut site = Site::new(3);
+    let leader = site.lead();
+    assert_eq!(site.ask(leader, put(0, 3, 'a')).0, 200);
+    // The heartbeat of this very millisecond left before the call came.
+    let due = site.nodes[&leader].hedge.due();
+    site.run(due.since(site.now) - 1);
+    site.now = due;
+    let node = site.nodes.get_mut(&leader).expect("leader");
+    node.hedge.tick(due);
+    let read = node.hedge.read_index(due).expect("leads");
+    site.settle();
+    assert_eq!(site.nodes[&leader].hedge.confirmed(&read), None, "it tells of before");
+    site.run(1);
+    assert_eq!(site.nodes[&leader].hedge.confirmed(&read), Some(true), "one round later");
+    // One voter of two answers: enough. None: the caller is told so before it goes on.
+    let others: Vec<u64> = (1..=3).filter(|id| *id != leader).collect();
+    site.cut.insert(others[0]);
+    let asked = site.call(leader, Call::ReadConfiguration);
+    site.run(2);
+    assert_eq!(site.status(asked), 200);
+    site.cut.insert(others[1]);
+    for call in [Call::ReadConfiguration, put(2, 7, 'c'), put(3, 2, 'c'), put(0, 3, 'a')] {
+        let asked = site.call(leader, call.clone());
+        // It goes on to ask: whoever answers again is heard.
+        site.run(700);
+        assert_eq!(site.status(asked), 0, "{call:?}");
+        site.run(250);
+        assert_eq!(site.status(asked), 503, "{call:?}");
+        site.cut.remove(&others[1]);
+        site.run(3_000);
+        let now = site.now;
+        let back = site.nodes.iter().find(|(_, n)| n.hedge.granting(now)).map(|(id, _)| *id);
+        assert_eq!(back, Some(leader), "the same goes on to lead in this test");
+        site.cut.insert(others[1]);
+    }
+}
+
+#[test]
+fn the_epoch_that_a_read_came_in_has_to_last() {
+    let mut site = Site::new(3);
+    let old = site.lead();
+    assert_eq!(site.ask(old, put(0, 3, 'a')).0, 200);
+    // Asked to go, it may still answer what came before, as long as nobody else leads.
+    let asked = site.call(old, Call::ReadConfiguration);
+    let now = site.now;
+    site.nodes.get_mut(&old).expect("leader").hedge.hand_over(now);
+    let late = site.call(old, Call::ReadConfiguration);
+    assert_eq!(site.status(late), 503, "nothing new from then on");
+    site.run(1_000);
+    assert_eq!(site.status(asked), 503, "the other led before a quorum had answered");
+    // Deposed and elected again, it does not answer what came in its earlier epoch.
+    let leader = site.lead();
+    let hedge = &mut site.nodes.get_mut(&leader).expect("leader").hedge;
+    let read = hedge.read_index(now).expect("leads");
+    site.restart(&[leader]);
+    assert_eq!(site.nodes[&leader].hedge.confirmed(&read), Some(false));
+    site.lead();
+    assert_eq!(site.nodes[&leader].hedge.confirmed(&read), Some(false));
+    // One that is alone has nobody to ask.
+    let mut site = Site::new(1);
+    let leader = site.lead();
+    let asked = site.call(leader, Call::ReadConfiguration);
+    site.settle();
+    assert_eq!(site.status(asked), 404);
+    assert_eq!(site.ask(leader, put(0, 3, 'a')).0, 200);
+}
+
+#[test]
+fn all_that_wait_share_a_round() {
+    // (voters, ms to a peer, calls in each ms, messages of a second at most)
+    let heartbeats = 7;
+    for (voters, delay, calls, most) in
+        [(3, 0, 0, 2 * heartbeats), (3, 10, 20, 2 * (52 + 1)), (5, 10, 20, 4 * (52 + 1))]
+    {
+        let mut site = Site::new(voters);
+        let leader = site.lead();
+        site.delay = delay;
+        site.run(1_000);
+        site.appends = 0;
+        let mut asked = Vec::new();
+        for _ in 0..1_000 {
+            asked.extend((0..calls).map(|_| site.call(leader, Call::ReadConfiguration)));
+            site.run(1);
+        }
+        let appends = site.appends;
+        println!("{voters} voters, {delay} ms, {calls} calls a ms: {appends} messages a second");
+        assert!(appends <= most, "{appends} of {most}");
+        site.run(4 * delay + 2);
+        assert!(asked.iter().all(|call| site.status(*call) == 404), "all are answered");
+    }
+    // A single call is not kept waiting for the next heartbeat.
+    let mut site = Site::new(3);
+    let leader = site.lead();
+    let asked = site.call(leader, Call::ReadConfiguration);
+    site.run(1);
+    assert_eq!(site.status(asked), 404);
+}
+
+#[test]
+fn one_number_has_one_order_whatever_became_of_the_answer() {
+    // (what happens between the order and its resend)
+    let nobody = "before anybody had it";
+    for what in ["nothing", "another leads", "taken by the next", nobody, "power lost", "folded"] {
+        let mut site = Site::new(3);
+        let mut leader = site.lead();
+        assert_eq!(site.ask(leader, put(0, 3, 'a')).0, 200);
+        site.delay = 10;
+        site.call(leader, Call::Change(beat("one")));
+        let first = site.call(leader, put(3, 5, 'b'));
+        match what {
+            "nothing" => site.run(100),
+            "another leads" => {
+                site.run(1_000);
+                let now = site.now;
+                site.nodes.get_mut(&leader).expect("leader").hedge.hand_over(now);
+                leader = site.lead();
+            }
+            "taken by the next" | "before anybody had it" => {
+                site.run(if what == nobody { 0 } else { 15 });
+                site.frozen.insert(leader);
+                site.run(3_000);
+                assert_eq!(site.status(first), 0);
+                let old = leader;
+                let live = |(id, n): &(&u64, &Node)| **id != old && n.hedge.granting(site.now);
+                leader = *site.nodes.iter().find(live).expect("another").0;
+                let has = site.nodes[&leader].almanac.revision == Revision(5);
+                assert_eq!(has, what != nobody, "{what}");
+            }
+            "power lost" => {
+                site.run(25);
+                site.restart(&[1, 2, 3]);
+                leader = site.lead();
+            }
+            _ => {
+                for n in 0..300 {
+                    site.call(leader, Call::Change(beat(&format!("i{n}"))));
+                }
+                site.run(1_000);
+                assert!(!site.disks[&leader].snapshot.state.is_empty(), "folded");
+                site.restart(&[1, 2, 3]);
+                leader = site.lead();
+            }
+        }
+        // (the call, its answer)
+        let cases = [
+            ("as it was", put(3, 5, 'b'), 200),
+            ("the one before", put(0, 3, 'a'), 200),
+            ("another's under the same number", put(3, 5, 'c'), 412),
+            ("another's that lost", put(3, 6, 'c'), 412),
+            ("built on what is to come", put(9, 11, 'c'), 412),
+            ("not above", put(5, 5, 'c'), 400),
+            ("below", put(5, 4, 'c'), 400),
+            ("the next", put(5, 7, 'd'), 200),
+            ("as it was, with a newer one in force", put(3, 5, 'b'), 200),
+            ("the first, with two newer ones in force", put(0, 3, 'a'), 200),
+        ];
+        for (which, call, status) in cases {
+            assert_eq!(site.ask(leader, call).0, status, "{what}: {which}");
+        }
+        // One blank more is another body, and its number has been given away.
+        let mut blank = body(7, 'd');
+        blank.push(b' ');
+        let (base, revision) = (Revision(5), Revision(7));
+        let blank = Call::Change(Change::Configure { base, revision, body: blank });
+        assert_eq!(site.ask(leader, blank).0, 412, "{what}");
+        // The old leader's own place in the log has another's entry now: its caller never hears yes.
+        site.frozen.clear();
+        site.run(3_000);
+        let heard = if what == nobody { 0 } else { 200 };
+        assert_eq!(site.status(first), heard, "{what}");
+        for node in site.nodes.values() {
+            assert_eq!((node.almanac.revision, &node.almanac.body), (Revision(7), &body(7, 'd')));
+        }
+    }
+}
+
+#[test]
+fn of_eight_operators_on_one_number_one_hears_yes() {
+    for same in [false, true] {
+        let mut site = Site::new(3);
+        let leader = site.lead();
+        assert_eq!(site.ask(leader, put(0, 3, 'a')).0, 200);
+        let who = |n: u8| if same { 'b' } else { char::from(b'b' + n) };
+        // All are judged before any is applied.
+        let calls: Vec<u32> = (0..8).map(|n| site.call(leader, put(3, 5, who(n)))).collect();
+        site.run(100);
+        let yes = calls.iter().filter(|call| site.status(**call) == 200).count();
+        let no = calls.iter().filter(|call| site.status(**call) == 412).count();
+        assert_eq!((yes, no), if same { (8, 0) } else { (1, 7) });
+        // Sent again, each hears what it heard.
+        for (n, call) in calls.iter().enumerate() {
+            let heard = site.status(*call);
+            assert_eq!(site.ask(leader, put(3, 5, who(n as u8))).0, heard, "{n}");
+        }
+    }
+}
