An answer of another epoch or another life of the process is no contact

Cause: a follower that gets the message of an epoch that has passed answers with its own epoch and hands the message's time back. If the asker was started anew and leads that newer epoch, its clock begins again, and such a time may lie minutes ahead: it counted as contact until then, so a leader that was cut off went on `granting`.

Now the late message is answered with no time, and a leader takes no time that lies ahead of its own clock (an older program at the far end still hands them back).

Before: `an_answer_of_another_epoch_or_another_life_is_no_contact` fails with either half taken back: `sent: 604000` in the answer; granting 500 ms after all others were cut off. After: green.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -64,6 +64,10 @@
     Leader { opened: Index, since: Tick },
 }
 
+/// The answer to a leader of an epoch that has passed. It tells of no time: the asker may lead
+/// this epoch by now, and may have been started anew since, with another clock.
+const OUTDATED: RaftKind = RaftKind::Appended { upto: Index(0), ok: false, sent: 0 };
+
 #[derive(Clone, Debug)]
 struct Progress {
     next: Index,
@@ -511,8 +515,7 @@
             }
             RaftKind::Append { previous, entries, commit, sent } => {
                 if !self.led_by(from, epoch, now) {
-                    let kind = RaftKind::Appended { upto: Index(0), ok: false, sent };
-                    return self.say(from, kind);
+                    return self.say(from, OUTDATED);
                 }
                 let heartbeat = entries.is_empty();
                 let (ok, upto) = self.take_entries(previous, entries);
@@ -525,8 +528,7 @@
             }
             RaftKind::Snapshot { snapshot, sent } => {
                 if !self.led_by(from, epoch, now) {
-                    let kind = RaftKind::Appended { upto: Index(0), ok: false, sent };
-                    return self.say(from, kind);
+                    return self.say(from, OUTDATED);
                 }
                 let upto = snapshot.last.1;
                 if upto > self.commit {
@@ -556,7 +558,10 @@
                 let Some(progress) = self.peers.get_mut(&from) else {
                     return;
                 };
-                progress.acked = progress.acked.max(Tick(sent));
+                // A time to come is another life's clock.
+                if Tick(sent) <= now {
+                    progress.acked = progress.acked.max(Tick(sent));
+                }
                 if ok {
                     progress.matched = progress.matched.max(upto);
                     progress.next = progress.next.max(Index(progress.matched.0 + 1));
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -372,6 +372,33 @@
     assert_eq!(site.status(asked), 404);
 }
 
+#[test]
+fn an_answer_of_another_epoch_or_another_life_is_no_contact() {
+    let mut site = Site::new(3);
+    let leader = site.lead();
+    let follower = (1..=3).find(|id| *id != leader).expect("another");
+    let now = site.now;
+    // The message of an epoch that has passed comes out of a socket at last.
+    let hedge = &mut site.nodes.get_mut(&follower).expect("follower").hedge;
+    let late = RaftKind::Append {
+        previous: (Epoch(0), Index(0)),
+        entries: Vec::new(),
+        commit: Index(0),
+        sent: now.0 + 600_000,
+    };
+    hedge.step(Raft { from: MemberId(leader), epoch: Epoch(0), kind: late }, now);
+    let (_, answer) = hedge.out.pop().expect("it is told that it is late");
+    assert!(matches!(answer.kind, RaftKind::Appended { ok: false, sent: 0, .. }), "{answer:?}");
+    // Nor does a leader believe such an answer, whoever gave it.
+    let hedge = &mut site.nodes.get_mut(&leader).expect("leader").hedge;
+    let kind = RaftKind::Appended { upto: Index(0), ok: false, sent: now.0 + 600_000 };
+    let epoch = hedge.kept.epoch;
+    hedge.step(Raft { from: MemberId(follower), epoch, kind }, now);
+    site.cut.extend((1..=3).filter(|id| *id != leader));
+    site.run(500);
+    assert!(!site.nodes[&leader].hedge.granting(site.now), "cut off for half a second");
+}
+
 #[test]
 fn one_number_has_one_order_whatever_became_of_the_answer() {
     // (what happens between the order and its resend)
