--- a/src/steward.rs
+++ b/src/steward.rs
@@ -16,7 +16,8 @@
 use log::{debug, error, info, warn};
 use rusqlite::{Connection, OptionalExtension, params};
 use serde::{Deserialize, Serialize};
-use serde_bytes::ByteBuf;
+use serde_bytes::{ByteArray, ByteBuf};
+use sha2::{Digest as _, Sha256};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -1153,8 +1154,8 @@
     /// The newest configuration, byte for byte as it was sent.
     pub body: ByteBuf,
     pub revision: Revision,
-    /// Length and hash of each configuration ever taken, so that a resend is known again.
-    taken: BTreeMap<Revision, (u64, u64)>,
+    /// The digest of each configuration ever taken, so that a resend is known again.
+    taken: BTreeMap<Revision, Digest>,
     pub instances: BTreeMap<InstanceId, Record>,
     /// The same by service; made anew when a state is read.
     #[serde(skip)]
@@ -1218,17 +1219,36 @@
     Outdated,
     /// Its revision is not above the current one.
     NotAbove,
+    /// So old that it is no longer known whether it was taken.
+    Forgotten,
 }
 
 const GONE_KEPT: usize = 256;
 const TAKEN_KEPT: usize = 4096;
 
-/// FNV-1a: only to tell a resend from another body under the same revision.
-fn digest(bytes: &[u8]) -> (u64, u64) {
-    let hash = bytes
-        .iter()
-        .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3));
-    (bytes.len() as u64, hash)
+/// Tells a resend from another body under the same revision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+enum Digest {
+    Sha256(ByteArray<32>),
+    /// Length and 64 bits of FNV-1a, from states written before there was the other. A body is
+    /// compared in the kind that was kept of it, and nothing is kept in this kind any more.
+    Fnv(u64, u64),
+}
+impl Digest {
+    fn of(body: &[u8]) -> Self {
+        Self::Sha256(ByteArray::new(Sha256::digest(body).into()))
+    }
+    fn is_of(&self, body: &[u8]) -> bool {
+        match self {
+            Self::Sha256(_) => *self == Self::of(body),
+            Self::Fnv(length, hash) => {
+                let step = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3);
+                *length == body.len() as u64
+                    && *hash == body.iter().fold(0xcbf2_9ce4_8422_2325u64, step)
+            }
+        }
+    }
 }
 
 impl Almanac {
@@ -1254,10 +1274,16 @@
     }
     /// What `Configure` would come to now.
     pub fn judge(&self, base: Revision, revision: Revision, body: &[u8]) -> Effect {
-        if self.taken.get(&revision) == Some(&digest(body)) {
+        // What was taken is acknowledged for ever, also with newer ones in force.
+        if self.taken.get(&revision).is_some_and(|d| d.is_of(body)) {
             Effect::Nothing
         } else if base != self.revision {
-            Effect::Outdated
+            let oldest = self.taken.first_key_value().filter(|_| self.taken.len() >= TAKEN_KEPT);
+            // Of those below the oldest that is kept any may have been taken.
+            match oldest.is_some_and(|(oldest, _)| revision < *oldest) {
+                true => Effect::Forgotten,
+                false => Effect::Outdated,
+            }
         } else if revision <= self.revision {
             Effect::NotAbove
         } else {
@@ -1279,7 +1305,7 @@
             Change::Configure { base, revision, body } => {
                 let effect = self.judge(*base, *revision, body);
                 if effect == Effect::Done {
-                    self.taken.insert(*revision, digest(body));
+                    self.taken.insert(*revision, Digest::of(body));
                     while self.taken.len() > TAKEN_KEPT {
                         self.taken.pop_first();
                     }
@@ -4331,6 +4357,8 @@
         Effect::Done | Effect::Nothing => Response::ok(),
         Effect::Outdated => Response::refusal(412, "another version is in place"),
         Effect::NotAbove => Response::refusal(400, "revision is not above the current one"),
+        // No clear answer: a 4xx would deny one that may have been taken.
+        Effect::Forgotten => Response::refusal(503, "too old to know whether it was taken"),
     }
 }
 
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -33,6 +33,12 @@
 fn put(base: u64, revision: u64, of: char) -> Call {
     Call::Change(order(base, revision, of))
 }
+fn status(verdict: Verdict) -> Option<u16> {
+    match verdict {
+        Verdict::Answer(response) => Some(response.status),
+        Verdict::Propose(_) => None,
+    }
+}
 fn gone(id: &str) -> Call {
     Call::Change(Change::Gone { id: id.into(), sequence: u64::MAX })
 }
@@ -93,6 +99,7 @@
                     Effect::Done | Effect::Nothing => 200,
                     Effect::Outdated => 412,
                     Effect::NotAbove => 400,
+                    Effect::Forgotten => 503,
                 };
                 answers.extend(caller.map(|from| (from, status, Vec::new())));
             }
@@ -497,3 +504,62 @@
         }
     }
 }
+
+#[test]
+fn what_was_taken_is_never_refused_however_many_came_since() {
+    let mut almanac = Almanac::default();
+    let many = 4_096;
+    for n in 0..=many {
+        // Every third number is left out.
+        let (base, revision) = (if n == 0 { 0 } else { 3 * n }, 3 * n + 3);
+        assert_eq!(almanac.apply(&order(base, revision, 'a')), Effect::Done);
+        if n == many - 1 {
+            assert_eq!(status(put(0, 3, 'a').judge(&almanac)), Some(200));
+        }
+    }
+    let newest = 3 * many + 3;
+    let cases = [
+        ("the oldest that is known", put(3, 6, 'a'), Some(200)),
+        ("the newest", put(newest - 3, newest, 'a'), Some(200)),
+        ("older than all that are known", put(0, 3, 'a'), Some(503)),
+        ("perhaps another's", put(0, 3, 'b'), Some(503)),
+        ("another's under a known number", put(3, 6, 'b'), Some(412)),
+        ("between two that are known", put(6, 8, 'b'), Some(412)),
+        ("not above", put(newest, 3, 'b'), Some(400)),
+        ("the next", put(newest, newest + 3, 'a'), None),
+    ];
+    let restored = Almanac::read(&pack(&almanac)).expect("as it was packed");
+    for (what, call, expected) in cases {
+        assert_eq!(status(call.clone().judge(&almanac)), expected, "{what}");
+        assert_eq!(status(call.judge(&restored)), expected, "{what}, restored");
+    }
+}
+
+#[test]
+fn what_an_older_program_took_is_known_again() {
+    // A state as the program before wrote it: 3 and 7 were taken, with the old kind of digest.
+    let hex = "96c40e7b227265766973696f6e223a377d078203920ecf4d1068d5edabb47d07920ecf4d0368d5ed\
+               a12a21809080";
+    let byte = |at| u8::from_str_radix(&hex[at..at + 2], 16).expect("hex");
+    let bytes: Vec<u8> = (0..hex.len()).step_by(2).map(byte).collect();
+    let mut almanac = Almanac::read(&bytes).expect("the older layout");
+    let put = |base, revision, body: &str| Change::Configure {
+        base: Revision(base),
+        revision: Revision(revision),
+        body: ByteBuf::from(body),
+    };
+    // (base, revision, body, what comes of it)
+    let cases = [
+        (0, 3, r#"{"revision":3}"#, Effect::Nothing),
+        (3, 7, r#"{"revision":7}"#, Effect::Nothing),
+        (3, 7, r#"{"revision":7} "#, Effect::Outdated),
+        (3, 7, r#"{"revision":8}"#, Effect::Outdated),
+        (7, 9, r#"{"revision":9}"#, Effect::Done),
+        (7, 9, r#"{"revision":9}"#, Effect::Nothing),
+        (3, 7, r#"{"revision":7}"#, Effect::Nothing),
+    ];
+    for (base, revision, body, effect) in cases {
+        assert_eq!(almanac.apply(&put(base, revision, body)), effect, "{base} {revision} {body}");
+        almanac = Almanac::read(&pack(&almanac)).expect("both kinds side by side");
+    }
+}
