--- a/src/steward.rs
+++ b/src/steward.rs
@@ -16,7 +16,8 @@
 use log::{debug, error, info, warn};
 use rusqlite::{Connection, OptionalExtension, params};
 use serde::{Deserialize, Serialize};
-use serde_bytes::ByteBuf;
+use serde_bytes::{ByteArray, ByteBuf};
+use sha2::{Digest as _, Sha256};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -43,6 +44,9 @@
 /// leader that is there was heard by then.
 const QUIET_MS: u64 = QUORUM_FRESH_MS + 20;
 const AFTER_QUIET_MS: u64 = 150;
+/// A round of heartbeats for waiting reads that is not answered by then is not waited for: the
+/// next may begin.
+const ROUND_MS: u64 = 20;
 /// The log is folded into a snapshot when it is longer than this, or larger.
 const COMPACT_AFTER: usize = 256;
 const COMPACT_BYTES: usize = 1 << 20;
@@ -65,6 +69,10 @@
     Leader { opened: Index, since: Tick },
 }
 
+/// The answer to a leader of an epoch that has passed. It tells of no time: the asker may lead
+/// this epoch by now, and may have been started anew since, with another clock.
+const OUTDATED: RaftKind = RaftKind::Appended { upto: Index(0), ok: false, sent: 0 };
+
 #[derive(Clone, Debug)]
 struct Progress {
     next: Index,
@@ -85,6 +93,15 @@
     }
 }
 
+/// A question about what is current, at the time it came: Raft's ReadIndex.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReadIndex {
+    epoch: Epoch,
+    /// All that any leader had acknowledged when it came is at or below this.
+    pub upto: Index,
+    pub asked: Tick,
+}
+
 /// What differs from the disk.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Dirty {
@@ -147,6 +164,10 @@
     heard: Option<Tick>,
     deadline: Tick,
     next_beat: Tick,
+    /// When the newest read came that no round of heartbeats was begun for yet.
+    uncovered: Option<Tick>,
+    /// When the last round began.
+    round: Tick,
     /// After a restart nothing is known of what the leader was last told, so no vote is given yet.
     quiet_until: Tick,
     /// Just started, and it had led the newest epoch it knows: nobody waits for that leader.
@@ -186,6 +207,8 @@
             heard: None,
             deadline: now,
             next_beat: now,
+            uncovered: None,
+            round: Tick(0),
             quiet_until: if quiet { now.plus(QUIET_MS) } else { now },
             returning,
             peers: BTreeMap::new(),
@@ -271,17 +294,52 @@
         self.leaving.is_none() && self.commit >= opened && self.fresh(now, QUORUM_FRESH_MS)
     }
     fn fresh(&self, now: Tick, within: u64) -> bool {
+        self.quorum_answered(|sent| now.since(sent) < within)
+    }
+    /// Whether a quorum answered messages that were sent when `counts` says.
+    fn quorum_answered(&self, counts: impl Fn(Tick) -> bool) -> bool {
         let count = self
             .voters()
             .iter()
             .filter(|id| {
-                **id == self.kept.me
-                    || self.peers.get(id).is_some_and(|p| now.since(p.acked) < within)
+                **id == self.kept.me || self.peers.get(id).is_some_and(|p| counts(p.acked))
             })
             .count();
         count >= self.quorum()
     }
 
+    /// Takes in a question about what is current; `None` if this steward can't know. A round of
+    /// heartbeats is begun for it: see `tick`.
+    pub fn read_index(&mut self, now: Tick) -> Option<ReadIndex> {
+        let Rank::Leader { opened, .. } = self.role else {
+            return None;
+        };
+        if self.commit < opened {
+            return None;
+        }
+        let read = ReadIndex { epoch: self.kept.epoch, upto: self.commit, asked: now };
+        if self.confirmed(&read) != Some(true) {
+            self.uncovered = Some(now);
+        }
+        Some(read)
+    }
+    /// Whether this steward still led after the question came: a quorum answered, in its epoch,
+    /// what was sent later. `None` while that is open, `Some(false)` if it will never be known.
+    pub fn confirmed(&self, read: &ReadIndex) -> Option<bool> {
+        if !self.is_leader() || self.kept.epoch != read.epoch {
+            return Some(false);
+        }
+        // In the same millisecond it may have been sent before the question came.
+        self.quorum_answered(|sent| sent > read.asked).then_some(true)
+    }
+    /// When a round is to begin for the reads that wait for one. One that is under way is waited
+    /// for: all that come meanwhile share the next.
+    fn round_due(&self) -> Option<Tick> {
+        let next = self.uncovered?.plus(1);
+        let free = self.quorum_answered(|sent| sent >= self.round);
+        Some(if free { next } else { next.max(self.round.plus(ROUND_MS)) })
+    }
+
     fn say(&mut self, to: MemberId, kind: RaftKind) {
         let message = Raft { from: self.kept.me, epoch: self.kept.epoch, kind };
         self.out.push((to, message));
@@ -303,6 +361,7 @@
         self.leader = leader;
         self.peers.clear();
         self.removed.clear();
+        self.uncovered = None;
         self.rest(now);
     }
 
@@ -316,8 +375,10 @@
                 if deserted || declined {
                     return self.follow(None, now);
                 }
-                if now >= self.next_beat {
+                if now >= self.due() {
                     self.next_beat = now.plus(HEARTBEAT_MS);
+                    self.round = now;
+                    self.uncovered = self.uncovered.filter(|asked| *asked >= now);
                     for id in self.others() {
                         self.append_to(id, now);
                     }
@@ -336,7 +397,10 @@
     }
     /// When `tick` next has something to do.
     pub fn due(&self) -> Tick {
-        if self.is_leader() { self.next_beat } else { self.deadline }
+        match self.is_leader() {
+            true => self.round_due().map_or(self.next_beat, |round| round.min(self.next_beat)),
+            false => self.deadline,
+        }
     }
 
     fn campaign(&mut self, trial: bool, handover: bool, now: Tick) {
@@ -476,8 +540,7 @@
             }
             RaftKind::Append { previous, entries, commit, sent } => {
                 if !self.led_by(from, epoch, now) {
-                    let kind = RaftKind::Appended { upto: Index(0), ok: false, sent };
-                    return self.say(from, kind);
+                    return self.say(from, OUTDATED);
                 }
                 let heartbeat = entries.is_empty();
                 let (ok, upto) = self.take_entries(previous, entries);
@@ -490,8 +553,7 @@
             }
             RaftKind::Snapshot { snapshot, sent } => {
                 if !self.led_by(from, epoch, now) {
-                    let kind = RaftKind::Appended { upto: Index(0), ok: false, sent };
-                    return self.say(from, kind);
+                    return self.say(from, OUTDATED);
                 }
                 let upto = snapshot.last.1;
                 if upto > self.commit {
@@ -521,7 +583,10 @@
                 let Some(progress) = self.peers.get_mut(&from) else {
                     return;
                 };
-                progress.acked = progress.acked.max(Tick(sent));
+                // A time to come is another life's clock.
+                if Tick(sent) <= now {
+                    progress.acked = progress.acked.max(Tick(sent));
+                }
                 if ok {
                     progress.matched = progress.matched.max(upto);
                     progress.next = progress.next.max(Index(progress.matched.0 + 1));
@@ -1164,8 +1229,8 @@
     /// The newest configuration, byte for byte as it was sent.
     pub body: ByteBuf,
     pub revision: Revision,
-    /// Length and hash of each configuration ever taken, so that a resend is known again.
-    taken: BTreeMap<Revision, (u64, u64)>,
+    /// The digest of each configuration ever taken, so that a resend is known again.
+    taken: BTreeMap<Revision, Digest>,
     pub instances: BTreeMap<InstanceId, Record>,
     /// The same by service; made anew when a state is read.
     #[serde(skip)]
@@ -1229,17 +1294,36 @@
     Outdated,
     /// Its revision is not above the current one.
     NotAbove,
+    /// So old that it is no longer known whether it was taken.
+    Forgotten,
 }
 
 const GONE_KEPT: usize = 256;
 const TAKEN_KEPT: usize = 4096;
 
-/// FNV-1a: only to tell a resend from another body under the same revision.
-fn digest(bytes: &[u8]) -> (u64, u64) {
-    let hash = bytes
-        .iter()
-        .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3));
-    (bytes.len() as u64, hash)
+/// Tells a resend from another body under the same revision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+enum Digest {
+    Sha256(ByteArray<32>),
+    /// Length and 64 bits of FNV-1a, from states written before there was the other. A body is
+    /// compared in the kind that was kept of it, and nothing is kept in this kind any more.
+    Fnv(u64, u64),
+}
+impl Digest {
+    fn of(body: &[u8]) -> Self {
+        Self::Sha256(ByteArray::new(Sha256::digest(body).into()))
+    }
+    fn is_of(&self, body: &[u8]) -> bool {
+        match self {
+            Self::Sha256(_) => *self == Self::of(body),
+            Self::Fnv(length, hash) => {
+                let step = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3);
+                *length == body.len() as u64
+                    && *hash == body.iter().fold(0xcbf2_9ce4_8422_2325u64, step)
+            }
+        }
+    }
 }
 
 impl Almanac {
@@ -1270,10 +1354,16 @@
     }
     /// What `Configure` would come to now.
     pub fn judge(&self, base: Revision, revision: Revision, body: &[u8]) -> Effect {
-        if self.taken.get(&revision) == Some(&digest(body)) {
+        // What was taken is acknowledged for ever, also with newer ones in force.
+        if self.taken.get(&revision).is_some_and(|d| d.is_of(body)) {
             Effect::Nothing
         } else if base != self.revision {
-            Effect::Outdated
+            let oldest = self.taken.first_key_value().filter(|_| self.taken.len() >= TAKEN_KEPT);
+            // Of those below the oldest that is kept any may have been taken.
+            match oldest.is_some_and(|(oldest, _)| revision < *oldest) {
+                true => Effect::Forgotten,
+                false => Effect::Outdated,
+            }
         } else if revision <= self.revision {
             Effect::NotAbove
         } else {
@@ -1295,7 +1385,7 @@
             Change::Configure { base, revision, body } => {
                 let effect = self.judge(*base, *revision, body);
                 if effect == Effect::Done {
-                    self.taken.insert(*revision, digest(body));
+                    self.taken.insert(*revision, Digest::of(body));
                     while self.taken.len() > TAKEN_KEPT {
                         self.taken.pop_first();
                     }
@@ -2554,6 +2644,123 @@
     }
 }
 
+// ---------------------------------------------------------------------------------------------
+// Calls about what is current
+
+/// A call whose answer tells what is current.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    ReadConfiguration,
+    Change(Change),
+}
+/// What becomes of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    Answer(Response),
+    /// It has to go into the log; what it comes to shows when it is applied.
+    Propose(Change),
+}
+
+impl Call {
+    pub fn judge(self, almanac: &Almanac) -> Verdict {
+        let effect = match &self {
+            Self::ReadConfiguration if almanac.body.is_empty() => {
+                return Verdict::Answer(Response::refusal(404, "no configuration yet"));
+            }
+            Self::ReadConfiguration => {
+                return Verdict::Answer(Response::json(200, almanac.body.to_vec()));
+            }
+            Self::Change(Change::Configure { base, revision, body }) => {
+                almanac.judge(*base, *revision, body)
+            }
+            Self::Change(Change::Gone { id, .. }) if !almanac.instances.contains_key(id) => {
+                Effect::Nothing
+            }
+            Self::Change(_) => Effect::Done,
+        };
+        match self {
+            Self::Change(change) if effect == Effect::Done => Verdict::Propose(change),
+            _ => Verdict::Answer(judged(&effect)),
+        }
+    }
+}
+
+/// Calls that are answered from what is applied, once this steward is known to have led after
+/// they came.
+pub struct Reads<R> {
+    waiting: Vec<(ReadIndex, Call, R)>,
+}
+impl<R> Default for Reads<R> {
+    fn default() -> Self {
+        Self { waiting: Vec::new() }
+    }
+}
+impl<R> Reads<R> {
+    /// Takes in a call. What goes into the log anyway waits for nothing: it is judged once more
+    /// where it is applied.
+    pub fn ask(
+        &mut self,
+        hedge: &mut Hedge,
+        almanac: &Almanac,
+        call: Call,
+        from: R,
+        now: Tick,
+    ) -> Option<(R, Verdict)> {
+        if let Verdict::Propose(change) = call.clone().judge(almanac) {
+            return Some((from, Verdict::Propose(change)));
+        }
+        match hedge.read_index(now) {
+            Some(read) => self.waiting.push((read, call, from)),
+            None => return Some((from, Verdict::Answer(Response::refusal(503, "no quorum")))),
+        }
+        None
+    }
+    /// The calls that wait no longer, judged by what is applied now.
+    pub fn settled(
+        &mut self,
+        hedge: &Hedge,
+        almanac: &Almanac,
+        applied: Index,
+        now: Tick,
+    ) -> Vec<(R, Verdict)> {
+        let mut settled = Vec::new();
+        let unclear = |why| Verdict::Answer(Response::refusal(503, why));
+        for (read, call, from) in std::mem::take(&mut self.waiting) {
+            match hedge.confirmed(&read) {
+                Some(false) => settled.push((from, unclear("no longer the leader"))),
+                _ if now.since(read.asked) > READ_MS => settled.push((from, unclear("no quorum"))),
+                Some(true) if applied >= read.upto => settled.push((from, call.judge(almanac))),
+                _ => self.waiting.push((read, call, from)),
+            }
+        }
+        settled
+    }
+}
+
+/// Callers whose change is on its way into the log, by its place there.
+pub struct Proposed<R> {
+    waiting: BTreeMap<Index, (Epoch, R)>,
+}
+impl<R> Default for Proposed<R> {
+    fn default() -> Self {
+        Self { waiting: BTreeMap::new() }
+    }
+}
+impl<R> Proposed<R> {
+    pub fn add(&mut self, epoch: Epoch, index: Index, from: R) {
+        self.waiting.insert(index, (epoch, from));
+    }
+    /// Whose change this is. Another leader's entry may have come to stand in its place.
+    pub fn take(&mut self, entry: &Entry) -> Option<R> {
+        let (epoch, from) = self.waiting.remove(&entry.index)?;
+        (epoch == entry.epoch).then_some(from)
+    }
+    /// All that wait, as this steward no longer leads.
+    pub fn give_up(&mut self) -> impl Iterator<Item = R> + use<R> {
+        std::mem::take(&mut self.waiting).into_values().map(|(_, from)| from)
+    }
+}
+
 // ---------------------------------------------------------------------------------------------
 // The program
 
@@ -2720,12 +2927,6 @@
     answers: VecDeque<(u64, Tick)>,
 }
 
-/// A caller whose change is on its way into the log.
-struct Waiter {
-    epoch: Epoch,
-    reply: SyncSender<Response>,
-}
-
 /// What only the leader keeps, and forgets when it no longer leads.
 struct Office {
     leases: LeaseBook,
@@ -2779,7 +2980,8 @@
     /// Without a disk this steward is in no list and only points at the one that leads.
     pointed: Option<SocketAddr>,
     office: Option<Office>,
-    waiting: BTreeMap<Index, Waiter>,
+    proposed: Proposed<SyncSender<Response>>,
+    reads: Reads<SyncSender<Response>>,
     /// Where ids and the spread of elections are drawn from.
     random: fn() -> u64,
     pub effects: E,
@@ -2815,6 +3017,8 @@
 const GATHER_MS: u64 = 20;
 /// How often peers are looked at that did not take all at once.
 const PUMP_MS: u64 = 5;
+/// A call that can't be answered for certain is given up after this; callers go on after a second.
+const READ_MS: u64 = 800;
 /// One that stays silent this long is dropped from the directory.
 const FORGOTTEN_MS: u64 = 60_000;
 
@@ -3356,7 +3560,8 @@
             nominated: None,
             pointed: None,
             office: None,
-            waiting: BTreeMap::new(),
+            proposed: Proposed::default(),
+            reads: Reads::default(),
             random,
             effects,
             known_leader: None,
@@ -3517,8 +3722,7 @@
         let mut relisted = None;
         for entry in self.hedge.committed(self.applied) {
             self.applied = entry.index;
-            // Another leader's entry may have come to stand where the caller's was.
-            let waiter = self.waiting.remove(&entry.index).filter(|w| w.epoch == entry.epoch);
+            let waiter = self.proposed.take(&entry);
             match &entry.body {
                 Body::Opened => {}
                 Body::Members(members) => {
@@ -3565,9 +3769,9 @@
         }
     }
 
-    fn apply_change(&mut self, change: &Change, waiter: Option<Waiter>, now: Tick) {
+    fn apply_change(&mut self, change: &Change, waiter: Option<SyncSender<Response>>, now: Tick) {
         let effect = self.almanac.apply(change);
-        if let Some(Waiter { reply, .. }) = waiter {
+        if let Some(reply) = waiter {
             // A caller that no longer waits is none of our business.
             let answer = match change {
                 Change::Beat { .. } => self.beaten(),
@@ -3652,9 +3856,9 @@
                 self.questions.clear();
                 self.moved.clear();
                 self.moved_since = None;
-                for (_, waiter) in std::mem::take(&mut self.waiting) {
+                for reply in self.proposed.give_up() {
                     // Whether it will be in force is not known here; asked again it shows.
-                    drop(waiter.reply.try_send(Response::refusal(503, "no longer the leader")));
+                    drop(reply.try_send(Response::refusal(503, "no longer the leader")));
                 }
                 let elsewhere = Frame::Steward(ToStile::Elsewhere(self.leads_at().map(|l| l.0)));
                 for (conn, _) in std::mem::take(&mut self.stiles) {
@@ -3678,6 +3882,7 @@
 
     /// Compares what is wanted with what is, and acts on the difference.
     fn reconcile(&mut self, now: Tick) {
+        self.answer_reads(now);
         self.ask_to_join(now);
         if !self.early.is_empty() && (self.office.is_none() || self.hedge.granting(now)) {
             for (conn, message) in std::mem::take(&mut self.early) {
@@ -4261,8 +4466,8 @@
                 None => Response::refusal(503, "no leader"),
             });
         }
-        // Only a leader that is certain of it may say what is current, and only from all that is
-        // committed: a new leader may not have applied yet what the one before acknowledged.
+        // Without a quorum nothing can be confirmed, and a new leader may not have applied yet what
+        // the one before acknowledged.
         if !self.hedge.granting(now) {
             return say(Response::refusal(503, "no quorum"));
         }
@@ -4279,25 +4484,34 @@
                     machines may be lost as fault_tolerance says");
             }
         }
-        match parsed {
-            None if self.almanac.body.is_empty() => {
-                say(Response::refusal(404, "no configuration yet"));
-            }
-            None => say(Response::json(200, self.almanac.body.to_vec())),
-            Some(Change::Configure { base, revision, body }) => {
-                let effect = self.almanac.judge(base, revision, &body);
-                if effect != Effect::Done {
-                    return say(judged(&effect));
-                }
-                self.await_change(&Change::Configure { base, revision, body }, reply, now);
-            }
+        let call = match parsed {
             Some(Change::Beat { id, instance, sequence }) => {
-                self.take_beat(id, instance, sequence, reply, now);
+                return self.take_beat(id, instance, sequence, reply, now);
             }
-            Some(Change::Gone { id, .. }) if !self.almanac.instances.contains_key(&id) => {
-                say(Response::ok())
+            Some(change) => Call::Change(change),
+            None => Call::ReadConfiguration,
+        };
+        let ready = self.reads.ask(&mut self.hedge, &self.almanac, call, reply, now);
+        self.carry_through(ready, now);
+        // One that is alone has nobody to wait for.
+        self.answer_reads(now);
+    }
+
+    fn answer_reads(&mut self, now: Tick) {
+        let settled = self.reads.settled(&self.hedge, &self.almanac, self.applied, now);
+        self.carry_through(settled, now);
+    }
+    fn carry_through(
+        &mut self,
+        verdicts: impl IntoIterator<Item = (SyncSender<Response>, Verdict)>,
+        now: Tick,
+    ) {
+        for (reply, verdict) in verdicts {
+            match verdict {
+                // A caller that no longer waits is none of our business.
+                Verdict::Answer(response) => drop(reply.try_send(response)),
+                Verdict::Propose(change) => self.await_change(&change, reply, now),
             }
-            Some(change) => self.await_change(&change, reply, now),
         }
     }
 
@@ -4345,10 +4559,7 @@
     /// Proposes what a caller asked for; it is answered when that is committed and applied.
     fn await_change(&mut self, change: &Change, reply: SyncSender<Response>, now: Tick) {
         match self.propose(change, now) {
-            Some(index) => {
-                let waiter = Waiter { epoch: self.hedge.kept.epoch, reply };
-                self.waiting.insert(index, waiter);
-            }
+            Some(index) => self.proposed.add(self.hedge.kept.epoch, index, reply),
             // A caller that no longer waits is none of our business.
             None => drop(reply.try_send(Response::refusal(503, "no leader"))),
         }
@@ -4436,6 +4647,8 @@
         Effect::Done | Effect::Nothing => Response::ok(),
         Effect::Outdated => Response::refusal(412, "another version is in place"),
         Effect::NotAbove => Response::refusal(400, "revision is not above the current one"),
+        // No clear answer: a 4xx would deny one that may have been taken.
+        Effect::Forgotten => Response::refusal(503, "too old to know whether it was taken"),
     }
 }
 
