Each attempt has a number: a late answer says nothing about a later try

Cause: what databases and the platform answered was matched by service, id and kind only. A PAUSE answered late, after its attempt was called off and its replica let go, counted as a fence of the next one; the replica had received more since, and another could be promoted without it. A refusal of one POST settled another that was under way. Each order also travels on a connection of its own: a CONTINUE could be carried out behind a newer PAUSE that was answered before (the replica receives on unseen), or a PAUSE behind a CONTINUE (the replica stays paused for ever).

Now: what is asked carries (epoch, number) of its attempt. A pause or a position counts only for its own attempt, a call only for its own answer. A replica is not paused while it is being let go, and not taken for let go while its pause is under way; an order unanswered for 3 s has ended, since its connection gives up after one dark second. Fence-Token is that number too, above every earlier one of any leader, so a held up call of an intent that was given up is refused where the platform looks. A call whose outcome was dropped while the leader had no majority (`in_flight` stayed set for ever) is made again after 3 s and counts as one that may have taken effect.

tests/succession.rs: the calls name the attempt; stories that pause replicas right after `begin` now let them answer the CONTINUE before, and one answers its PAUSE before it expects a CONTINUE to settle it. The same deeds are demanded as before.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1302,6 +1302,23 @@
     Unclear,
 }
 
+/// One try at something, as its questions and calls carry it: an answer to an earlier try says
+/// nothing about a later one. The epoch tells the offices of one process apart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Attempt {
+    pub epoch: Epoch,
+    pub number: u64,
+}
+impl Attempt {
+    /// For the platform: rises with the leader, and with each call of the same leader, so that a
+    /// call that was held up on its way is known to be older than one made since.
+    pub fn fence(self) -> u64 {
+        (self.epoch.0 << ATTEMPT_BITS) | self.number.min((1 << ATTEMPT_BITS) - 1)
+    }
+}
+const ATTEMPT_BITS: u32 = 20;
+
+/// What each is asked belongs to the attempt that is under way when the step ends.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Deed {
     Ask(InstanceId, Ask),
@@ -1314,6 +1331,8 @@
 #[derive(Clone, Debug)]
 pub struct Facts {
     pub service: ServiceName,
+    /// The epoch in which this leader was elected.
+    pub epoch: Epoch,
     pub lead: Option<Lead>,
     /// Every listed database of the service.
     pub databases: Vec<(InstanceId, Instance)>,
@@ -1389,8 +1408,13 @@
 const POST_AGAIN_MS: u64 = 300;
 /// A call that got an answer or none at all is not under way any more after this.
 const POST_SETTLED_MS: u64 = 2_000;
+/// A call has ended by then, with an answer or without.
+const POST_UNHEARD_MS: u64 = 3_000;
 const LOOK_AGAIN_MS: u64 = 500;
 const OWED_AGAIN_MS: u64 = 1_000;
+/// An order that was not answered within this is not carried out any more: its connection gave up
+/// long before.
+const ORDER_ENDED_MS: u64 = 3_000;
 /// A slow primary is replaced at most this often.
 const SLOW_AGAIN_MS: u64 = 5_000;
 /// A database that can work answers a question about itself within this.
@@ -1412,10 +1436,33 @@
 /// A primary that just proved itself is not doubted again for this long.
 const TRUST_MS: u64 = 300;
 
+/// Orders of one kind that databases have not answered yet.
+#[derive(Clone, Debug, Default)]
+struct Orders(BTreeMap<InstanceId, (u32, Tick)>);
+impl Orders {
+    fn sent(&mut self, id: &InstanceId, now: Tick) {
+        let (count, asked) = self.0.entry(id.clone()).or_insert((0, now));
+        (*count, *asked) = (*count + 1, now);
+    }
+    fn ended(&mut self, id: &InstanceId) {
+        if let Some((count, _)) = self.0.get_mut(id) {
+            *count -= 1;
+            if *count == 0 {
+                self.0.remove(id);
+            }
+        }
+    }
+    fn under_way(&self, id: &InstanceId, now: Tick) -> bool {
+        self.0.get(id).is_some_and(|(_, asked)| now.since(*asked) < ORDER_ENDED_MS)
+    }
+}
+
 /// Brings one service from primary to primary. Every step is safe to take again.
 #[derive(Clone, Debug)]
 pub struct Succession {
     pub stage: Stage,
+    /// The attempt under way, or the last one.
+    pub attempt: Attempt,
     /// The term whose leases are being taken back; none is granted meanwhile.
     pub revoking: bool,
     /// With the replicas fenced, every acknowledged commit lies at or before this.
@@ -1425,7 +1472,11 @@
     rested: Option<Tick>,
     paused: BTreeSet<InstanceId>,
     /// Let go, but not yet heard to have been: asked again while they live.
-    owed: BTreeSet<InstanceId>,
+    owed: BTreeMap<InstanceId, Attempt>,
+    /// Each order travels on a connection of its own, so two may overtake each other: a replica is
+    /// not paused while it is being let go, nor taken for let go while it is being paused.
+    pausing: Orders,
+    letting_go: Orders,
     owed_asked: Tick,
     stepped_down: Option<Tick>,
     slow_tried: Option<Tick>,
@@ -1441,13 +1492,16 @@
     pub fn begin(facts: &Facts, now: Tick) -> (Self, Vec<Deed>) {
         let mut this = Self {
             stage: Stage::Steady,
+            attempt: Attempt { epoch: facts.epoch, number: 0 },
             revoking: false,
             sealed: None,
             suspects: BTreeSet::new(),
             trusted: None,
             rested: None,
             paused: BTreeSet::new(),
-            owed: BTreeSet::new(),
+            owed: BTreeMap::new(),
+            pausing: Orders::default(),
+            letting_go: Orders::default(),
             owed_asked: now,
             stepped_down: None,
             slow_tried: None,
@@ -1477,7 +1531,12 @@
         (self.revoking, self.sealed)
     }
 
+    fn renumber(&mut self) {
+        self.attempt.number += 1;
+    }
+
     fn post(&mut self, target: InstanceId, now: Tick, deeds: &mut Vec<Deed>) {
+        self.renumber();
         deeds.push(Deed::Post(target.clone()));
         self.stage =
             Stage::Posting { target, tried: now, in_flight: true, perhaps: None, looked: now };
@@ -1500,9 +1559,13 @@
 
     fn let_go(&mut self, now: Tick) -> Vec<Deed> {
         let paused = std::mem::take(&mut self.paused);
-        self.owed.extend(paused.iter().cloned());
+        self.owed.extend(paused.iter().map(|id| (id.clone(), self.attempt)));
         self.owed_asked = now;
-        paused.into_iter().map(|id| Deed::Ask(id, Ask::Continue)).collect()
+        self.ask_to_go_on(paused.into_iter().collect(), now)
+    }
+    fn ask_to_go_on(&mut self, which: Vec<InstanceId>, now: Tick) -> Vec<Deed> {
+        which.iter().for_each(|id| self.letting_go.sent(id, now));
+        which.into_iter().map(|id| Deed::Ask(id, Ask::Continue)).collect()
     }
 
     pub fn suspect(
@@ -1534,19 +1597,26 @@
         let planned = matches!(self.stage, Stage::Fencing { target: Some(_), .. });
         match self.stage {
             Stage::Doubting { .. } => self.tick(facts, now),
-            Stage::Steady => {
-                self.stage = Stage::Doubting { asked: now, reached: false };
-                vec![Deed::Ask(lead.primary.clone(), Ask::Describe)]
-            }
+            Stage::Steady => self.doubt(&lead.primary, now),
             _ if planned => vec![Deed::Ask(lead.primary.clone(), Ask::Describe)],
             _ => Vec::new(),
         }
     }
 
+    fn doubt(&mut self, primary: &InstanceId, now: Tick) -> Vec<Deed> {
+        self.renumber();
+        self.stage = Stage::Doubting { asked: now, reached: false };
+        vec![Deed::Ask(primary.clone(), Ask::Describe)]
+    }
+
     fn fence(&mut self, facts: &Facts, now: Tick) -> Vec<Deed> {
         let Some(lead) = &facts.lead else {
             return Vec::new();
         };
+        // The doubt before it asked for no pause, and its question still counts.
+        if !matches!(self.stage, Stage::Doubting { .. }) {
+            self.renumber();
+        }
         self.revoking = true;
         self.suspects.clear();
         self.stage = Stage::Fencing {
@@ -1557,13 +1627,20 @@
             rows: BTreeMap::new(),
         };
         let mut deeds = vec![Deed::Revoke(lead.term)];
-        deeds.extend(self.pause(facts.replicas().map(|(id, _)| id.clone()).collect(), lead.term));
+        deeds.extend(self.pause(
+            facts.replicas().map(|(id, _)| id.clone()).collect(),
+            lead.term,
+            now,
+        ));
         deeds
     }
 
-    fn pause(&mut self, which: Vec<InstanceId>, term: DbTerm) -> Vec<Deed> {
+    /// One that is still being let go is paused once that has ended.
+    fn pause(&mut self, mut which: Vec<InstanceId>, term: DbTerm, now: Tick) -> Vec<Deed> {
+        which.retain(|id| !self.letting_go.under_way(id, now));
+        which.iter().for_each(|id| self.pausing.sent(id, now));
         self.paused.extend(which.iter().cloned());
-        self.owed.retain(|id| !which.contains(id));
+        self.owed.retain(|id, _| !which.contains(id));
         which.into_iter().map(|id| Deed::Ask(id, Ask::Pause(DbTerm(term.0 + 1)))).collect()
     }
 
@@ -1595,11 +1672,12 @@
         let Some(target) = Self::successor(facts) else { return Vec::new() };
         let others: Vec<_> =
             facts.replicas().map(|(id, _)| id.clone()).filter(|id| *id != target).collect();
+        self.renumber();
         let mut deeds = Vec::new();
         if others.is_empty() {
             deeds.push(Deed::Ask(target.clone(), Ask::Describe));
         }
-        deeds.extend(self.pause(others, term));
+        deeds.extend(self.pause(others, term, now));
         self.stage = Stage::Fencing {
             target: Some(target),
             slow,
@@ -1626,12 +1704,30 @@
     pub fn told(
         &mut self,
         facts: &Facts,
+        attempt: Attempt,
         of: &InstanceId,
         ask: Ask,
         told: &Told,
         now: Tick,
     ) -> Vec<Deed> {
         let lead = facts.lead.clone();
+        // Unanswered it may still be carried out; the time says when not.
+        match (ask, told) {
+            (_, Told::Reached | Told::Silent) => {}
+            _ if attempt.epoch != self.attempt.epoch => {}
+            (Ask::Pause(_), _) => self.pausing.ended(of),
+            (Ask::Continue, _) => self.letting_go.ended(of),
+            _ => {}
+        }
+        let late = match (&self.stage, ask) {
+            // Whoever leads a newer term does so whenever it was asked.
+            (Stage::Posting { .. }, Ask::Describe) => false,
+            (_, Ask::Pause(_) | Ask::Describe) => attempt != self.attempt,
+            (_, Ask::Continue | Ask::StepDown(_)) => false,
+        };
+        if late {
+            return Vec::new();
+        }
         match (&mut self.stage, ask, told) {
             (Stage::Doubting { reached, .. }, Ask::Describe, Told::Reached) => {
                 *reached = true;
@@ -1639,10 +1735,24 @@
             }
             (_, _, Told::Reached) => Vec::new(),
             (_, Ask::Continue, told) => {
-                if matches!(told, Told::Row(_)) {
+                if matches!(told, Told::Row(_))
+                    && self.owed.get(of).is_some_and(|since| attempt >= *since)
+                    && !self.pausing.under_way(of, now)
+                {
                     self.owed.remove(of);
                 }
-                Vec::new()
+                // A pause may have waited for this.
+                match (&self.stage, lead) {
+                    (Stage::Fencing { target, rows, .. }, Some(lead))
+                        if target.as_ref() != Some(of)
+                            && !rows.contains_key(of)
+                            && !self.pausing.under_way(of, now)
+                            && facts.replicas().any(|(id, _)| id == of) =>
+                    {
+                        self.pause(vec![of.clone()], lead.term, now)
+                    }
+                    _ => Vec::new(),
+                }
             }
             (Stage::Founding { .. }, Ask::Describe, Told::Row(row)) if lead.is_none() => {
                 self.stage = Stage::Steady;
@@ -1796,6 +1906,7 @@
     pub fn posted(
         &mut self,
         facts: &Facts,
+        attempt: Attempt,
         of: &InstanceId,
         posted: Posted,
         now: Tick,
@@ -1803,7 +1914,7 @@
         let Stage::Posting { target, in_flight, perhaps, tried, .. } = &mut self.stage else {
             return Vec::new();
         };
-        if of != target {
+        if of != target || attempt != self.attempt {
             return Vec::new();
         }
         *in_flight = false;
@@ -1896,9 +2007,9 @@
                 };
                 if !self.owed.is_empty() && now.since(self.owed_asked) > OWED_AGAIN_MS {
                     self.owed_asked = now;
-                    self.owed.retain(|id| facts.replicas().any(|(replica, _)| replica == id));
-                    let living = self.owed.iter().filter(|id| facts.beating.contains(*id));
-                    return living.map(|id| Deed::Ask(id.clone(), Ask::Continue)).collect();
+                    self.owed.retain(|id, _| facts.replicas().any(|(replica, _)| replica == id));
+                    let living = self.owed.keys().filter(|id| facts.beating.contains(*id));
+                    return self.ask_to_go_on(living.cloned().collect(), now);
                 }
                 let rested = self.rested.is_none_or(|t| now.since(t) > 1_000);
                 if primary.lifecycle_state == Lifecycle::Draining && rested {
@@ -1906,8 +2017,7 @@
                 }
                 if !facts.beating.contains(id) && self.trusted.is_none_or(|t| now.since(t) > 2_000)
                 {
-                    self.stage = Stage::Doubting { asked: now, reached: false };
-                    return vec![Deed::Ask(id.clone(), Ask::Describe)];
+                    return self.doubt(id, now);
                 }
             }
             Stage::Founding { .. } => self.stage = Stage::Steady,
@@ -1957,7 +2067,7 @@
                         .map(|(id, _)| id.clone())
                         .filter(|id| !rows.contains_key(id))
                         .collect();
-                    deeds = self.pause(missing, lead.term);
+                    deeds = self.pause(missing, lead.term, now);
                     if waited > 2 * ASK_AGAIN_MS && listed.is_some() {
                         deeds.push(Deed::Ask(lead.primary.clone(), Ask::Describe));
                     }
@@ -1977,9 +2087,15 @@
                 // settles it.
                 let left = facts.database(target).is_none();
                 let again = now >= tried.plus(POST_AGAIN_MS);
-                if !*in_flight && (again || (left && *tried > now)) {
+                // What came of a call may have gone by while this leader was not certain of leading.
+                let unheard = *in_flight && now.since(*tried) > POST_UNHEARD_MS;
+                if unheard {
+                    *perhaps = Some(now);
+                }
+                if (!*in_flight && (again || (left && *tried > now))) || unheard {
                     *in_flight = true;
                     *tried = now;
+                    self.attempt.number += 1;
                     deeds.push(Deed::Post(target.clone()));
                 }
                 if perhaps.is_some_and(|t| now.since(t) > LOOK_AGAIN_MS)
@@ -2438,8 +2554,8 @@
     /// A connection of ours to another steward.
     Linked(MemberId, Option<Wire>),
     Http(Request, SyncSender<Response>),
-    Told(ServiceName, InstanceId, Ask, Told),
-    Posted(ServiceName, InstanceId, Posted),
+    Told(ServiceName, InstanceId, Ask, Attempt, Told),
+    Posted(ServiceName, InstanceId, Attempt, Posted),
     /// What a steward said to the wish to join, or to the question whether this id still belongs.
     Standing(MemberId, SocketAddr, Option<Joined>),
     /// The write under way has ended, with its error if it failed.
@@ -2623,7 +2739,7 @@
     known_leader: Option<MemberId>,
     /// Questions to databases: how many are under way, and those that wait.
     asking: usize,
-    questions: VecDeque<(ServiceName, InstanceId, Ask)>,
+    questions: VecDeque<(ServiceName, InstanceId, Ask, Attempt)>,
 }
 
 /// One that reads nothing for so long, or should speak and does not, is let go.
@@ -2930,7 +3046,7 @@
 fn post_failover(
     provider: SocketAddr,
     holder: &str,
-    fence: Epoch,
+    fence: u64,
     service: &ServiceName,
     target: &InstanceId,
 ) -> Posted {
@@ -3170,18 +3286,20 @@
             Input::Frame(conn, Frame::Stile(message)) => self.hear_stile(conn, message, now),
             Input::Frame(..) => {}
             Input::Http(request, reply) => self.answer_http(request, reply, now),
-            Input::Told(service, id, ask, told) => {
+            Input::Told(service, id, ask, attempt, told) => {
                 if told != Told::Reached {
                     self.asking -= 1;
                     self.ask_on();
                     info!(target: "failover", "{service}: {id} on {ask:?}: {told:?}");
                 }
-                self.move_on(&service, now, |s, facts| s.told(facts, &id, ask, &told, now));
+                self.move_on(&service, now, |s, facts| {
+                    s.told(facts, attempt, &id, ask, &told, now)
+                });
             }
             Input::Saved(saved) => self.saved(saved, now),
-            Input::Posted(service, id, posted) => {
+            Input::Posted(service, id, attempt, posted) => {
                 info!(target: "failover", "{service}: promote of {id}: {posted:?}");
-                self.move_on(&service, now, |s, facts| s.posted(facts, &id, posted, now));
+                self.move_on(&service, now, |s, facts| s.posted(facts, attempt, &id, posted, now));
             }
         }
     }
@@ -3536,6 +3654,7 @@
         let patience = MISSED_BEATS * self.settings.heartbeat_ms;
         let mut facts = Facts {
             service: service.clone(),
+            epoch: self.hedge.kept.epoch,
             databases: self
                 .almanac
                 .of_service(service)
@@ -3605,12 +3724,13 @@
         if before != std::mem::discriminant(&succession.stage) {
             info!(target: "failover", "{service}: now {}", stage_name(&succession.stage));
         }
+        let attempt = succession.attempt;
         for deed in deeds {
-            self.carry_out(service, deed, now);
+            self.carry_out(service, deed, attempt, now);
         }
     }
 
-    fn carry_out(&mut self, service: &ServiceName, deed: Deed, now: Tick) {
+    fn carry_out(&mut self, service: &ServiceName, deed: Deed, attempt: Attempt, now: Tick) {
         match deed {
             Deed::Propose(change) => {
                 self.propose(&change, now);
@@ -3628,7 +3748,7 @@
             }
             Deed::Ask(id, ask) => {
                 // The same question twice is one; beyond the bound whoever needs it asks again.
-                let question = (service.clone(), id, ask);
+                let question = (service.clone(), id, ask, attempt);
                 if self.questions.len() < QUESTIONS_WAITING && !self.questions.contains(&question) {
                     self.questions.push_back(question);
                 }
@@ -3640,17 +3760,16 @@
                     return;
                 };
                 let (provider, holder) = (provider.address, self.settings.node_name.clone());
-                let (tx, service, fence) =
-                    (self.tx.clone(), service.clone(), self.hedge.kept.epoch);
+                let (tx, service, fence) = (self.tx.clone(), service.clone(), attempt.fence());
                 let again = (self.tx.clone(), service.clone(), target.clone());
                 let started = start_thread(move || {
                     let posted = post_failover(provider, &holder, fence, &service, &target);
                     // The core may have ended meanwhile.
-                    drop(tx.send(Input::Posted(service, target, posted)));
+                    drop(tx.send(Input::Posted(service, target, attempt, posted)));
                 });
                 if !started {
                     let (tx, service, target) = again;
-                    drop(tx.send(Input::Posted(service, target, Posted::Busy)));
+                    drop(tx.send(Input::Posted(service, target, attempt, Posted::Busy)));
                 }
             }
         }
@@ -3659,7 +3778,7 @@
     /// Asks databases what waits to be asked, so many at a time: dark ones take long to answer.
     fn ask_on(&mut self) {
         while self.asking < MAX_ASKS
-            && let Some((service, id, ask)) = self.questions.pop_front()
+            && let Some((service, id, ask, attempt)) = self.questions.pop_front()
         {
             let Some(record) = self.almanac.instances.get(&id) else {
                 continue;
@@ -3670,12 +3789,12 @@
                 let reached = || {
                     if ask == Ask::Describe {
                         let (service, id) = (service.clone(), id.clone());
-                        drop(tx.send(Input::Told(service, id, ask, Told::Reached)));
+                        drop(tx.send(Input::Told(service, id, ask, attempt, Told::Reached)));
                     }
                 };
                 let told = ask_database(&service, &id, address, ask, reached);
                 // The core may have ended meanwhile.
-                drop(tx.send(Input::Told(service, id, ask, told)));
+                drop(tx.send(Input::Told(service, id, ask, attempt, told)));
             });
             // Without a thread it is not asked; whoever needs the answer asks again.
             self.asking += usize::from(started);
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -28,6 +28,7 @@
     let replica = database(Lifecycle::Available, Role::Replica, "v1");
     Facts {
         service: "s".into(),
+        epoch: Epoch(1),
         lead: Some(Lead { term: DbTerm(1), primary: "a".into(), intent: None }),
         databases: vec![
             ("a".into(), database(Lifecycle::Available, Role::Primary, "v1")),
@@ -65,24 +66,35 @@
     book.renewed(node, now);
     told
 }
-fn fencing(facts: &Facts, now: Tick) -> Succession {
+/// A new leader took it up, and the replicas answered that they go on.
+fn begun(facts: &Facts, now: Tick) -> Succession {
     let (mut s, first) = Succession::begin(facts, now);
-    assert_eq!(
-        first,
-        [ask("b", Ask::Continue), ask("c", Ask::Continue)],
-        "earlier pauses are let go"
-    );
+    let replicas = facts.databases[1..].iter().map(|(id, _)| Deed::Ask(id.clone(), Ask::Continue));
+    assert_eq!(first, replicas.collect::<Vec<_>>(), "earlier pauses are let go");
+    went_on(&mut s, facts, now);
+    s
+}
+fn went_on(s: &mut Succession, facts: &Facts, now: Tick) {
+    for (id, _) in &facts.databases[1..] {
+        s.told(facts, s.attempt, id, Ask::Continue, &row(false, 1, at(7)), now);
+    }
+}
+fn fencing(facts: &Facts, now: Tick) -> Succession {
+    let mut s = begun(facts, now);
     let deeds = s.suspect(facts, &"n1".into(), &"a".into(), Doubt::Broken, now);
     assert_eq!(deeds, [ask("a", Ask::Describe)], "it is asked itself first");
-    let deeds = s.told(facts, &"a".into(), Ask::Describe, &Told::Lost, now);
+    let deeds = s.told(facts, s.attempt, &"a".into(), Ask::Describe, &Told::Lost, now);
     assert_eq!(deeds, [Deed::Revoke(DbTerm(1)), ask("b", PAUSE), ask("c", PAUSE)]);
     s
 }
 /// As far as a call that may be under way.
 fn posting(facts: &mut Facts, now: Tick) -> Succession {
     let mut s = fencing(facts, now);
-    assert!(s.told(facts, &"b".into(), PAUSE, &row(false, 1, at(7)), now).is_empty());
-    assert_eq!(s.told(facts, &"c".into(), PAUSE, &row(false, 1, at(9)), now), [intend("c")]);
+    assert!(s.told(facts, s.attempt, &"b".into(), PAUSE, &row(false, 1, at(7)), now).is_empty());
+    assert_eq!(
+        s.told(facts, s.attempt, &"c".into(), PAUSE, &row(false, 1, at(9)), now),
+        [intend("c")]
+    );
     assert!(s.tick(facts, now).is_empty(), "not before it is committed");
     intended(facts, "c");
     assert_eq!(s.tick(facts, now), [Deed::Post("c".into())]);
@@ -98,12 +110,13 @@
     let (mut facts, now) = (facts(), Tick(50_000));
     let mut s = posting(&mut facts, now);
     assert_eq!(s.sealed, Some(at(9)), "reads may go on up to there");
-    assert!(s.posted(&facts, &"c".into(), Posted::Accepted, now).is_empty());
+    assert!(s.posted(&facts, s.attempt, &"c".into(), Posted::Accepted, now).is_empty());
     assert_eq!(
         s.beat(&facts, &"c".into(), Role::Primary, now.plus(300)),
         [ask("c", Ask::Describe)]
     );
-    let deeds = s.told(&facts, &"c".into(), Ask::Describe, &row(true, 2, at(9)), now.plus(310));
+    let deeds =
+        s.told(&facts, s.attempt, &"c".into(), Ask::Describe, &row(true, 2, at(9)), now.plus(310));
     assert_eq!(deeds, [ask("a", Ask::StepDown(DbTerm(2)))]);
     assert!(s.tick(&facts, now.plus(400)).is_empty(), "old leases may still be used");
     facts.leases_gone = true;
@@ -120,17 +133,19 @@
     for told in [row(true, 1, at(9)), Told::Alive] {
         let (mut s, _) = Succession::begin(&facts, now);
         s.suspect(&facts, &"n1".into(), &"a".into(), Doubt::Silent, now);
-        assert!(s.told(&facts, &"a".into(), Ask::Describe, &told, now).is_empty());
+        assert!(s.told(&facts, s.attempt, &"a".into(), Ask::Describe, &told, now).is_empty());
         assert_eq!(s.stage, Stage::Steady);
     }
     // Also after the pause, as long as nothing was posted.
     let mut s = fencing(&facts, now);
-    let deeds = s.told(&facts, &"a".into(), Ask::Describe, &row(true, 1, at(9)), now);
+    let deeds = s.told(&facts, s.attempt, &"a".into(), Ask::Describe, &row(true, 1, at(9)), now);
     assert_eq!(deeds, [ask("b", Ask::Continue), ask("c", Ask::Continue)]);
     assert!(!s.revoking);
     // Once posted it is too late for that.
     let mut s = posting(&mut facts, now);
-    assert!(s.told(&facts, &"a".into(), Ask::Describe, &row(true, 1, at(9)), now).is_empty());
+    assert!(
+        s.told(&facts, s.attempt, &"a".into(), Ask::Describe, &row(true, 1, at(9)), now).is_empty()
+    );
     assert!(matches!(s.stage, Stage::Posting { .. }));
 }
 
@@ -138,12 +153,15 @@
 fn a_replica_that_was_not_heard_to_go_on_is_told_again() {
     let (facts, now) = (facts(), Tick(50_000));
     let mut s = fencing(&facts, now);
-    s.told(&facts, &"a".into(), Ask::Describe, &row(true, 1, at(9)), now);
-    s.told(&facts, &"b".into(), Ask::Continue, &row(false, 1, at(9)), now);
-    s.told(&facts, &"c".into(), Ask::Continue, &Told::Silent, now);
+    for id in ["b", "c"] {
+        s.told(&facts, s.attempt, &id.into(), PAUSE, &Told::Alive, now);
+    }
+    s.told(&facts, s.attempt, &"a".into(), Ask::Describe, &row(true, 1, at(9)), now);
+    s.told(&facts, s.attempt, &"b".into(), Ask::Continue, &row(false, 1, at(9)), now);
+    s.told(&facts, s.attempt, &"c".into(), Ask::Continue, &Told::Silent, now);
     assert!(s.tick(&facts, now.plus(500)).is_empty());
     assert_eq!(s.tick(&facts, now.plus(1_100)), [ask("c", Ask::Continue)]);
-    s.told(&facts, &"c".into(), Ask::Continue, &row(false, 1, at(9)), now.plus(1_110));
+    s.told(&facts, s.attempt, &"c".into(), Ask::Continue, &row(false, 1, at(9)), now.plus(1_110));
     assert!(s.tick(&facts, now.plus(2_500)).is_empty());
 }
 
@@ -151,13 +169,13 @@
 fn three_stiles_that_hear_nothing_are_enough_unless_the_machine_is_reached() {
     let (facts, now) = (facts(), Tick(50_000));
     for reached in [false, true] {
-        let (mut s, _) = Succession::begin(&facts, now);
+        let mut s = begun(&facts, now);
         for (who, after, deeds) in [("n1", 0, 1), ("n1", 5, 0), ("n2", 10, 0), ("n3", 15, 0)] {
             let done = s.suspect(&facts, &who.into(), &"a".into(), Doubt::Silent, now.plus(after));
             assert_eq!(done.len(), deeds, "{who}");
         }
         if reached {
-            s.told(&facts, &"a".into(), Ask::Describe, &Told::Reached, now.plus(16));
+            s.told(&facts, s.attempt, &"a".into(), Ask::Describe, &Told::Reached, now.plus(16));
         }
         let deeds = s.tick(&facts, now.plus(40));
         if reached {
@@ -180,7 +198,7 @@
     let mut look = |at: u64, took: u64| {
         s.suspect(&facts, &"n1".into(), &"a".into(), Doubt::Silent, now.plus(at));
         let answer = row(true, 1, nine);
-        s.told(&facts, &"a".into(), Ask::Describe, &answer, now.plus(at + took)).len()
+        s.told(&facts, s.attempt, &"a".into(), Ask::Describe, &answer, now.plus(at + took)).len()
     };
     // at, the answer took, deeds: quick, slow once, quick, slow once, slow again, slow once more
     let table = [(0, 20, 0), (500, 400, 0), (1_500, 20, 0), (4_000, 400, 0), (5_000, 400, 1)];
@@ -203,10 +221,11 @@
             s.suspect(&facts, &who, &"a".into(), Doubt::Broken, now.plus(at_ms));
         }
         let fine = row(true, 1, at(9));
-        s.told(&facts, &"a".into(), Ask::Describe, &fine, now.plus(at_ms + 5));
+        s.told(&facts, s.attempt, &"a".into(), Ask::Describe, &fine, now.plus(at_ms + 5));
         let doubted =
             s.suspect(&facts, &"n0".into(), &"a".into(), Doubt::Broken, now.plus(at_ms + 400));
-        let deeds = s.told(&facts, &"a".into(), Ask::Describe, &fine, now.plus(at_ms + 410));
+        let deeds =
+            s.told(&facts, s.attempt, &"a".into(), Ask::Describe, &fine, now.plus(at_ms + 410));
         let planned = matches!(s.stage, Stage::Fencing { target: Some(_), .. });
         assert_eq!(planned, left, "{stiles} {times} {apart}: {doubted:?} {deeds:?}");
         assert!(!s.revoking);
@@ -219,12 +238,12 @@
     for (told, deeds) in [(Told::Silent, vec![ask("a", Ask::Describe)]), (Told::Lost, Vec::new())] {
         let (mut s, _) = Succession::begin(&facts, now);
         s.suspect(&facts, &"n1".into(), &"a".into(), Doubt::Broken, now);
-        let done = s.told(&facts, &"a".into(), Ask::Describe, &told, now.plus(300));
+        let done = s.told(&facts, s.attempt, &"a".into(), Ask::Describe, &told, now.plus(300));
         if deeds.is_empty() {
             assert!(matches!(s.stage, Stage::Fencing { .. }));
         } else {
             assert_eq!(done, deeds);
-            s.told(&facts, &"a".into(), Ask::Describe, &told, now.plus(600));
+            s.told(&facts, s.attempt, &"a".into(), Ask::Describe, &told, now.plus(600));
             assert!(matches!(s.stage, Stage::Fencing { .. }), "twice is enough");
         }
     }
@@ -246,7 +265,7 @@
     for (given_back, sync_replicas, may) in table {
         let facts = Facts { sync_replicas, ..facts() };
         let mut s = fencing(&facts, now);
-        let mut deeds = s.told(&facts, &"b".into(), PAUSE, &row(false, 1, at(7)), now);
+        let mut deeds = s.told(&facts, s.attempt, &"b".into(), PAUSE, &row(false, 1, at(7)), now);
         let facts = Facts { given_back, ..facts };
         if deeds.is_empty() {
             assert!(s.tick(&facts, now.plus(20)).is_empty(), "the other may still answer");
@@ -270,8 +289,11 @@
         facts.databases[1].1.lifecycle_state = Lifecycle::Draining;
         facts.given_back = Some(Some(at(passed_on)));
         let mut s = fencing(&facts, now);
-        assert!(s.told(&facts, &"b".into(), PAUSE, &row(false, 1, at(9)), now).is_empty());
-        let mut deeds = s.told(&facts, &"c".into(), PAUSE, &row(false, 1, at(other)), now);
+        assert!(
+            s.told(&facts, s.attempt, &"b".into(), PAUSE, &row(false, 1, at(9)), now).is_empty()
+        );
+        let mut deeds =
+            s.told(&facts, s.attempt, &"c".into(), PAUSE, &row(false, 1, at(other)), now);
         if deeds.is_empty() {
             deeds = s.tick(&facts, now.plus(320));
         }
@@ -280,11 +302,11 @@
     // A target that left is settled by the refusal, and the call is made again at once.
     let mut facts = facts();
     let mut s = posting(&mut facts, now);
-    s.posted(&facts, &"c".into(), Posted::Accepted, now);
+    s.posted(&facts, s.attempt, &"c".into(), Posted::Accepted, now);
     assert!(s.tick(&facts, now.plus(100)).is_empty());
     facts.databases.pop();
     assert_eq!(s.tick(&facts, now.plus(110)), [Deed::Post("c".into())]);
-    let deeds = s.posted(&facts, &"c".into(), Posted::Refused, now.plus(120));
+    let deeds = s.posted(&facts, s.attempt, &"c".into(), Posted::Refused, now.plus(120));
     assert!(matches!(deeds.as_slice(), [Deed::Propose(Change::Abandon { .. })]), "{deeds:?}");
 }
 
@@ -304,9 +326,9 @@
         facts.lead = facts.lead.take().map(|lead| Lead { intent: None, ..lead });
         let mut s = posting(&mut facts, now);
         for posted in before {
-            assert!(s.posted(&facts, &"c".into(), *posted, now).is_empty());
+            assert!(s.posted(&facts, s.attempt, &"c".into(), *posted, now).is_empty());
         }
-        let deeds = s.posted(&facts, &"c".into(), Posted::Refused, now.plus(later));
+        let deeds = s.posted(&facts, s.attempt, &"c".into(), Posted::Refused, now.plus(later));
         assert_eq!(
             deeds.as_slice(),
             if settled { std::slice::from_ref(&abandon) } else { &[] },
@@ -316,7 +338,7 @@
     // An unclear call is made again, with the same target.
     facts.lead = facts.lead.take().map(|lead| Lead { intent: None, ..lead });
     let mut s = posting(&mut facts, now);
-    s.posted(&facts, &"c".into(), Posted::Unclear, now);
+    s.posted(&facts, s.attempt, &"c".into(), Posted::Unclear, now);
     let deeds = s.tick(&facts, now.plus(400));
     assert!(deeds.contains(&Deed::Post("c".into())), "{deeds:?}");
     // Given up in the log, whenever that is noticed: fenced anew, and nothing is called meanwhile.
@@ -343,27 +365,36 @@
     facts.databases[0].1.lifecycle_state = Lifecycle::Draining;
     facts.databases.push(("d".into(), database(Lifecycle::Available, Role::Replica, "v2")));
     facts.beating.insert("d".into());
-    let (mut s, _) = Succession::begin(&facts, now);
+    let mut s = begun(&facts, now);
     let deeds = s.tick(&facts, now);
     assert_eq!(deeds, [ask("b", PAUSE), ask("c", PAUSE)], "the newest revision is left to receive");
     assert!(!s.revoking, "leases go on: every further commit is on the target");
-    assert!(s.told(&facts, &"b".into(), PAUSE, &row(false, 1, at(7)), now).is_empty());
-    let deeds = s.told(&facts, &"c".into(), PAUSE, &row(false, 1, at(9)), now);
+    assert!(s.told(&facts, s.attempt, &"b".into(), PAUSE, &row(false, 1, at(7)), now).is_empty());
+    let deeds = s.told(&facts, s.attempt, &"c".into(), PAUSE, &row(false, 1, at(9)), now);
     assert_eq!(deeds, [ask("d", Ask::Describe)]);
     assert!(
-        s.told(&facts, &"d".into(), Ask::Describe, &row(false, 1, at(8)), now).is_empty(),
+        s.told(&facts, s.attempt, &"d".into(), Ask::Describe, &row(false, 1, at(8)), now)
+            .is_empty(),
         "not there yet"
     );
     assert_eq!(s.tick(&facts, now.plus(120)), [ask("d", Ask::Describe)]);
-    let deeds = s.told(&facts, &"d".into(), Ask::Describe, &row(false, 1, at(11)), now.plus(130));
+    let deeds = s.told(
+        &facts,
+        s.attempt,
+        &"d".into(),
+        Ask::Describe,
+        &row(false, 1, at(11)),
+        now.plus(130),
+    );
     assert_eq!(deeds, [intend("d")]);
     intended(&mut facts, "d");
     s.tick(&facts, now.plus(140));
-    let deeds = s.told(&facts, &"d".into(), Ask::Describe, &row(true, 2, at(11)), now.plus(500));
+    let deeds =
+        s.told(&facts, s.attempt, &"d".into(), Ask::Describe, &row(true, 2, at(11)), now.plus(500));
     assert_eq!(deeds, [Deed::Revoke(DbTerm(1)), ask("a", Ask::StepDown(DbTerm(2)))]);
     // A target that never catches up: everything is let go.
     facts.lead = facts.lead.take().map(|lead| Lead { intent: None, ..lead });
-    let (mut s, _) = Succession::begin(&facts, now);
+    let mut s = begun(&facts, now);
     s.tick(&facts, now);
     assert_eq!(s.tick(&facts, now.plus(3_100)), [ask("b", Ask::Continue), ask("c", Ask::Continue)]);
 }
@@ -377,7 +408,7 @@
     assert!(s.beat(&facts, &"b".into(), Role::Replica, now).is_empty());
     assert_eq!(s.beat(&facts, &"a".into(), Role::Primary, now), [ask("a", Ask::Describe)]);
     assert_eq!(
-        s.told(&facts, &"a".into(), Ask::Describe, &row(true, 4, at(2)), now),
+        s.told(&facts, s.attempt, &"a".into(), Ask::Describe, &row(true, 4, at(2)), now),
         [led("a", 4)]
     );
 }
