A replica that left counts as one that does not answer, until others have its log

Cause: `choose` counted the replicas that are listed now. One that had been acknowledged for and left took its log along, and the number of answers needed shrank with it: with primary P, R1 deaf and R2 leaving, R2 goes, P dies, R1 alone was enough, and commits that only P and R2 had were lost. The same for an old primary that leaves after its successor took over, for one dropped after 60 s of silence, and for a planned change, which asked the listed ones only.

Such a one counts among those that may hold a copy: answers needed are listed + departed + 1 - sync. It is struck off by `Covered` once `sync_replicas` listed replicas have said that they received what the primary had 2 s after the goodbye. That takes one question to the primary and one to each replica; who does not get there is asked ever more rarely. One that was paused in the same attempt and left since has answered. A planned change waits until nothing is open. A late `Covered` does not strike off one that was back in between.

Ruled out: holding back the answer to the goodbye (the database ends all the same); looking during the drain (it receives until it ends); pausing it while it drains (its reads would age).

Also: the 257th departure made the first one's late beats count again. 4,096 are kept now, found by id, each once.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1098,6 +1098,13 @@
     /// Databases that left, with their last sequence: a late beat must not bring them back.
     gone: VecDeque<(InstanceId, u64)>,
     pub leads: BTreeMap<ServiceName, Lead>,
+    /// The same as `gone` by id; made anew when a state is read.
+    #[serde(skip)]
+    gone_by_id: BTreeMap<InstanceId, u64>,
+    /// Databases that left and took a log along that may hold what no listed one has, each with
+    /// its last sequence. They count like such that don't answer, until others have it all.
+    #[serde(default)]
+    departed: BTreeMap<ServiceName, BTreeMap<InstanceId, u64>>,
 }
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -1143,6 +1150,11 @@
         service: ServiceName,
         target: InstanceId,
     },
+    /// Enough listed replicas have all that was acknowledged before these left.
+    Covered {
+        service: ServiceName,
+        departed: BTreeMap<InstanceId, u64>,
+    },
 }
 
 /// What became of a change.
@@ -1156,7 +1168,10 @@
     NotAbove,
 }
 
-const GONE_KEPT: usize = 256;
+/// More than leave while a beat can be under way; a full list takes about 90 KB of a snapshot.
+const GONE_KEPT: usize = 4096;
+/// Of one service. As many as there are synchronous replicas bar every choice already.
+const DEPARTED_KEPT: usize = 64;
 const TAKEN_KEPT: usize = 4096;
 
 /// FNV-1a: only to tell a resend from another body under the same revision.
@@ -1175,6 +1190,8 @@
             let service = record.instance.target_service.clone();
             almanac.by_service.entry(service).or_default().insert(id.clone());
         }
+        // Files of older programs may name one twice; the newest counts.
+        almanac.gone_by_id = almanac.gone.iter().cloned().collect();
         Ok(almanac)
     }
     fn unlist(&mut self, id: &InstanceId) -> Option<Record> {
@@ -1202,7 +1219,7 @@
     }
     /// Whether a beat tells anything that must be kept.
     pub fn news(&self, id: &InstanceId, instance: &Instance, sequence: u64) -> bool {
-        if self.gone.iter().any(|(old, last)| old == id && sequence <= *last) {
+        if self.gone_by_id.get(id).is_some_and(|last| sequence <= *last) {
             return false;
         }
         match self.instances.get(id) {
@@ -1230,6 +1247,10 @@
                 }
                 self.unlist(id);
                 let service = instance.target_service.clone();
+                // Back with its log.
+                if let Some(departed) = self.departed.get_mut(&service) {
+                    departed.remove(id);
+                }
                 self.by_service.entry(service).or_default().insert(id.clone());
                 let record = Record { instance: instance.clone(), sequence: *sequence };
                 self.instances.insert(id.clone(), record);
@@ -1238,9 +1259,24 @@
                 let Some(record) = self.unlist(id) else {
                     return Effect::Nothing;
                 };
-                self.gone.push_back((id.clone(), record.sequence.max(*sequence)));
-                if self.gone.len() > GONE_KEPT {
-                    self.gone.pop_front();
+                let last = record.sequence.max(*sequence);
+                if self.gone_by_id.insert(id.clone(), last).is_some() {
+                    self.gone.retain(|(old, _)| old != id);
+                }
+                self.gone.push_back((id.clone(), last));
+                if self.gone.len() > GONE_KEPT
+                    && let Some((oldest, _)) = self.gone.pop_front()
+                {
+                    self.gone_by_id.remove(&oldest);
+                }
+                let service = record.instance.target_service;
+                // Nothing is acknowledged before a service has a lead.
+                if self.leads.contains_key(&service) {
+                    let departed = self.departed.entry(service).or_default();
+                    departed.insert(id.clone(), last);
+                    if departed.len() > DEPARTED_KEPT {
+                        departed.pop_first();
+                    }
                 }
             }
             Change::Led { service, term, primary } => {
@@ -1260,9 +1296,27 @@
                 Some(lead) if lead.intent.as_ref() == Some(target) => lead.intent = None,
                 _ => return Effect::Nothing,
             },
+            Change::Covered { service, departed } => {
+                let Some(left) = self.departed.get_mut(service) else {
+                    return Effect::Nothing;
+                };
+                // One that was back in between has left with more.
+                left.retain(|id, last| departed.get(id) != Some(last));
+                if left.is_empty() {
+                    self.departed.remove(service);
+                }
+            }
         }
         Effect::Done
     }
+    /// Those of a service that left with a log that may be missing; the primary's is known to be.
+    pub fn departed(&self, service: &ServiceName) -> BTreeMap<InstanceId, u64> {
+        let mut departed = self.departed.get(service).cloned().unwrap_or_default();
+        if let Some(lead) = self.leads.get(service) {
+            departed.remove(&lead.primary);
+        }
+        departed
+    }
     fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = (&InstanceId, &Instance)> {
         let ids = self.by_service.get(service).into_iter().flatten();
         ids.filter_map(|id| self.instances.get_key_value(id)).map(|(id, r)| (id, &r.instance))
@@ -1336,6 +1390,8 @@
     pub lead: Option<Lead>,
     /// Every listed database of the service.
     pub databases: Vec<(InstanceId, Instance)>,
+    /// Replicas that left and may hold the only copy of a commit; see `Almanac::departed`.
+    pub departed: BTreeMap<InstanceId, u64>,
     /// Those whose beats came lately.
     pub beating: BTreeSet<InstanceId>,
     pub sync_replicas: u32,
@@ -1354,6 +1410,10 @@
         let primary = self.lead.as_ref().map(|l| l.primary.clone());
         self.databases.iter().filter(move |(id, _)| Some(id) != primary.as_ref())
     }
+    /// All that a commit may have been acknowledged for, besides the primary.
+    fn holders(&self) -> impl Iterator<Item = &InstanceId> {
+        self.replicas().map(|(id, _)| id).chain(self.departed.keys())
+    }
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -1405,6 +1465,12 @@
 /// A machine in reach takes a connection well within this.
 const DARK_MS: u64 = 25;
 const ASK_AGAIN_MS: u64 = 400;
+/// A database that said goodbye receives nothing more after this; it may repeat the goodbye once.
+const ENDED_MS: u64 = 2_000;
+/// The replicas have this long to reach the mark; then a rest, a longer one each time.
+const COVER_PATIENCE_MS: u64 = 1_500;
+const COVER_REST_MS: u64 = 1_000;
+const COVER_REST_MOST_MS: u64 = 16_000;
 const POST_AGAIN_MS: u64 = 300;
 /// A call that got an answer or none at all is not under way any more after this.
 const POST_SETTLED_MS: u64 = 2_000;
@@ -1436,6 +1502,26 @@
 /// A primary that just proved itself is not doubted again for this long.
 const TRUST_MS: u64 = 300;
 
+/// One look at whether the listed replicas have what some that left may have taken along.
+#[derive(Clone, Debug)]
+struct Cover {
+    attempt: Attempt,
+    departed: BTreeMap<InstanceId, u64>,
+    began: Tick,
+    asked: Tick,
+    /// How far the primary was after they had ended.
+    mark: Option<Position>,
+    holders: BTreeSet<InstanceId>,
+}
+
+impl Cover {
+    fn ask(&self, facts: &Facts) -> Vec<Deed> {
+        let living = facts.replicas().map(|(id, _)| id).filter(|id| facts.beating.contains(*id));
+        let missing = living.filter(|id| !self.holders.contains(*id));
+        missing.map(|id| Deed::Ask(id.clone(), Ask::Describe)).collect()
+    }
+}
+
 /// Orders of one kind that databases have not answered yet.
 #[derive(Clone, Debug, Default)]
 struct Orders(BTreeMap<InstanceId, (u32, Tick)>);
@@ -1477,6 +1563,11 @@
     /// not paused while it is being let go, nor taken for let go while it is being paused.
     pausing: Orders,
     letting_go: Orders,
+    /// Who left, and since when this leader knows it.
+    departed: BTreeMap<InstanceId, (u64, Tick)>,
+    cover: Option<Cover>,
+    cover_due: Tick,
+    cover_rest: u64,
     owed_asked: Tick,
     stepped_down: Option<Tick>,
     slow_tried: Option<Tick>,
@@ -1502,6 +1593,10 @@
             owed: BTreeMap::new(),
             pausing: Orders::default(),
             letting_go: Orders::default(),
+            departed: BTreeMap::new(),
+            cover: None,
+            cover_due: now,
+            cover_rest: COVER_REST_MS,
             owed_asked: now,
             stepped_down: None,
             slow_tried: None,
@@ -1669,6 +1764,10 @@
     /// Begins a planned change: all replicas but the target are paused, so that from then on every
     /// acknowledged commit is on the target, and the primary serves until the promote.
     fn plan(&mut self, facts: &Facts, term: DbTerm, slow: bool, now: Tick) -> Vec<Deed> {
+        // What one that left may have taken along no pause brings out: first others must have it.
+        if !facts.departed.is_empty() {
+            return Vec::new();
+        }
         let Some(target) = Self::successor(facts) else { return Vec::new() };
         let others: Vec<_> =
             facts.replicas().map(|(id, _)| id.clone()).filter(|id| *id != target).collect();
@@ -1688,6 +1787,63 @@
         deeds
     }
 
+    /// A replica that left took its log along, and was acknowledged for until it ended. What it had
+    /// is safe once enough listed ones have all that the primary had after that.
+    fn cover(&mut self, facts: &Facts, primary: &InstanceId, now: Tick) -> Vec<Deed> {
+        self.departed.retain(|id, (last, _)| facts.departed.get(id) == Some(last));
+        for (id, last) in &facts.departed {
+            self.departed.entry(id.clone()).or_insert((*last, now));
+        }
+        if self.departed.is_empty() {
+            (self.cover, self.cover_rest) = (None, COVER_REST_MS);
+            return Vec::new();
+        }
+        if let Some(cover) = &mut self.cover {
+            if now.since(cover.began) > COVER_PATIENCE_MS {
+                self.cover = None;
+                self.cover_due = now.plus(self.cover_rest);
+                self.cover_rest = (2 * self.cover_rest).min(COVER_REST_MOST_MS);
+            } else if cover.mark.is_some() && now.since(cover.asked) > ASK_AGAIN_MS {
+                cover.asked = now;
+                return cover.ask(facts);
+            }
+            return Vec::new();
+        }
+        let ended = self.departed.iter().filter(|(_, (_, at))| now.since(*at) >= ENDED_MS);
+        let departed: BTreeMap<_, _> = ended.map(|(id, (last, _))| (id.clone(), *last)).collect();
+        if departed.is_empty() || now < self.cover_due {
+            return Vec::new();
+        }
+        self.renumber();
+        let (attempt, holders) = (self.attempt, BTreeSet::new());
+        let cover = Cover { attempt, departed, began: now, asked: now, mark: None, holders };
+        self.cover = Some(cover);
+        vec![Deed::Ask(primary.clone(), Ask::Describe)]
+    }
+    fn looked(&mut self, facts: &Facts, of: &InstanceId, row: &Described, now: Tick) -> Vec<Deed> {
+        let (Some(cover), Some(lead)) = (&mut self.cover, &facts.lead) else {
+            return Vec::new();
+        };
+        if lead.primary == *of {
+            if cover.mark.is_some() || !row.primary || row.term != lead.term {
+                return Vec::new();
+            }
+            (cover.mark, cover.asked) = (Some(row.received), now);
+            return cover.ask(facts);
+        }
+        if cover.mark.is_some_and(|mark| row.received >= mark) {
+            cover.holders.insert(of.clone());
+        }
+        let holding = facts.replicas().filter(|(id, _)| cover.holders.contains(id)).count();
+        if holding < (facts.sync_replicas as usize).max(1) {
+            return Vec::new();
+        }
+        let (service, departed) = (facts.service.clone(), std::mem::take(&mut cover.departed));
+        self.cover = None;
+        self.cover_due = now.plus(COVER_REST_MS);
+        vec![Deed::Propose(Change::Covered { service, departed })]
+    }
+
     /// The replica a planned change should go to, so that one promote is enough.
     fn successor(facts: &Facts) -> Option<InstanceId> {
         facts
@@ -1719,6 +1875,14 @@
             (Ask::Continue, _) => self.letting_go.ended(of),
             _ => {}
         }
+        if let (Ask::Describe, Some(cover)) = (ask, &self.cover)
+            && cover.attempt == attempt
+        {
+            return match told {
+                Told::Row(row) => self.looked(facts, of, row, now),
+                _ => Vec::new(),
+            };
+        }
         let late = match (&self.stage, ask) {
             // Whoever leads a newer term does so whenever it was asked.
             (Stage::Posting { .. }, Ask::Describe) => false,
@@ -1852,7 +2016,7 @@
         let furthest = rows.values().map(|r| r.received).max();
         let chosen = match target {
             Some(target) => {
-                let fenced = facts.replicas().all(|(id, _)| id == target || rows.contains_key(id));
+                let fenced = facts.holders().all(|id| id == target || rows.contains_key(id));
                 // Commits that no paused replica can vouch for must have been given back.
                 let safe = match (fenced, &facts.given_back) {
                     (true, _) if facts.sync_replicas > 0 => true,
@@ -1865,9 +2029,10 @@
                 (safe && whole).then(|| target.clone())
             }
             None => {
-                let replicas = facts.replicas().count();
-                let needed = (replicas + 1).saturating_sub(facts.sync_replicas as usize).max(1);
-                let answered = facts.replicas().filter(|(id, _)| rows.contains_key(id)).count();
+                let holders = facts.holders().count();
+                let needed = (holders + 1).saturating_sub(facts.sync_replicas as usize).max(1);
+                // One that was paused and left since has said all that it took along.
+                let answered = facts.holders().filter(|id| rows.contains_key(*id)).count();
                 let fenced = facts.sync_replicas > 0 && answered >= needed;
                 let patient = now.since(*since) < VOUCH_AFTER_MS;
                 let vouched =
@@ -2011,7 +2176,12 @@
                     let living = self.owed.keys().filter(|id| facts.beating.contains(*id));
                     return self.ask_to_go_on(living.cloned().collect(), now);
                 }
+                let looks = self.cover(facts, id, now);
+                if !looks.is_empty() {
+                    return looks;
+                }
                 let rested = self.rested.is_none_or(|t| now.since(t) > 1_000);
+                let rested = rested && facts.departed.is_empty();
                 if primary.lifecycle_state == Lifecycle::Draining && rested {
                     return self.plan(facts, lead.term, false, now);
                 }
@@ -3406,6 +3576,10 @@
             Change::Abandon { service, target } => {
                 info!(target: "failover", "{service}: {target} is not running, given up");
             }
+            Change::Covered { service, departed } => {
+                let names: Vec<String> = departed.keys().map(|id| id.to_string()).collect();
+                info!(target: "failover", "{service}: others have what {} had", names.join(", "));
+            }
         }
         if let Change::Led { service, .. }
         | Change::Intend { service, .. }
@@ -3660,12 +3834,17 @@
                 .of_service(service)
                 .map(|(id, i)| (id.clone(), i.clone()))
                 .collect(),
+            departed: BTreeMap::new(),
             beating: BTreeSet::new(),
             sync_replicas: self.services.get(service).map_or(0, |s| s.sync_replicas),
             leases_gone: false,
             given_back: None,
             lead,
         };
+        // Without synchronous replicas no copy is counted on.
+        if facts.sync_replicas > 0 {
+            facts.departed = self.almanac.departed(service);
+        }
         if let Some(office) = &self.office {
             let beats = |id: &&InstanceId| {
                 office.beats.get(*id).is_some_and(|(at, _)| now.since(*at) < patience)
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -1,12 +1,12 @@
 //! Databases under losses in a row: whose answer counts, and who may hold the only copy.
 use silvertack::common::config::{Instance, Lifecycle, Role};
 use silvertack::common::ids::*;
-use silvertack::common::peer::Doubt;
+use silvertack::common::peer::{Doubt, pack};
 use silvertack::common::wire::Described;
 use silvertack::steward::{
-    Ask, Attempt, Change, Deed, Facts, Lead, Posted, Stage, Succession, Told,
+    Almanac, Ask, Attempt, Change, Deed, Effect, Facts, Lead, Posted, Stage, Succession, Told,
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 fn at(number: u64) -> Position {
     Position { term: DbTerm(1), number }
@@ -34,6 +34,7 @@
             ("c".into(), database(Role::Replica)),
         ],
         beating: BTreeSet::from(["a".into(), "b".into(), "c".into()]),
+        departed: BTreeMap::new(),
         sync_replicas: 1,
         leases_gone: false,
         given_back: None,
@@ -163,3 +164,543 @@
     let next = Attempt { epoch: Epoch(4), number: 0 };
     assert!(before.fence() < s.attempt.fence() && s.attempt.fence() < next.fence());
 }
+
+fn intend(target: &str) -> Deed {
+    let (service, target) = ("s".into(), target.into());
+    Deed::Propose(Change::Intend { service, term: DbTerm(1), target })
+}
+/// `c` has left.
+fn without_c(facts: &Facts) -> Facts {
+    let mut facts = facts.clone();
+    facts.databases.retain(|(id, _)| *id != "c".into());
+    facts.beating.remove(&"c".into());
+    facts.departed.insert("c".into(), u64::MAX);
+    facts
+}
+
+#[test]
+fn a_replica_that_left_counts_as_one_that_does_not_answer() {
+    let now = Tick(50_000);
+    // `b` has 7. How far `c` was when it was paused in this attempt, if it was; what the stiles
+    // vouch for; synchronous replicas; whether `b` may take over.
+    let table = [
+        (None, None, 1, false),
+        (None, Some(Some(at(8))), 1, false),
+        (None, Some(Some(at(7))), 1, true),
+        (None, None, 2, true),
+        (Some(7), None, 1, true),
+        (Some(8), None, 1, false),
+        (Some(8), Some(Some(at(7))), 1, true),
+    ];
+    for (paused, given_back, sync_replicas, may) in table {
+        let listed = Facts { sync_replicas, ..facts() };
+        let left = Facts { given_back, ..without_c(&listed) };
+        let mut s = begun(&listed, now);
+        let fence = |asked: &[&str]| asked.iter().map(|id| ask(id, PAUSE)).collect::<Vec<_>>();
+        match paused {
+            Some(number) => {
+                assert_eq!(lost(&mut s, &listed, now), fence(&["b", "c"]));
+                assert_eq!(tell(&mut s, &listed, "c", PAUSE, number, now), []);
+            }
+            None => assert_eq!(lost(&mut s, &left, now), fence(&["b"])),
+        }
+        let mut deeds = tell(&mut s, &left, "b", PAUSE, 7, now);
+        if deeds.is_empty() {
+            deeds = s.tick(&left, now.plus(320));
+        }
+        let expected = if may { vec![intend("b")] } else { Vec::new() };
+        assert_eq!(deeds, expected, "{paused:?} {given_back:?} {sync_replicas}");
+    }
+}
+
+#[test]
+fn what_one_that_left_had_is_looked_for_with_few_questions() {
+    let (facts, now) = (without_c(&facts()), Tick(50_000));
+    let mut s = begun(&facts, now);
+    let describe = |id| ask(id, Ask::Describe);
+    // It receives, and is waited for, until it has ended.
+    for after in (100..2_100).step_by(100) {
+        assert_eq!(s.tick(&facts, now.plus(after)), [], "after {after}");
+    }
+    let now = now.plus(2_100);
+    assert_eq!(s.tick(&facts, now), [describe("a")]);
+    // `b` has not said it since the primary did.
+    assert_eq!(tell(&mut s, &facts, "b", Ask::Describe, 9, now), []);
+    let before = Attempt { number: s.attempt.number - 1, ..s.attempt };
+    let primary = row(true, at(9));
+    assert_eq!(s.told(&facts, before, &"a".into(), Ask::Describe, &primary, now), []);
+    assert_eq!(
+        s.told(&facts, s.attempt, &"a".into(), Ask::Describe, &primary, now),
+        [describe("b")]
+    );
+    assert_eq!(tell(&mut s, &facts, "b", Ask::Describe, 8, now), []);
+    assert_eq!(s.tick(&facts, now.plus(300)), []);
+    assert_eq!(s.tick(&facts, now.plus(500)), [describe("b")]);
+    let deeds = tell(&mut s.clone(), &facts, "b", Ask::Describe, 9, now.plus(510));
+    let covered = Change::Covered { service: "s".into(), departed: facts.departed.clone() };
+    assert_eq!(deeds, [Deed::Propose(covered)]);
+    // A replica that never gets there is asked ever more rarely.
+    let mut asked = 0;
+    for after in (600..60_000).step_by(100) {
+        for deed in s.tick(&facts, now.plus(after)) {
+            asked += 1;
+            if deed == describe("a") {
+                let deeds = s.told(
+                    &facts,
+                    s.attempt,
+                    &"a".into(),
+                    Ask::Describe,
+                    &primary,
+                    now.plus(after),
+                );
+                asked += deeds.len();
+            }
+        }
+    }
+    assert!((10..40).contains(&asked), "{asked}");
+}
+
+#[test]
+fn a_planned_change_waits_for_what_left() {
+    let now = Tick(50_000);
+    let mut all = facts();
+    all.databases[0].1.lifecycle_state = Lifecycle::Draining;
+    let left = without_c(&all);
+    let mut s = begun(&left, now);
+    assert_eq!(s.tick(&left, now.plus(100)), [], "with `c` gone");
+    let covered = Facts { departed: BTreeMap::new(), ..left };
+    assert_eq!(s.tick(&covered, now.plus(200)), [ask("b", Ask::Describe)]);
+    // One that left in the meantime.
+    assert_eq!(tell(&mut s.clone(), &without_c(&all), "b", Ask::Describe, 9, now.plus(210)), []);
+}
+
+/// The state with a lead, and how a database comes and goes.
+fn almanac() -> Almanac {
+    let mut almanac = Almanac::default();
+    almanac.apply(&Change::Led { service: "s".into(), term: DbTerm(1), primary: "a".into() });
+    almanac
+}
+fn comes(id: &str, sequence: u64) -> Change {
+    Change::Beat { id: id.into(), instance: database(Role::Replica), sequence }
+}
+fn goes(id: &str, sequence: u64) -> Change {
+    Change::Gone { id: id.into(), sequence }
+}
+
+#[test]
+fn who_left_is_kept_until_others_have_what_it_had() {
+    let s = ServiceName::from("s");
+    let departed = |almanac: &Almanac| almanac.departed(&s).into_iter().collect::<Vec<_>>();
+    let covered = |pairs: &[(&str, u64)]| {
+        let departed = pairs.iter().map(|(id, last)| (InstanceId::from(*id), *last)).collect();
+        Change::Covered { service: s.clone(), departed }
+    };
+    let mut almanac = almanac();
+    for change in [comes("a", 1), comes("b", 3), comes("c", 4), goes("b", u64::MAX), goes("c", 0)] {
+        assert_eq!(almanac.apply(&change), Effect::Done);
+    }
+    assert_eq!(departed(&almanac), [("b".into(), u64::MAX), ("c".into(), 4)]);
+    // Another leader has it from a snapshot.
+    almanac = Almanac::read(&pack(&almanac)).expect("as it was packed");
+    // `c` comes back and leaves with more, while others were found to have what it had before.
+    almanac.apply(&comes("c", 8));
+    assert_eq!(departed(&almanac), [("b".into(), u64::MAX)]);
+    almanac.apply(&goes("c", 0));
+    almanac.apply(&covered(&[("b", u64::MAX), ("c", 4)]));
+    assert_eq!(departed(&almanac), [("c".into(), 8)]);
+    // The primary's log is known to be missing; once another leads, it may be missed.
+    almanac.apply(&goes("a", u64::MAX));
+    assert_eq!(departed(&almanac), [("c".into(), 8)]);
+    almanac.apply(&Change::Led { service: s.clone(), term: DbTerm(2), primary: "d".into() });
+    assert_eq!(departed(&almanac), [("a".into(), u64::MAX), ("c".into(), 8)]);
+    almanac.apply(&covered(&[("a", u64::MAX), ("c", 8)]));
+    assert_eq!((departed(&almanac), almanac.apply(&covered(&[]))), (vec![], Effect::Nothing));
+}
+
+#[test]
+fn a_late_beat_brings_nobody_back_after_many_departures() {
+    let mut almanac = almanac();
+    for i in 0..1_000 {
+        almanac.apply(&comes(&format!("d{i}"), 5));
+        almanac.apply(&goes(&format!("d{i}"), u64::MAX));
+    }
+    let bytes = pack(&almanac);
+    for mut almanac in [almanac, Almanac::read(&bytes).expect("as it was packed")] {
+        for i in 0..1_000 {
+            assert_eq!(almanac.apply(&comes(&format!("d{i}"), 6)), Effect::Nothing, "d{i}");
+        }
+    }
+    assert!(bytes.len() < 30_000, "{}", bytes.len());
+}
+
+#[test]
+fn a_state_of_before_is_read() {
+    // As it was laid out: body, revision, taken, instances, gone, leads.
+    let lead = Lead { term: DbTerm(1), primary: "a".into(), intent: None };
+    let gone = [("x".to_owned(), 7_u64), ("y".to_owned(), 2), ("x".to_owned(), 9)];
+    let (body, revision, taken) =
+        (serde_bytes::ByteBuf::new(), 0, BTreeMap::<u64, (u64, u64)>::new());
+    let instances = BTreeMap::<String, (Instance, u64)>::new();
+    let leads = BTreeMap::from([("s", &lead)]);
+    let bytes = pack(&(body, revision, taken, instances, gone, leads));
+    let almanac = Almanac::read(&bytes).expect("read");
+    assert_eq!(almanac.leads[&"s".into()], lead);
+    assert!(almanac.departed(&"s".into()).is_empty());
+    for (id, sequence, news) in [("x", 9, false), ("x", 10, true), ("y", 2, false)] {
+        assert_eq!(almanac.news(&id.into(), &database(Role::Replica), sequence), news, "{id}");
+    }
+    // An entry names its kind, so that new ones leave the others as they were.
+    assert_eq!(pack(&goes("x", 9)), b"\x81\xa4Gone\x92\xa1x\x09");
+}
+
+// ---------------------------------------------------------------------------------------------
+// A service of simulated databases
+
+/// Draws the same numbers for the same seed.
+struct Dice(u64);
+impl Dice {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % n
+    }
+    fn once_in(&mut self, n: u64) -> bool {
+        self.below(n) == 0
+    }
+}
+
+#[derive(Clone)]
+struct Node {
+    /// The term of each commit that it received.
+    log: Vec<u64>,
+    alive: bool,
+    /// Until it has fetched the log it is no copy.
+    fetching: Tick,
+    /// It receives nothing from the primary; the leader's questions do not reach it.
+    deaf: bool,
+    dark: bool,
+    paused: bool,
+    sequence: u64,
+    draining: bool,
+    /// It said goodbye, and ends then.
+    ends: Option<Tick>,
+    died: Option<Tick>,
+}
+impl Node {
+    fn received(&self) -> Position {
+        let term = self.log.last().copied().unwrap_or(0);
+        Position { term: DbTerm(term), number: self.log.len() as u64 }
+    }
+}
+
+enum Due {
+    Order(InstanceId, Ask, Attempt),
+    Told(InstanceId, Ask, Attempt, Told),
+    Post(InstanceId, Attempt),
+    Posted(InstanceId, Attempt, Posted),
+}
+
+/// What the platform knows, databases with their logs, and a leader that sees only what it is told.
+struct Service {
+    dice: Dice,
+    now: Tick,
+    nodes: BTreeMap<InstanceId, Node>,
+    primary: InstanceId,
+    term: u64,
+    sync: usize,
+    /// Acknowledged, as (place, term).
+    acknowledged: BTreeSet<(usize, u64)>,
+    almanac: Almanac,
+    succession: Succession,
+    epoch: u64,
+    due: Vec<(Tick, Due)>,
+    born: u64,
+    promoted: usize,
+    covered: usize,
+    asked: usize,
+    story: Vec<String>,
+}
+
+impl Service {
+    fn new(seed: u64, sync: usize, replicas: usize) -> Self {
+        let facts = Facts { lead: None, databases: Vec::new(), ..facts() };
+        let mut this = Self {
+            dice: Dice(seed),
+            now: Tick(50_000),
+            nodes: BTreeMap::new(),
+            primary: "d0".into(),
+            term: 1,
+            sync,
+            acknowledged: BTreeSet::new(),
+            almanac: Almanac::default(),
+            succession: Succession::begin(&facts, Tick(50_000)).0,
+            epoch: 1,
+            due: Vec::new(),
+            born: 0,
+            promoted: 0,
+            covered: 0,
+            asked: 0,
+            story: Vec::new(),
+        };
+        for _ in 0..=replicas {
+            this.join();
+        }
+        let primary = this.primary.clone();
+        this.almanac.apply(&Change::Led { service: "s".into(), term: DbTerm(1), primary });
+        this.lead_anew();
+        this
+    }
+    fn say(&mut self, what: String) {
+        let at = self.now.0 - 50_000;
+        self.story.push(format!("{at} {what}"));
+    }
+    fn join(&mut self) {
+        let id = InstanceId(format!("d{}", self.born));
+        self.born += 1;
+        self.nodes.insert(
+            id.clone(),
+            Node {
+                log: Vec::new(),
+                alive: true,
+                fetching: self.now.plus(1_200),
+                deaf: false,
+                dark: false,
+                paused: false,
+                sequence: 0,
+                draining: false,
+                ends: None,
+                died: None,
+            },
+        );
+        self.say(format!("{id} joins"));
+        self.beat(&id);
+    }
+    fn beat(&mut self, id: &InstanceId) {
+        let leads = *id == self.primary;
+        let node = self.nodes.get_mut(id).expect("known");
+        node.sequence += 1;
+        let role = if leads { Role::Primary } else { Role::Replica };
+        let mut instance = database(role);
+        if node.draining {
+            instance.lifecycle_state = Lifecycle::Draining;
+        }
+        let sequence = node.sequence;
+        self.almanac.apply(&Change::Beat { id: id.clone(), instance, sequence });
+        if leads {
+            let now = self.now;
+            self.step(|s, facts| s.beat(facts, id, Role::Primary, now));
+        }
+    }
+    fn gone(&mut self, id: &InstanceId, sequence: u64) {
+        self.say(format!("{id} is gone"));
+        self.almanac.apply(&Change::Gone { id: id.clone(), sequence });
+    }
+    fn facts(&self) -> Facts {
+        let there = |id: &&InstanceId| self.nodes[*id].alive && !self.nodes[*id].dark;
+        let listed = self.almanac.instances.iter();
+        Facts {
+            epoch: Epoch(self.epoch),
+            lead: self.almanac.leads.get(&"s".into()).cloned(),
+            databases: listed.map(|(id, r)| (id.clone(), r.instance.clone())).collect(),
+            departed: self.almanac.departed(&"s".into()),
+            beating: self.almanac.instances.keys().filter(there).cloned().collect(),
+            sync_replicas: self.sync as u32,
+            leases_gone: true,
+            ..facts()
+        }
+    }
+    fn lead_anew(&mut self) {
+        self.epoch += 1;
+        self.say("another steward leads".into());
+        let (succession, deeds) = Succession::begin(&self.facts(), self.now);
+        self.succession = succession;
+        self.carry_out(deeds);
+    }
+    fn step(&mut self, step: impl FnOnce(&mut Succession, &Facts) -> Vec<Deed>) {
+        let facts = self.facts();
+        let deeds = step(&mut self.succession, &facts);
+        self.carry_out(deeds);
+    }
+    fn carry_out(&mut self, deeds: Vec<Deed>) {
+        let attempt = self.succession.attempt;
+        for deed in deeds {
+            match deed {
+                Deed::Ask(id, ask) => {
+                    self.asked += 1;
+                    // Now and then one is held up on its way.
+                    let held = if self.dice.once_in(10) { 900 } else { 30 };
+                    let at = self.now.plus(1 + self.dice.below(held));
+                    self.due.push((at, Due::Order(id, ask, attempt)));
+                }
+                Deed::Post(id) => self.due.push((self.now.plus(200), Due::Post(id, attempt))),
+                Deed::Propose(change) => {
+                    self.say(format!("{change:?}"));
+                    self.covered += usize::from(matches!(change, Change::Covered { .. }));
+                    self.almanac.apply(&change);
+                }
+                Deed::Revoke(_) => {}
+            }
+        }
+    }
+    fn happen(&mut self, due: Due) {
+        let now = self.now;
+        match due {
+            Due::Order(id, ask, attempt) => {
+                let (leads, term) = (id == self.primary, DbTerm(self.term));
+                let node = self.nodes.get_mut(&id).expect("known");
+                let told = match node {
+                    Node { alive: false, .. } => Told::Lost,
+                    Node { dark: true, .. } => Told::Silent,
+                    _ => {
+                        node.paused = match ask {
+                            Ask::Pause(_) if !leads => true,
+                            Ask::Continue => false,
+                            _ => node.paused,
+                        };
+                        Told::Row(Described { primary: leads, term, received: node.received() })
+                    }
+                };
+                let wait = if told == Told::Silent { 1_000 } else { 1 + self.dice.below(30) };
+                let held = if self.dice.once_in(10) { 1_500 } else { 0 };
+                self.due.push((now.plus(wait + held), Due::Told(id, ask, attempt, told)));
+            }
+            Due::Told(id, ask, attempt, told) => {
+                self.step(|s, facts| s.told(facts, attempt, &id, ask, &told, now));
+            }
+            Due::Post(id, attempt) => {
+                let posted = match self.nodes[&id].alive {
+                    true => Posted::Accepted,
+                    false => Posted::Refused,
+                };
+                if posted == Posted::Accepted && id != self.primary {
+                    self.promote(&id);
+                }
+                self.due.push((now.plus(20), Due::Posted(id, attempt, posted)));
+            }
+            Due::Posted(id, attempt, posted) => {
+                self.step(|s, facts| s.posted(facts, attempt, &id, posted, now));
+            }
+        }
+    }
+    /// The check of all this: whoever is promoted has everything that was acknowledged.
+    fn promote(&mut self, id: &InstanceId) {
+        self.say(format!("{id} is promoted"));
+        self.promoted += 1;
+        let log = self.nodes[id].log.clone();
+        let lost = self.acknowledged.iter().find(|(place, term)| log.get(*place) != Some(term));
+        assert_eq!(lost, None, "{id} lacks what was acknowledged:\n{}", self.story.join("\n"));
+        self.primary = id.clone();
+        self.term += 1;
+        for (other, node) in &mut self.nodes {
+            let agreed = node.log.iter().zip(&log).take_while(|(a, b)| a == b).count();
+            node.log.truncate(agreed);
+            node.paused &= other != id;
+        }
+    }
+    /// A commit, as far as replicas receive it.
+    fn write(&mut self) {
+        let Some(primary) = self.nodes.get_mut(&self.primary).filter(|p| p.alive) else {
+            return;
+        };
+        primary.log.push(self.term);
+        let log = primary.log.clone();
+        let mut reached = Vec::new();
+        for (id, node) in &mut self.nodes {
+            if *id != self.primary && node.alive {
+                if !node.deaf && !node.paused && self.now >= node.fetching {
+                    node.log.clone_from(&log);
+                }
+                reached.push(node.log.len());
+            }
+        }
+        reached.sort_unstable_by(|a, b| b.cmp(a));
+        let upto = reached.get(self.sync - 1).copied().unwrap_or(0);
+        // What was acknowledged before is not walked through again.
+        let known = self.acknowledged.last().map_or(0, |(place, _)| place + 1);
+        self.acknowledged.extend((known..upto).map(|place| (place, log[place])));
+    }
+    /// A tenth of a second: what is due happens in its order, and commits go on in between.
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 20 {
+            self.now = self.now.plus(20);
+            self.write();
+            while let Some(next) = self.due.iter().position(|(at, _)| *at <= self.now) {
+                let (_, due) = self.due.swap_remove(next);
+                self.happen(due);
+            }
+            let (now, primary) = (self.now, self.primary.clone());
+            if now.0.is_multiple_of(100) {
+                self.step(|s, facts| s.tick(facts, now));
+                let lead = self.almanac.leads[&"s".into()].primary.clone();
+                let unheard = !self.nodes[&lead].alive || self.nodes[&lead].dark;
+                if unheard {
+                    self.step(|s, facts| s.suspect(facts, &"n".into(), &lead, Doubt::Broken, now));
+                }
+                if self.nodes[&primary].alive && primary != lead {
+                    self.beat(&primary);
+                }
+            }
+            let ended = |n: &Node| n.alive && n.ends.is_some_and(|at| now >= at);
+            for node in self.nodes.values_mut().filter(|n| ended(n)) {
+                (node.alive, node.died) = (false, Some(now));
+            }
+        }
+    }
+    /// What strikes databases, drawn.
+    fn trouble(&mut self) {
+        let (now, draw) = (self.now, self.dice.below(12));
+        let listed: Vec<InstanceId> = self.almanac.instances.keys().cloned().collect();
+        if listed.is_empty() {
+            return self.join();
+        }
+        let id = listed[self.dice.below(listed.len() as u64) as usize].clone();
+        let leads = id == self.primary;
+        let standing = listed.iter().filter(|id| self.nodes[*id].alive).count();
+        let sequence = self.nodes[&id].sequence;
+        let node = self.nodes.get_mut(&id).expect("known");
+        match draw {
+            0 | 1 => node.deaf = !node.deaf,
+            2 => node.dark = !node.dark,
+            3 if standing > 2 => (node.alive, node.died) = (false, Some(now)),
+            4 | 5 => {
+                (node.alive, node.deaf, node.dark) = (node.ends.is_none(), false, false);
+                node.died = node.died.filter(|_| !node.alive);
+                node.paused &= node.alive;
+            }
+            6 if standing > 2 && !leads => {
+                node.ends = Some(now.plus(self.dice.below(1_000)));
+                self.gone(&id, u64::MAX);
+            }
+            7 if leads && node.alive => {
+                node.draining = true;
+                self.beat(&id);
+            }
+            8 if node.draining && node.alive => {
+                node.ends = Some(now.plus(500));
+                self.gone(&id, u64::MAX);
+            }
+            9 if !node.alive && !leads => self.gone(&id, sequence),
+            10 if standing < 5 => return self.join(),
+            11 => return self.lead_anew(),
+            _ => return,
+        }
+        self.say(format!("{draw} strikes {id}"));
+    }
+}
+
+#[test]
+fn whoever_is_promoted_has_all_that_was_acknowledged() {
+    let (mut promoted, mut covered) = (0, 0);
+    let seeds = std::env::var("SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(150);
+    for seed in 0..seeds {
+        let sync = 1 + (seed % 2) as usize;
+        let mut service = Service::new(seed, sync, sync + 1 + (seed % 3) as usize);
+        for _ in 0..60 {
+            service.pass(100 + 20 * (seed % 40));
+            service.trouble();
+        }
+        (promoted, covered) = (promoted + service.promoted, covered + service.covered);
+    }
+    println!("{seeds} seeds: {promoted} promoted, {covered} covered");
+    assert!(promoted > seeds as usize / 2 && covered > seeds as usize / 2, "{promoted} {covered}");
+}
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -7,7 +7,7 @@
     Almanac, Ask, Change, Deed, Effect, Facts, Freshness, LEASE_MS, Lead, LeaseBook, Posted, Stage,
     Succession, Tidings, Told,
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 fn at(number: u64) -> Position {
     Position { term: DbTerm(1), number }
@@ -36,6 +36,7 @@
             ("c".into(), replica),
         ],
         beating: BTreeSet::from(["a".into(), "b".into(), "c".into()]),
+        departed: BTreeMap::new(),
         sync_replicas: 1,
         leases_gone: false,
         given_back: None,
