A replica that comes while another is to take over is paused like the rest

Cause: replicas are paused when an attempt begins. One that came after the intent was in the log went on receiving, so a primary that still serves could have commits acknowledged for it alone while the target lags or is deaf.

Now whoever is listed meanwhile is paused with the next step, also by a leader that finds an intent.

Red before: `a_planned_change_waits_for_what_left_and_pauses_whoever_comes` with no newcomer paused. tests/succession.rs: a leader that finds an intent now has to pause the other replica too: stricter.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1609,7 +1609,8 @@
             Some((term, target)) => {
                 this.revoking = true;
                 deeds.push(Deed::Revoke(term));
-                this.paused = facts.replicas().map(|(id, _)| id.clone()).collect();
+                deeds.extend(this.pause_newcomers(facts, &target, now));
+                this.paused.insert(target.clone());
                 this.post(target, now, &mut deeds);
             }
             None if facts.lead.is_some() => {
@@ -1739,6 +1740,15 @@
         which.into_iter().map(|id| Deed::Ask(id, Ask::Pause(DbTerm(term.0 + 1)))).collect()
     }
 
+    /// Replicas that came after the others were paused: a commit that only they receive would be
+    /// acknowledged, and missing at the target.
+    fn pause_newcomers(&mut self, facts: &Facts, target: &InstanceId, now: Tick) -> Vec<Deed> {
+        let Some(lead) = &facts.lead else { return Vec::new() };
+        let new = |id: &&InstanceId| *id != target && !self.paused.contains(*id);
+        let newcomers = facts.replicas().map(|(id, _)| id).filter(new).cloned().collect();
+        self.pause(newcomers, lead.term, now)
+    }
+
     /// The primary was seen slow. Seen so twice in a row it is left, if a replica can take over
     /// at once and the last try was long ago.
     fn leave_slow(&mut self, facts: &Facts, term: DbTerm, now: Tick) -> Vec<Deed> {
@@ -2161,6 +2171,15 @@
         if let Some(deeds) = self.agreed(facts, now) {
             return deeds;
         }
+        if let Stage::Fencing { target: Some(target), .. }
+        | Stage::Intending { target, .. }
+        | Stage::Posting { target, .. } = &self.stage
+        {
+            let deeds = self.pause_newcomers(facts, &target.clone(), now);
+            if !deeds.is_empty() {
+                return deeds;
+            }
+        }
         let listed = facts.database(&lead.primary);
         match &mut self.stage {
             Stage::Steady => {
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -261,7 +261,7 @@
 }
 
 #[test]
-fn a_planned_change_waits_for_what_left() {
+fn a_planned_change_waits_for_what_left_and_pauses_whoever_comes() {
     let now = Tick(50_000);
     let mut all = facts();
     all.databases[0].1.lifecycle_state = Lifecycle::Draining;
@@ -270,8 +270,21 @@
     assert_eq!(s.tick(&left, now.plus(100)), [], "with `c` gone");
     let covered = Facts { departed: BTreeMap::new(), ..left };
     assert_eq!(s.tick(&covered, now.plus(200)), [ask("b", Ask::Describe)]);
-    // One that left in the meantime.
+    // One that left in the meantime, and one that came.
     assert_eq!(tell(&mut s.clone(), &without_c(&all), "b", Ask::Describe, 9, now.plus(210)), []);
+    assert_eq!(s.tick(&all, now.plus(220)), [ask("c", PAUSE)]);
+    tell(&mut s, &all, "c", PAUSE, 9, now.plus(230));
+    assert_eq!(tell(&mut s, &all, "b", Ask::Describe, 9, now.plus(240)), [intend("b")]);
+    all.databases.push(("d".into(), database(Role::Replica)));
+    assert_eq!(s.tick(&all, now.plus(250)), [ask("d", PAUSE)]);
+    let lead = all.lead.take().map(|lead| Lead { intent: Some("b".into()), ..lead });
+    all.lead = lead;
+    assert_eq!(s.tick(&all, now.plus(260)), [Deed::Post("b".into())]);
+    all.databases.push(("e".into(), database(Role::Replica)));
+    assert_eq!(s.tick(&all, now.plus(270)), [ask("e", PAUSE)]);
+    let (_, deeds) = Succession::begin(&all, now.plus(280));
+    let paused = ["c", "d", "e"].map(|id| ask(id, PAUSE));
+    assert_eq!(deeds[1..4], paused, "another leader can't know who was");
 }
 
 /// The state with a lead, and how a database comes and goes.
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -354,7 +354,7 @@
     let mut facts = facts();
     facts.lead = Some(Lead { term: DbTerm(1), primary: "a".into(), intent: Some("b".into()) });
     let (mut s, deeds) = Succession::begin(&facts, now);
-    assert_eq!(deeds, [Deed::Revoke(DbTerm(1)), Deed::Post("b".into())]);
+    assert_eq!(deeds, [Deed::Revoke(DbTerm(1)), ask("c", PAUSE), Deed::Post("b".into())]);
     assert!(s.revoking, "nobody uses the old term meanwhile");
     assert!(s.suspect(&facts, &"n1".into(), &"a".into(), Doubt::Broken, now).is_empty());
 }
