A primary that comes back under another id is known as the primary of its term

Cause: a crashed primary returns with its log and under a new id.

Now whoever answers as primary of the lead's term is that primary: `Returned` puts its new id in place and strikes the old one off, which is no copy of its own. One that answers as primary of an older term is told to step down and doesn't count as paused; no pause holds it.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1155,6 +1155,12 @@
         service: ServiceName,
         departed: BTreeMap<InstanceId, u64>,
     },
+    /// The primary of this term crashed and came back with its log under another id.
+    Returned {
+        service: ServiceName,
+        term: DbTerm,
+        primary: InstanceId,
+    },
 }
 
 /// What became of a change.
@@ -1205,6 +1211,17 @@
         }
         Some(record)
     }
+    fn remember_gone(&mut self, id: &InstanceId, last: u64) {
+        if self.gone_by_id.insert(id.clone(), last).is_some() {
+            self.gone.retain(|(old, _)| old != id);
+        }
+        self.gone.push_back((id.clone(), last));
+        if self.gone.len() > GONE_KEPT
+            && let Some((oldest, _)) = self.gone.pop_front()
+        {
+            self.gone_by_id.remove(&oldest);
+        }
+    }
     /// What `Configure` would come to now.
     pub fn judge(&self, base: Revision, revision: Revision, body: &[u8]) -> Effect {
         if self.taken.get(&revision) == Some(&digest(body)) {
@@ -1260,15 +1277,7 @@
                     return Effect::Nothing;
                 };
                 let last = record.sequence.max(*sequence);
-                if self.gone_by_id.insert(id.clone(), last).is_some() {
-                    self.gone.retain(|(old, _)| old != id);
-                }
-                self.gone.push_back((id.clone(), last));
-                if self.gone.len() > GONE_KEPT
-                    && let Some((oldest, _)) = self.gone.pop_front()
-                {
-                    self.gone_by_id.remove(&oldest);
-                }
+                self.remember_gone(id, last);
                 let service = record.instance.target_service;
                 // Nothing is acknowledged before a service has a lead.
                 if self.leads.contains_key(&service) {
@@ -1306,6 +1315,18 @@
                     self.departed.remove(service);
                 }
             }
+            Change::Returned { service, term, primary } => match self.leads.get_mut(service) {
+                Some(lead) if lead.term == *term && lead.intent.is_none() => {
+                    // The old id is no other copy, and is never used again.
+                    let old = std::mem::replace(&mut lead.primary, primary.clone());
+                    self.unlist(&old);
+                    self.remember_gone(&old, u64::MAX);
+                    if let Some(departed) = self.departed.get_mut(service) {
+                        departed.remove(&old);
+                    }
+                }
+                _ => return Effect::Nothing,
+            },
         }
         Effect::Done
     }
@@ -1977,6 +1998,19 @@
                     _ => self.fence(facts, now),
                 }
             }
+            // No pause holds one that leads. Of the present term it is the primary itself.
+            (Stage::Fencing { .. }, Ask::Pause(_) | Ask::Describe, Told::Row(row))
+                if row.primary =>
+            {
+                let (service, primary) = (facts.service.clone(), of.clone());
+                match lead {
+                    Some(Lead { term, .. }) if row.term == term => {
+                        vec![Deed::Propose(Change::Returned { service, term, primary })]
+                    }
+                    Some(Lead { term, .. }) => vec![Deed::Ask(primary, Ask::StepDown(term))],
+                    None => Vec::new(),
+                }
+            }
             (Stage::Fencing { rows, .. }, Ask::Pause(_) | Ask::Describe, Told::Row(row)) => {
                 rows.insert(of.clone(), row.clone());
                 let deeds = self.choose(facts, now);
@@ -3559,6 +3593,11 @@
     }
 
     fn apply_change(&mut self, change: &Change, waiter: Option<Waiter>, now: Tick) {
+        let primary = match change {
+            Change::Returned { service, .. } => self.almanac.leads.get(service),
+            _ => None,
+        };
+        let old = primary.map(|lead| lead.primary.clone());
         let effect = self.almanac.apply(change);
         if let Some(Waiter { reply, .. }) = waiter {
             // A caller that no longer waits is none of our business.
@@ -3595,6 +3634,12 @@
             Change::Abandon { service, target } => {
                 info!(target: "failover", "{service}: {target} is not running, given up");
             }
+            Change::Returned { service, term, primary } => {
+                if let Some(old) = &old {
+                    self.moved(old, now);
+                }
+                info!(target: "failover", "{service}: {primary} is the primary of term {term}, back");
+            }
             Change::Covered { service, departed } => {
                 let names: Vec<String> = departed.keys().map(|id| id.to_string()).collect();
                 info!(target: "failover", "{service}: others have what {} had", names.join(", "));
@@ -3602,13 +3647,14 @@
         }
         if let Change::Led { service, .. }
         | Change::Intend { service, .. }
-        | Change::Abandon { service, .. } = change
+        | Change::Abandon { service, .. }
+        | Change::Returned { service, .. } = change
         {
             self.move_on(service, now, |s, facts| s.tick(facts, now));
             if let Some(office) = &mut self.office {
                 office.tidings.stir(service);
             }
-            self.renew_due |= matches!(change, Change::Led { .. });
+            self.renew_due |= matches!(change, Change::Led { .. } | Change::Returned { .. });
         }
     }
 
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -330,6 +330,38 @@
     assert_eq!((departed(&almanac), almanac.apply(&covered(&[]))), (vec![], Effect::Nothing));
 }
 
+#[test]
+fn a_primary_that_returns_under_another_id_is_known_again() {
+    let (mut facts, now) = (facts(), Tick(50_000));
+    let mut s = begun(&facts, now);
+    lost(&mut s, &facts, now);
+    tell(&mut s, &facts, "b", PAUSE, 7, now);
+    facts.databases.push(("d".into(), database(Role::Primary)));
+    assert!(s.tick(&facts, now.plus(500)).contains(&ask("d", PAUSE)));
+    let answer = |term| Told::Row(Described { primary: true, term: DbTerm(term), received: at(9) });
+    // One of an older term has not stepped down yet, and is no copy that a pause holds.
+    let older = s.clone().told(&facts, s.attempt, &"d".into(), PAUSE, &answer(0), now.plus(510));
+    assert_eq!(older, [ask("d", Ask::StepDown(DbTerm(1)))]);
+    let deeds = s.told(&facts, s.attempt, &"d".into(), PAUSE, &answer(1), now.plus(510));
+    let (service, primary) = (ServiceName::from("s"), InstanceId::from("d"));
+    let returned = Change::Returned { service, term: DbTerm(1), primary };
+    assert_eq!(deeds, [Deed::Propose(returned.clone())]);
+    let mut almanac = almanac();
+    for change in [comes("a", 1), comes("d", 1)] {
+        almanac.apply(&change);
+    }
+    assert_eq!(almanac.apply(&returned), Effect::Done);
+    assert!(
+        almanac.departed(&"s".into()).is_empty() && !almanac.instances.contains_key(&"a".into())
+    );
+    assert_eq!(almanac.apply(&comes("a", 9)), Effect::Nothing);
+    facts.lead = almanac.leads.get(&"s".into()).cloned();
+    facts.databases.remove(0);
+    assert!(s.tick(&facts, now.plus(1_000)).contains(&ask("d", Ask::Describe)));
+    let deeds = s.told(&facts, s.attempt, &"d".into(), Ask::Describe, &answer(1), now.plus(1_010));
+    assert!(s.stage == Stage::Steady && deeds.contains(&ask("b", Ask::Continue)), "{deeds:?}");
+}
+
 #[test]
 fn a_late_beat_brings_nobody_back_after_many_departures() {
     let mut almanac = almanac();
