--- a/src/model.rs
+++ b/src/model.rs
@@ -10,7 +10,7 @@
 use crate::common::wire::Described;
 use crate::common::{config::Configuration, http::Request, http::Response};
 use crate::steward::{
-    Ask, Effects, Granary, Input, LEASE_MS, Posted, Sheaf, Steward, Told, first_state,
+    Ask, Attempt, Effects, Granary, Input, LEASE_MS, Posted, Sheaf, Steward, Told, first_state,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::cell::RefCell;
@@ -184,8 +184,8 @@
     raft: Vec<(SocketAddr, MemberId, Raft)>,
     sheaf: Option<Sheaf>,
     standing: Vec<(SocketAddr, Member, bool)>,
-    asks: Vec<(ServiceName, InstanceId, Ask)>,
-    posts: Vec<(ServiceName, InstanceId)>,
+    asks: Vec<(ServiceName, InstanceId, Ask, Attempt)>,
+    posts: Vec<(ServiceName, InstanceId, Attempt)>,
     frames: VecDeque<(u64, Arc<[u8]>)>,
     open: BTreeSet<u64>,
 }
@@ -201,12 +201,26 @@
     fn ask_standing(&mut self, at: SocketAddr, member: Member, was: bool) {
         self.standing.push((at, member, was));
     }
-    fn ask_database(&mut self, s: &ServiceName, id: &InstanceId, _: SocketAddr, ask: Ask) -> bool {
-        self.asks.push((s.clone(), id.clone(), ask));
+    fn ask_database(
+        &mut self,
+        service: &ServiceName,
+        id: &InstanceId,
+        _: SocketAddr,
+        ask: Ask,
+        attempt: Attempt,
+    ) -> bool {
+        self.asks.push((service.clone(), id.clone(), ask, attempt));
         true
     }
-    fn post_failover(&mut self, _: SocketAddr, _: &str, _: Epoch, s: &ServiceName, t: &InstanceId) {
-        self.posts.push((s.clone(), t.clone()));
+    fn post_failover(
+        &mut self,
+        _: SocketAddr,
+        _: &str,
+        service: &ServiceName,
+        target: &InstanceId,
+        attempt: Attempt,
+    ) {
+        self.posts.push((service.clone(), target.clone(), attempt));
     }
     fn send(&mut self, conn: u64, frame: Arc<[u8]>) {
         self.frames.push_back((conn, frame));
@@ -288,8 +302,8 @@
     Answer(usize, u64, Option<Response>),
     Act(usize),
     Node(usize, u64),
-    Ask(usize, u64, ServiceName, InstanceId, Ask),
-    Post(usize, u64, ServiceName, InstanceId),
+    Ask(usize, u64, ServiceName, InstanceId, Ask, Attempt),
+    Post(usize, u64, ServiceName, InstanceId, Attempt),
     Promote(ServiceName, usize),
     Write(usize, usize, u64, DbTerm),
     Replicate(usize, usize, DbTerm, Arc<Vec<Write>>),
@@ -784,11 +798,11 @@
                 self.close(conn);
             }
         }
-        for (service, id, ask) in wants.asks {
-            self.soon(held + 1 + upto(5), Event::Ask(number, life, service, id, ask));
+        for (service, id, ask, attempt) in wants.asks {
+            self.soon(held + 1 + upto(5), Event::Ask(number, life, service, id, ask, attempt));
         }
-        for (service, target) in wants.posts {
-            self.soon(held + 1 + upto(20), Event::Post(number, life, service, target));
+        for (service, target, attempt) in wants.posts {
+            self.soon(held + 1 + upto(20), Event::Post(number, life, service, target, attempt));
         }
         self.gather_answers(number, held);
     }
@@ -1285,7 +1299,14 @@
         }
     }
 
-    fn asked(&mut self, from: usize, life: u64, service: ServiceName, id: InstanceId, ask: Ask) {
+    fn asked(
+        &mut self,
+        (from, life): (usize, u64),
+        service: ServiceName,
+        id: InstanceId,
+        ask: Ask,
+        attempt: Attempt,
+    ) {
         let number = self.databases.iter().position(|d| d.id == id);
         let reached = number.filter(|n| {
             let (here, there) = (End::Steward(from), End::Database(*n));
@@ -1323,9 +1344,15 @@
                 (if good { Told::Row(row) } else { Told::Alive }, 1 + late)
             }
         };
-        self.soon(after, Event::Input(from, life, Input::Told(service, id, ask, told)));
+        self.soon(after, Event::Input(from, life, Input::Told(service, id, ask, attempt, told)));
     }
-    fn post(&mut self, from: usize, life: u64, service: ServiceName, target: InstanceId) {
+    fn post(
+        &mut self,
+        (from, life): (usize, u64),
+        service: ServiceName,
+        target: InstanceId,
+        attempt: Attempt,
+    ) {
         let number = self.databases.iter().position(|d| d.id == target);
         let running = number.filter(|n| self.databases[*n].up);
         let (mut posted, mut after) = match running {
@@ -1338,7 +1365,7 @@
         if !self.healed && chance(10) {
             (posted, after) = (Posted::Unclear, 1_000);
         }
-        self.soon(after, Event::Input(from, life, Input::Posted(service, target, posted)));
+        self.soon(after, Event::Input(from, life, Input::Posted(service, target, attempt, posted)));
     }
     fn promote(&mut self, service: &ServiceName, target: usize) {
         let newest = self.of_service(service).into_iter().map(|d| self.databases[d].term).max();
@@ -1836,8 +1863,12 @@
             Event::Answer(who, attempt, response) => self.answered(who, attempt, response),
             Event::Act(who) => self.act(who),
             Event::Node(number, life) => self.node_turn(number, life),
-            Event::Ask(from, life, service, id, ask) => self.asked(from, life, service, id, ask),
-            Event::Post(from, life, service, target) => self.post(from, life, service, target),
+            Event::Ask(from, life, service, id, ask, attempt) => {
+                self.asked((from, life), service, id, ask, attempt);
+            }
+            Event::Post(from, life, service, target, attempt) => {
+                self.post((from, life), service, target, attempt);
+            }
             Event::Promote(service, target) => self.promote(&service, target),
             Event::Write(node, to, life, term) => self.write(node, to, life, term),
             Event::Replicate(from, to, term, log) => self.receive_log(from, to, term, &log),
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1238,6 +1238,13 @@
     /// Databases that left, with their last sequence: a late beat must not bring them back.
     gone: VecDeque<(InstanceId, u64)>,
     pub leads: BTreeMap<ServiceName, Lead>,
+    /// The same as `gone` by id; made anew when a state is read.
+    #[serde(skip)]
+    gone_by_id: BTreeMap<InstanceId, u64>,
+    /// Databases that left and took a log along that may hold what no listed one has, each with
+    /// its last sequence. They count like such that don't answer, until others have it all.
+    #[serde(default)]
+    departed: BTreeMap<ServiceName, BTreeMap<InstanceId, u64>>,
 }
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -1283,6 +1290,17 @@
         service: ServiceName,
         target: InstanceId,
     },
+    /// Enough listed replicas have all that was acknowledged before these left.
+    Covered {
+        service: ServiceName,
+        departed: BTreeMap<InstanceId, u64>,
+    },
+    /// The primary of this term crashed and came back with its log under another id.
+    Returned {
+        service: ServiceName,
+        term: DbTerm,
+        primary: InstanceId,
+    },
 }
 
 /// What became of a change.
@@ -1298,7 +1316,10 @@
     Forgotten,
 }
 
-const GONE_KEPT: usize = 256;
+/// More than leave while a beat can be under way; a full list takes about 90 KB of a snapshot.
+const GONE_KEPT: usize = 4096;
+/// Of one service. As many as there are synchronous replicas bar every choice already.
+const DEPARTED_KEPT: usize = 64;
 const TAKEN_KEPT: usize = 4096;
 
 /// Tells a resend from another body under the same revision.
@@ -1334,6 +1355,8 @@
             let service = record.instance.target_service.clone();
             almanac.by_service.entry(service).or_default().insert(id.clone());
         }
+        // Files of older programs may name one twice; the newest counts.
+        almanac.gone_by_id = almanac.gone.iter().cloned().collect();
         Ok(almanac)
     }
     /// Whether anything was taken yet. Whoever founds a hedge has to wait for enough stewards
@@ -1352,6 +1375,17 @@
         }
         Some(record)
     }
+    fn remember_gone(&mut self, id: &InstanceId, last: u64) {
+        if self.gone_by_id.insert(id.clone(), last).is_some() {
+            self.gone.retain(|(old, _)| old != id);
+        }
+        self.gone.push_back((id.clone(), last));
+        if self.gone.len() > GONE_KEPT
+            && let Some((oldest, _)) = self.gone.pop_front()
+        {
+            self.gone_by_id.remove(&oldest);
+        }
+    }
     /// What `Configure` would come to now.
     pub fn judge(&self, base: Revision, revision: Revision, body: &[u8]) -> Effect {
         // What was taken is acknowledged for ever, also with newer ones in force.
@@ -1372,7 +1406,7 @@
     }
     /// Whether a beat tells anything that must be kept.
     pub fn news(&self, id: &InstanceId, instance: &Instance, sequence: u64) -> bool {
-        if self.gone.iter().any(|(old, last)| old == id && sequence <= *last) {
+        if self.gone_by_id.get(id).is_some_and(|last| sequence <= *last) {
             return false;
         }
         match self.instances.get(id) {
@@ -1400,6 +1434,10 @@
                 }
                 self.unlist(id);
                 let service = instance.target_service.clone();
+                // Back with its log.
+                if let Some(departed) = self.departed.get_mut(&service) {
+                    departed.remove(id);
+                }
                 self.by_service.entry(service).or_default().insert(id.clone());
                 let record = Record { instance: instance.clone(), sequence: *sequence };
                 self.instances.insert(id.clone(), record);
@@ -1408,9 +1446,16 @@
                 let Some(record) = self.unlist(id) else {
                     return Effect::Nothing;
                 };
-                self.gone.push_back((id.clone(), record.sequence.max(*sequence)));
-                if self.gone.len() > GONE_KEPT {
-                    self.gone.pop_front();
+                let last = record.sequence.max(*sequence);
+                self.remember_gone(id, last);
+                let service = record.instance.target_service;
+                // Nothing is acknowledged before a service has a lead.
+                if self.leads.contains_key(&service) {
+                    let departed = self.departed.entry(service).or_default();
+                    departed.insert(id.clone(), last);
+                    if departed.len() > DEPARTED_KEPT {
+                        departed.pop_first();
+                    }
                 }
             }
             Change::Led { service, term, primary } => {
@@ -1430,9 +1475,39 @@
                 Some(lead) if lead.intent.as_ref() == Some(target) => lead.intent = None,
                 _ => return Effect::Nothing,
             },
+            Change::Covered { service, departed } => {
+                let Some(left) = self.departed.get_mut(service) else {
+                    return Effect::Nothing;
+                };
+                // One that was back in between has left with more.
+                left.retain(|id, last| departed.get(id) != Some(last));
+                if left.is_empty() {
+                    self.departed.remove(service);
+                }
+            }
+            Change::Returned { service, term, primary } => match self.leads.get_mut(service) {
+                Some(lead) if lead.term == *term && lead.intent.is_none() => {
+                    // The old id is no other copy, and is never used again.
+                    let old = std::mem::replace(&mut lead.primary, primary.clone());
+                    self.unlist(&old);
+                    self.remember_gone(&old, u64::MAX);
+                    if let Some(departed) = self.departed.get_mut(service) {
+                        departed.remove(&old);
+                    }
+                }
+                _ => return Effect::Nothing,
+            },
         }
         Effect::Done
     }
+    /// Those of a service that left with a log that may be missing; the primary's is known to be.
+    pub fn departed(&self, service: &ServiceName) -> BTreeMap<InstanceId, u64> {
+        let mut departed = self.departed.get(service).cloned().unwrap_or_default();
+        if let Some(lead) = self.leads.get(service) {
+            departed.remove(&lead.primary);
+        }
+        departed
+    }
     fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = (&InstanceId, &Instance)> {
         let ids = self.by_service.get(service).into_iter().flatten();
         ids.filter_map(|id| self.instances.get_key_value(id)).map(|(id, r)| (id, &r.instance))
@@ -1472,6 +1547,23 @@
     Unclear,
 }
 
+/// One try at something, as its questions and calls carry it: an answer to an earlier try says
+/// nothing about a later one. The epoch tells the offices of one process apart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Attempt {
+    pub epoch: Epoch,
+    pub number: u64,
+}
+impl Attempt {
+    /// For the platform: rises with the leader, and with each call of the same leader, so that a
+    /// call that was held up on its way is known to be older than one made since.
+    pub fn fence(self) -> u64 {
+        (self.epoch.0 << ATTEMPT_BITS) | self.number.min((1 << ATTEMPT_BITS) - 1)
+    }
+}
+const ATTEMPT_BITS: u32 = 20;
+
+/// What each is asked belongs to the attempt that is under way when the step ends.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Deed {
     Ask(InstanceId, Ask),
@@ -1484,9 +1576,13 @@
 #[derive(Clone, Debug)]
 pub struct Facts {
     pub service: ServiceName,
+    /// The epoch in which this leader was elected.
+    pub epoch: Epoch,
     pub lead: Option<Lead>,
     /// Every listed database of the service.
     pub databases: Vec<(InstanceId, Instance)>,
+    /// Replicas that left and may hold the only copy of a commit; see `Almanac::departed`.
+    pub departed: BTreeMap<InstanceId, u64>,
     /// Those whose beats came lately.
     pub beating: BTreeSet<InstanceId>,
     pub sync_replicas: u32,
@@ -1505,6 +1601,10 @@
         let primary = self.lead.as_ref().map(|l| l.primary.clone());
         self.databases.iter().filter(move |(id, _)| Some(id) != primary.as_ref())
     }
+    /// All that a commit may have been acknowledged for, besides the primary.
+    fn holders(&self) -> impl Iterator<Item = &InstanceId> {
+        self.replicas().map(|(id, _)| id).chain(self.departed.keys())
+    }
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -1556,11 +1656,22 @@
 /// A machine in reach takes a connection well within this.
 const DARK_MS: u64 = 25;
 const ASK_AGAIN_MS: u64 = 400;
+/// A database that said goodbye receives nothing more after this; it may repeat the goodbye once.
+const ENDED_MS: u64 = 2_000;
+/// The replicas have this long to reach the mark; then a rest, a longer one each time.
+const COVER_PATIENCE_MS: u64 = 1_500;
+const COVER_REST_MS: u64 = 1_000;
+const COVER_REST_MOST_MS: u64 = 16_000;
 const POST_AGAIN_MS: u64 = 300;
 /// A call that got an answer or none at all is not under way any more after this.
 const POST_SETTLED_MS: u64 = 2_000;
+/// A call has ended by then, with an answer or without.
+const POST_UNHEARD_MS: u64 = 3_000;
 const LOOK_AGAIN_MS: u64 = 500;
 const OWED_AGAIN_MS: u64 = 1_000;
+/// An order that was not answered within this is not carried out any more: its connection gave up
+/// long before.
+const ORDER_ENDED_MS: u64 = 3_000;
 /// A slow primary is replaced at most this often.
 const SLOW_AGAIN_MS: u64 = 5_000;
 /// A database that can work answers a question about itself within this.
@@ -1582,10 +1693,53 @@
 /// A primary that just proved itself is not doubted again for this long.
 const TRUST_MS: u64 = 300;
 
+/// One look at whether the listed replicas have what some that left may have taken along.
+#[derive(Clone, Debug)]
+struct Cover {
+    attempt: Attempt,
+    departed: BTreeMap<InstanceId, u64>,
+    began: Tick,
+    asked: Tick,
+    /// How far the primary was after they had ended.
+    mark: Option<Position>,
+    holders: BTreeSet<InstanceId>,
+}
+
+impl Cover {
+    fn ask(&self, facts: &Facts) -> Vec<Deed> {
+        let living = facts.replicas().map(|(id, _)| id).filter(|id| facts.beating.contains(*id));
+        let missing = living.filter(|id| !self.holders.contains(*id));
+        missing.map(|id| Deed::Ask(id.clone(), Ask::Describe)).collect()
+    }
+}
+
+/// Orders of one kind that databases have not answered yet.
+#[derive(Clone, Debug, Default)]
+struct Orders(BTreeMap<InstanceId, (u32, Tick)>);
+impl Orders {
+    fn sent(&mut self, id: &InstanceId, now: Tick) {
+        let (count, asked) = self.0.entry(id.clone()).or_insert((0, now));
+        (*count, *asked) = (*count + 1, now);
+    }
+    fn ended(&mut self, id: &InstanceId) {
+        if let Some((count, _)) = self.0.get_mut(id) {
+            *count -= 1;
+            if *count == 0 {
+                self.0.remove(id);
+            }
+        }
+    }
+    fn under_way(&self, id: &InstanceId, now: Tick) -> bool {
+        self.0.get(id).is_some_and(|(_, asked)| now.since(*asked) < ORDER_ENDED_MS)
+    }
+}
+
 /// Brings one service from primary to primary. Every step is safe to take again.
 #[derive(Clone, Debug)]
 pub struct Succession {
     pub stage: Stage,
+    /// The attempt under way, or the last one.
+    pub attempt: Attempt,
     /// The term whose leases are being taken back; none is granted meanwhile.
     pub revoking: bool,
     /// With the replicas fenced, every acknowledged commit lies at or before this.
@@ -1595,7 +1749,16 @@
     rested: Option<Tick>,
     paused: BTreeSet<InstanceId>,
     /// Let go, but not yet heard to have been: asked again while they live.
-    owed: BTreeSet<InstanceId>,
+    owed: BTreeMap<InstanceId, Attempt>,
+    /// Each order travels on a connection of its own, so two may overtake each other: a replica is
+    /// not paused while it is being let go, nor taken for let go while it is being paused.
+    pausing: Orders,
+    letting_go: Orders,
+    /// Who left, and since when this leader knows it.
+    departed: BTreeMap<InstanceId, (u64, Tick)>,
+    cover: Option<Cover>,
+    cover_due: Tick,
+    cover_rest: u64,
     owed_asked: Tick,
     stepped_down: Option<Tick>,
     slow_tried: Option<Tick>,
@@ -1611,13 +1774,20 @@
     pub fn begin(facts: &Facts, now: Tick) -> (Self, Vec<Deed>) {
         let mut this = Self {
             stage: Stage::Steady,
+            attempt: Attempt { epoch: facts.epoch, number: 0 },
             revoking: false,
             sealed: None,
             suspects: BTreeSet::new(),
             trusted: None,
             rested: None,
             paused: BTreeSet::new(),
-            owed: BTreeSet::new(),
+            owed: BTreeMap::new(),
+            pausing: Orders::default(),
+            letting_go: Orders::default(),
+            departed: BTreeMap::new(),
+            cover: None,
+            cover_due: now,
+            cover_rest: COVER_REST_MS,
             owed_asked: now,
             stepped_down: None,
             slow_tried: None,
@@ -1630,7 +1800,8 @@
             Some((term, target)) => {
                 this.revoking = true;
                 deeds.push(Deed::Revoke(term));
-                this.paused = facts.replicas().map(|(id, _)| id.clone()).collect();
+                deeds.extend(this.pause_newcomers(facts, &target, now));
+                this.paused.insert(target.clone());
                 this.post(target, now, &mut deeds);
             }
             None if facts.lead.is_some() => {
@@ -1647,7 +1818,12 @@
         (self.revoking, self.sealed)
     }
 
+    fn renumber(&mut self) {
+        self.attempt.number += 1;
+    }
+
     fn post(&mut self, target: InstanceId, now: Tick, deeds: &mut Vec<Deed>) {
+        self.renumber();
         deeds.push(Deed::Post(target.clone()));
         self.stage =
             Stage::Posting { target, tried: now, in_flight: true, perhaps: None, looked: now };
@@ -1670,9 +1846,13 @@
 
     fn let_go(&mut self, now: Tick) -> Vec<Deed> {
         let paused = std::mem::take(&mut self.paused);
-        self.owed.extend(paused.iter().cloned());
+        self.owed.extend(paused.iter().map(|id| (id.clone(), self.attempt)));
         self.owed_asked = now;
-        paused.into_iter().map(|id| Deed::Ask(id, Ask::Continue)).collect()
+        self.ask_to_go_on(paused.into_iter().collect(), now)
+    }
+    fn ask_to_go_on(&mut self, which: Vec<InstanceId>, now: Tick) -> Vec<Deed> {
+        which.iter().for_each(|id| self.letting_go.sent(id, now));
+        which.into_iter().map(|id| Deed::Ask(id, Ask::Continue)).collect()
     }
 
     pub fn suspect(
@@ -1704,19 +1884,26 @@
         let planned = matches!(self.stage, Stage::Fencing { target: Some(_), .. });
         match self.stage {
             Stage::Doubting { .. } => self.tick(facts, now),
-            Stage::Steady => {
-                self.stage = Stage::Doubting { asked: now, reached: false };
-                vec![Deed::Ask(lead.primary.clone(), Ask::Describe)]
-            }
+            Stage::Steady => self.doubt(&lead.primary, now),
             _ if planned => vec![Deed::Ask(lead.primary.clone(), Ask::Describe)],
             _ => Vec::new(),
         }
     }
 
+    fn doubt(&mut self, primary: &InstanceId, now: Tick) -> Vec<Deed> {
+        self.renumber();
+        self.stage = Stage::Doubting { asked: now, reached: false };
+        vec![Deed::Ask(primary.clone(), Ask::Describe)]
+    }
+
     fn fence(&mut self, facts: &Facts, now: Tick) -> Vec<Deed> {
         let Some(lead) = &facts.lead else {
             return Vec::new();
         };
+        // The doubt before it asked for no pause, and its question still counts.
+        if !matches!(self.stage, Stage::Doubting { .. }) {
+            self.renumber();
+        }
         self.revoking = true;
         self.suspects.clear();
         self.stage = Stage::Fencing {
@@ -1727,16 +1914,32 @@
             rows: BTreeMap::new(),
         };
         let mut deeds = vec![Deed::Revoke(lead.term)];
-        deeds.extend(self.pause(facts.replicas().map(|(id, _)| id.clone()).collect(), lead.term));
+        deeds.extend(self.pause(
+            facts.replicas().map(|(id, _)| id.clone()).collect(),
+            lead.term,
+            now,
+        ));
         deeds
     }
 
-    fn pause(&mut self, which: Vec<InstanceId>, term: DbTerm) -> Vec<Deed> {
+    /// One that is still being let go is paused once that has ended.
+    fn pause(&mut self, mut which: Vec<InstanceId>, term: DbTerm, now: Tick) -> Vec<Deed> {
+        which.retain(|id| !self.letting_go.under_way(id, now));
+        which.iter().for_each(|id| self.pausing.sent(id, now));
         self.paused.extend(which.iter().cloned());
-        self.owed.retain(|id| !which.contains(id));
+        self.owed.retain(|id, _| !which.contains(id));
         which.into_iter().map(|id| Deed::Ask(id, Ask::Pause(DbTerm(term.0 + 1)))).collect()
     }
 
+    /// Replicas that came after the others were paused: a commit that only they receive would be
+    /// acknowledged, and missing at the target.
+    fn pause_newcomers(&mut self, facts: &Facts, target: &InstanceId, now: Tick) -> Vec<Deed> {
+        let Some(lead) = &facts.lead else { return Vec::new() };
+        let new = |id: &&InstanceId| *id != target && !self.paused.contains(*id);
+        let newcomers = facts.replicas().map(|(id, _)| id).filter(new).cloned().collect();
+        self.pause(newcomers, lead.term, now)
+    }
+
     /// The primary was seen slow. Seen so twice in a row it is left, if a replica can take over
     /// at once and the last try was long ago.
     fn leave_slow(&mut self, facts: &Facts, term: DbTerm, now: Tick) -> Vec<Deed> {
@@ -1762,14 +1965,19 @@
     /// Begins a planned change: all replicas but the target are paused, so that from then on every
     /// acknowledged commit is on the target, and the primary serves until the promote.
     fn plan(&mut self, facts: &Facts, term: DbTerm, slow: bool, now: Tick) -> Vec<Deed> {
+        // What one that left may have taken along no pause brings out: first others must have it.
+        if !facts.departed.is_empty() {
+            return Vec::new();
+        }
         let Some(target) = Self::successor(facts) else { return Vec::new() };
         let others: Vec<_> =
             facts.replicas().map(|(id, _)| id.clone()).filter(|id| *id != target).collect();
+        self.renumber();
         let mut deeds = Vec::new();
         if others.is_empty() {
             deeds.push(Deed::Ask(target.clone(), Ask::Describe));
         }
-        deeds.extend(self.pause(others, term));
+        deeds.extend(self.pause(others, term, now));
         self.stage = Stage::Fencing {
             target: Some(target),
             slow,
@@ -1780,6 +1988,63 @@
         deeds
     }
 
+    /// A replica that left took its log along, and was acknowledged for until it ended. What it had
+    /// is safe once enough listed ones have all that the primary had after that.
+    fn cover(&mut self, facts: &Facts, primary: &InstanceId, now: Tick) -> Vec<Deed> {
+        self.departed.retain(|id, (last, _)| facts.departed.get(id) == Some(last));
+        for (id, last) in &facts.departed {
+            self.departed.entry(id.clone()).or_insert((*last, now));
+        }
+        if self.departed.is_empty() {
+            (self.cover, self.cover_rest) = (None, COVER_REST_MS);
+            return Vec::new();
+        }
+        if let Some(cover) = &mut self.cover {
+            if now.since(cover.began) > COVER_PATIENCE_MS {
+                self.cover = None;
+                self.cover_due = now.plus(self.cover_rest);
+                self.cover_rest = (2 * self.cover_rest).min(COVER_REST_MOST_MS);
+            } else if cover.mark.is_some() && now.since(cover.asked) > ASK_AGAIN_MS {
+                cover.asked = now;
+                return cover.ask(facts);
+            }
+            return Vec::new();
+        }
+        let ended = self.departed.iter().filter(|(_, (_, at))| now.since(*at) >= ENDED_MS);
+        let departed: BTreeMap<_, _> = ended.map(|(id, (last, _))| (id.clone(), *last)).collect();
+        if departed.is_empty() || now < self.cover_due {
+            return Vec::new();
+        }
+        self.renumber();
+        let (attempt, holders) = (self.attempt, BTreeSet::new());
+        let cover = Cover { attempt, departed, began: now, asked: now, mark: None, holders };
+        self.cover = Some(cover);
+        vec![Deed::Ask(primary.clone(), Ask::Describe)]
+    }
+    fn looked(&mut self, facts: &Facts, of: &InstanceId, row: &Described, now: Tick) -> Vec<Deed> {
+        let (Some(cover), Some(lead)) = (&mut self.cover, &facts.lead) else {
+            return Vec::new();
+        };
+        if lead.primary == *of {
+            if cover.mark.is_some() || !row.primary || row.term != lead.term {
+                return Vec::new();
+            }
+            (cover.mark, cover.asked) = (Some(row.received), now);
+            return cover.ask(facts);
+        }
+        if cover.mark.is_some_and(|mark| row.received >= mark) {
+            cover.holders.insert(of.clone());
+        }
+        let holding = facts.replicas().filter(|(id, _)| cover.holders.contains(id)).count();
+        if holding < (facts.sync_replicas as usize).max(1) {
+            return Vec::new();
+        }
+        let (service, departed) = (facts.service.clone(), std::mem::take(&mut cover.departed));
+        self.cover = None;
+        self.cover_due = now.plus(COVER_REST_MS);
+        vec![Deed::Propose(Change::Covered { service, departed })]
+    }
+
     /// The replica a planned change should go to, so that one promote is enough.
     fn successor(facts: &Facts) -> Option<InstanceId> {
         facts
@@ -1796,12 +2061,38 @@
     pub fn told(
         &mut self,
         facts: &Facts,
+        attempt: Attempt,
         of: &InstanceId,
         ask: Ask,
         told: &Told,
         now: Tick,
     ) -> Vec<Deed> {
         let lead = facts.lead.clone();
+        // Unanswered it may still be carried out; the time says when not.
+        match (ask, told) {
+            (_, Told::Reached | Told::Silent) => {}
+            _ if attempt.epoch != self.attempt.epoch => {}
+            (Ask::Pause(_), _) => self.pausing.ended(of),
+            (Ask::Continue, _) => self.letting_go.ended(of),
+            _ => {}
+        }
+        if let (Ask::Describe, Some(cover)) = (ask, &self.cover)
+            && cover.attempt == attempt
+        {
+            return match told {
+                Told::Row(row) => self.looked(facts, of, row, now),
+                _ => Vec::new(),
+            };
+        }
+        let late = match (&self.stage, ask) {
+            // Whoever leads a newer term does so whenever it was asked.
+            (Stage::Posting { .. }, Ask::Describe) => false,
+            (_, Ask::Pause(_) | Ask::Describe) => attempt != self.attempt,
+            (_, Ask::Continue | Ask::StepDown(_)) => false,
+        };
+        if late {
+            return Vec::new();
+        }
         match (&mut self.stage, ask, told) {
             (Stage::Doubting { reached, .. }, Ask::Describe, Told::Reached) => {
                 *reached = true;
@@ -1809,10 +2100,24 @@
             }
             (_, _, Told::Reached) => Vec::new(),
             (_, Ask::Continue, told) => {
-                if matches!(told, Told::Row(_)) {
+                if matches!(told, Told::Row(_))
+                    && self.owed.get(of).is_some_and(|since| attempt >= *since)
+                    && !self.pausing.under_way(of, now)
+                {
                     self.owed.remove(of);
                 }
-                Vec::new()
+                // A pause may have waited for this.
+                match (&self.stage, lead) {
+                    (Stage::Fencing { target, rows, .. }, Some(lead))
+                        if target.as_ref() != Some(of)
+                            && !rows.contains_key(of)
+                            && !self.pausing.under_way(of, now)
+                            && facts.replicas().any(|(id, _)| id == of) =>
+                    {
+                        self.pause(vec![of.clone()], lead.term, now)
+                    }
+                    _ => Vec::new(),
+                }
             }
             (Stage::Founding { .. }, Ask::Describe, Told::Row(row)) if lead.is_none() => {
                 self.stage = Stage::Steady;
@@ -1863,6 +2168,19 @@
                     _ => self.fence(facts, now),
                 }
             }
+            // No pause holds one that leads. Of the present term it is the primary itself.
+            (Stage::Fencing { .. }, Ask::Pause(_) | Ask::Describe, Told::Row(row))
+                if row.primary =>
+            {
+                let (service, primary) = (facts.service.clone(), of.clone());
+                match lead {
+                    Some(Lead { term, .. }) if row.term == term => {
+                        vec![Deed::Propose(Change::Returned { service, term, primary })]
+                    }
+                    Some(Lead { term, .. }) => vec![Deed::Ask(primary, Ask::StepDown(term))],
+                    None => Vec::new(),
+                }
+            }
             (Stage::Fencing { rows, .. }, Ask::Pause(_) | Ask::Describe, Told::Row(row)) => {
                 rows.insert(of.clone(), row.clone());
                 let deeds = self.choose(facts, now);
@@ -1912,7 +2230,7 @@
         let furthest = rows.values().map(|r| r.received).max();
         let chosen = match target {
             Some(target) => {
-                let fenced = facts.replicas().all(|(id, _)| id == target || rows.contains_key(id));
+                let fenced = facts.holders().all(|id| id == target || rows.contains_key(id));
                 // Commits that no paused replica can vouch for must have been given back.
                 let safe = match (fenced, &facts.given_back) {
                     (true, _) if facts.sync_replicas > 0 => true,
@@ -1925,9 +2243,10 @@
                 (safe && whole).then(|| target.clone())
             }
             None => {
-                let replicas = facts.replicas().count();
-                let needed = (replicas + 1).saturating_sub(facts.sync_replicas as usize).max(1);
-                let answered = facts.replicas().filter(|(id, _)| rows.contains_key(id)).count();
+                let holders = facts.holders().count();
+                let needed = (holders + 1).saturating_sub(facts.sync_replicas as usize).max(1);
+                // One that was paused and left since has said all that it took along.
+                let answered = facts.holders().filter(|id| rows.contains_key(*id)).count();
                 let fenced = facts.sync_replicas > 0 && answered >= needed;
                 let patient = now.since(*since) < VOUCH_AFTER_MS;
                 let vouched =
@@ -1966,6 +2285,7 @@
     pub fn posted(
         &mut self,
         facts: &Facts,
+        attempt: Attempt,
         of: &InstanceId,
         posted: Posted,
         now: Tick,
@@ -1973,7 +2293,7 @@
         let Stage::Posting { target, in_flight, perhaps, tried, .. } = &mut self.stage else {
             return Vec::new();
         };
-        if of != target {
+        if of != target || attempt != self.attempt {
             return Vec::new();
         }
         *in_flight = false;
@@ -2055,6 +2375,15 @@
         if let Some(deeds) = self.agreed(facts, now) {
             return deeds;
         }
+        if let Stage::Fencing { target: Some(target), .. }
+        | Stage::Intending { target, .. }
+        | Stage::Posting { target, .. } = &self.stage
+        {
+            let deeds = self.pause_newcomers(facts, &target.clone(), now);
+            if !deeds.is_empty() {
+                return deeds;
+            }
+        }
         let listed = facts.database(&lead.primary);
         match &mut self.stage {
             Stage::Steady => {
@@ -2066,18 +2395,22 @@
                 };
                 if !self.owed.is_empty() && now.since(self.owed_asked) > OWED_AGAIN_MS {
                     self.owed_asked = now;
-                    self.owed.retain(|id| facts.replicas().any(|(replica, _)| replica == id));
-                    let living = self.owed.iter().filter(|id| facts.beating.contains(*id));
-                    return living.map(|id| Deed::Ask(id.clone(), Ask::Continue)).collect();
+                    self.owed.retain(|id, _| facts.replicas().any(|(replica, _)| replica == id));
+                    let living = self.owed.keys().filter(|id| facts.beating.contains(*id));
+                    return self.ask_to_go_on(living.cloned().collect(), now);
+                }
+                let looks = self.cover(facts, id, now);
+                if !looks.is_empty() {
+                    return looks;
                 }
                 let rested = self.rested.is_none_or(|t| now.since(t) > 1_000);
+                let rested = rested && facts.departed.is_empty();
                 if primary.lifecycle_state == Lifecycle::Draining && rested {
                     return self.plan(facts, lead.term, false, now);
                 }
                 if !facts.beating.contains(id) && self.trusted.is_none_or(|t| now.since(t) > 2_000)
                 {
-                    self.stage = Stage::Doubting { asked: now, reached: false };
-                    return vec![Deed::Ask(id.clone(), Ask::Describe)];
+                    return self.doubt(id, now);
                 }
             }
             Stage::Founding { .. } => self.stage = Stage::Steady,
@@ -2127,7 +2460,7 @@
                         .map(|(id, _)| id.clone())
                         .filter(|id| !rows.contains_key(id))
                         .collect();
-                    deeds = self.pause(missing, lead.term);
+                    deeds = self.pause(missing, lead.term, now);
                     if waited > 2 * ASK_AGAIN_MS && listed.is_some() {
                         deeds.push(Deed::Ask(lead.primary.clone(), Ask::Describe));
                     }
@@ -2147,9 +2480,15 @@
                 // settles it.
                 let left = facts.database(target).is_none();
                 let again = now >= tried.plus(POST_AGAIN_MS);
-                if !*in_flight && (again || (left && *tried > now)) {
+                // What came of a call may have gone by while this leader was not certain of leading.
+                let unheard = *in_flight && now.since(*tried) > POST_UNHEARD_MS;
+                if unheard {
+                    *perhaps = Some(now);
+                }
+                if (!*in_flight && (again || (left && *tried > now))) || unheard {
                     *in_flight = true;
                     *tried = now;
+                    self.attempt.number += 1;
                     deeds.push(Deed::Post(target.clone()));
                 }
                 if perhaps.is_some_and(|t| now.since(t) > LOOK_AGAIN_MS)
@@ -2770,8 +3109,8 @@
     Frame(u64, Frame),
     Closed(u64),
     Http(Request, SyncSender<Response>),
-    Told(ServiceName, InstanceId, Ask, Told),
-    Posted(ServiceName, InstanceId, Posted),
+    Told(ServiceName, InstanceId, Ask, Attempt, Told),
+    Posted(ServiceName, InstanceId, Attempt, Posted),
     /// What a steward said to the wish to join, or to the question whether this id still belongs.
     Standing(MemberId, SocketAddr, Option<Joined>),
     /// The write under way has ended, with its error if it failed.
@@ -2796,15 +3135,16 @@
         id: &InstanceId,
         address: SocketAddr,
         ask: Ask,
+        attempt: Attempt,
     ) -> bool;
     /// Calls the platform; `Input::Posted` follows.
     fn post_failover(
         &mut self,
         provider: SocketAddr,
         holder: &str,
-        fence: Epoch,
         service: &ServiceName,
         target: &InstanceId,
+        attempt: Attempt,
     );
     /// Sends a frame over a connection on the peer port, behind all that waits there.
     fn send(&mut self, conn: u64, frame: Arc<[u8]>);
@@ -2988,7 +3328,7 @@
     known_leader: Option<MemberId>,
     /// Questions to databases: how many are under way, and those that wait.
     asking: usize,
-    questions: VecDeque<(ServiceName, InstanceId, Ask)>,
+    questions: VecDeque<(ServiceName, InstanceId, Ask, Attempt)>,
 }
 
 /// One that reads nothing for so long, or should speak and does not, is let go.
@@ -3253,7 +3593,7 @@
 fn post_failover(
     provider: SocketAddr,
     holder: &str,
-    fence: Epoch,
+    fence: u64,
     service: &ServiceName,
     target: &InstanceId,
 ) -> Posted {
@@ -3375,6 +3715,7 @@
         id: &InstanceId,
         address: SocketAddr,
         ask: Ask,
+        attempt: Attempt,
     ) -> bool {
         let (tx, service, id) = (self.tx.clone(), service.clone(), id.clone());
         start_thread(move || {
@@ -3382,33 +3723,35 @@
             let reached = || {
                 if ask == Ask::Describe {
                     let (service, id) = (service.clone(), id.clone());
-                    drop(tx.send(Event::Input(Input::Told(service, id, ask, Told::Reached))));
+                    let told = Input::Told(service, id, ask, attempt, Told::Reached);
+                    drop(tx.send(Event::Input(told)));
                 }
             };
             let told = ask_database(&service, &id, address, ask, reached);
             // The core may have ended meanwhile.
-            drop(tx.send(Event::Input(Input::Told(service, id, ask, told))));
+            drop(tx.send(Event::Input(Input::Told(service, id, ask, attempt, told))));
         })
     }
     fn post_failover(
         &mut self,
         provider: SocketAddr,
         holder: &str,
-        fence: Epoch,
         service: &ServiceName,
         target: &InstanceId,
+        attempt: Attempt,
     ) {
         let (tx, holder) = (self.tx.clone(), holder.to_owned());
         let (service, target) = (service.clone(), target.clone());
         let again = (self.tx.clone(), service.clone(), target.clone());
         let started = start_thread(move || {
-            let posted = post_failover(provider, &holder, fence, &service, &target);
+            let posted = post_failover(provider, &holder, attempt.fence(), &service, &target);
             // The core may have ended meanwhile.
-            drop(tx.send(Event::Input(Input::Posted(service, target, posted))));
+            drop(tx.send(Event::Input(Input::Posted(service, target, attempt, posted))));
         });
         if !started {
             let (tx, service, target) = again;
-            drop(tx.send(Event::Input(Input::Posted(service, target, Posted::Busy))));
+            let busy = Input::Posted(service, target, attempt, Posted::Busy);
+            drop(tx.send(Event::Input(busy)));
         }
     }
     fn send(&mut self, conn: u64, frame: Arc<[u8]>) {
@@ -3689,18 +4032,20 @@
             Input::Frame(conn, Frame::Stile(message)) => self.hear_stile(conn, message, now),
             Input::Frame(..) => {}
             Input::Http(request, reply) => self.answer_http(request, reply, now),
-            Input::Told(service, id, ask, told) => {
+            Input::Told(service, id, ask, attempt, told) => {
                 if told != Told::Reached {
                     self.asking -= 1;
                     self.ask_on();
                     info!(target: "failover", "{service}: {id} on {ask:?}: {told:?}");
                 }
-                self.move_on(&service, now, |s, facts| s.told(facts, &id, ask, &told, now));
+                self.move_on(&service, now, |s, facts| {
+                    s.told(facts, attempt, &id, ask, &told, now)
+                });
             }
             Input::Saved(saved) => self.saved(saved, now),
-            Input::Posted(service, id, posted) => {
+            Input::Posted(service, id, attempt, posted) => {
                 info!(target: "failover", "{service}: promote of {id}: {posted:?}");
-                self.move_on(&service, now, |s, facts| s.posted(facts, &id, posted, now));
+                self.move_on(&service, now, |s, facts| s.posted(facts, attempt, &id, posted, now));
             }
         }
     }
@@ -3770,6 +4115,11 @@
     }
 
     fn apply_change(&mut self, change: &Change, waiter: Option<SyncSender<Response>>, now: Tick) {
+        let primary = match change {
+            Change::Returned { service, .. } => self.almanac.leads.get(service),
+            _ => None,
+        };
+        let old = primary.map(|lead| lead.primary.clone());
         let effect = self.almanac.apply(change);
         if let Some(reply) = waiter {
             // A caller that no longer waits is none of our business.
@@ -3806,16 +4156,27 @@
             Change::Abandon { service, target } => {
                 info!(target: "failover", "{service}: {target} is not running, given up");
             }
+            Change::Returned { service, term, primary } => {
+                if let Some(old) = &old {
+                    self.moved(old, now);
+                }
+                info!(target: "failover", "{service}: {primary} is the primary of term {term}, back");
+            }
+            Change::Covered { service, departed } => {
+                let names: Vec<String> = departed.keys().map(|id| id.to_string()).collect();
+                info!(target: "failover", "{service}: others have what {} had", names.join(", "));
+            }
         }
         if let Change::Led { service, .. }
         | Change::Intend { service, .. }
-        | Change::Abandon { service, .. } = change
+        | Change::Abandon { service, .. }
+        | Change::Returned { service, .. } = change
         {
             self.move_on(service, now, |s, facts| s.tick(facts, now));
             if let Some(office) = &mut self.office {
                 office.tidings.stir(service);
             }
-            self.renew_due |= matches!(change, Change::Led { .. });
+            self.renew_due |= matches!(change, Change::Led { .. } | Change::Returned { .. });
         }
     }
 
@@ -4049,17 +4410,23 @@
         let patience = MISSED_BEATS * self.settings.heartbeat_ms;
         let mut facts = Facts {
             service: service.clone(),
+            epoch: self.hedge.kept.epoch,
             databases: self
                 .almanac
                 .of_service(service)
                 .map(|(id, i)| (id.clone(), i.clone()))
                 .collect(),
+            departed: BTreeMap::new(),
             beating: BTreeSet::new(),
             sync_replicas: self.services.get(service).map_or(0, |s| s.sync_replicas),
             leases_gone: false,
             given_back: None,
             lead,
         };
+        // Without synchronous replicas no copy is counted on.
+        if facts.sync_replicas > 0 {
+            facts.departed = self.almanac.departed(service);
+        }
         if let Some(office) = &self.office {
             let beats = |id: &&InstanceId| {
                 office.beats.get(*id).is_some_and(|(at, _)| now.since(*at) < patience)
@@ -4120,12 +4487,13 @@
         if before != std::mem::discriminant(&succession.stage) {
             info!(target: "failover", "{service}: now {}", stage_name(&succession.stage));
         }
+        let attempt = succession.attempt;
         for deed in deeds {
-            self.carry_out(service, deed, now);
+            self.carry_out(service, deed, attempt, now);
         }
     }
 
-    fn carry_out(&mut self, service: &ServiceName, deed: Deed, now: Tick) {
+    fn carry_out(&mut self, service: &ServiceName, deed: Deed, attempt: Attempt, now: Tick) {
         match deed {
             Deed::Propose(change) => {
                 self.propose(&change, now);
@@ -4141,7 +4509,7 @@
             }
             Deed::Ask(id, ask) => {
                 // The same question twice is one; beyond the bound whoever needs it asks again.
-                let question = (service.clone(), id, ask);
+                let question = (service.clone(), id, ask, attempt);
                 if self.questions.len() < QUESTIONS_WAITING && !self.questions.contains(&question) {
                     self.questions.push_back(question);
                 }
@@ -4152,8 +4520,8 @@
                     warn!(target: "failover", "no provider is set, {service} can't be moved");
                     return;
                 };
-                let (holder, fence) = (&self.settings.node_name, self.hedge.kept.epoch);
-                self.effects.post_failover(provider.address, holder, fence, service, &target);
+                let (at, holder) = (provider.address, &self.settings.node_name);
+                self.effects.post_failover(at, holder, service, &target, attempt);
             }
         }
     }
@@ -4161,13 +4529,13 @@
     /// Asks databases what waits to be asked, so many at a time: dark ones take long to answer.
     fn ask_on(&mut self) {
         while self.asking < MAX_ASKS
-            && let Some((service, id, ask)) = self.questions.pop_front()
+            && let Some((service, id, ask, attempt)) = self.questions.pop_front()
         {
             let Some(record) = self.almanac.instances.get(&id) else {
                 continue;
             };
             let address = record.instance.address;
-            let started = self.effects.ask_database(&service, &id, address, ask);
+            let started = self.effects.ask_database(&service, &id, address, ask, attempt);
             // Without a thread it is not asked; whoever needs the answer asks again.
             self.asking += usize::from(started);
         }
