What is large goes to members in parts, and the log waits for who is catching up

On 2 Mbit/s a configuration of 250 KB took a second, longer than a follower waits.

Now at most 16 KiB of entries, or one part of something larger, are under way to a member before it answers; each answer is a sign of life; heartbeats are left out only behind 64 KiB. A part is sent again when a later heartbeat was answered first, so no timer guesses the link's speed. A transfer keeps its bytes whatever is folded.

Ruled out: a second connection for what is large: it shares the thin link, and two orders would have to be kept apart.

Answers of members that were removed count no more than their wishes for votes did.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -50,9 +50,18 @@
 const PRESENT_MS: u64 = 1_000;
 /// Asked to lead, another does so within this or not at all.
 const HAND_OVER_MS: u64 = 500;
-/// Entries sent in one message; one at least, and well within the largest frame.
+/// Entries sent in one message; one at least.
 const BATCH: usize = 64;
-const BATCH_BYTES: usize = 512 << 10;
+/// So many bytes of entries, or of one part of something larger, are under way to a member before it
+/// has answered: a heartbeat behind them waits no longer than a thin link takes for these.
+const FLIGHT_BYTES: usize = 16 << 10;
+/// Whatever goes in parts is no larger than this.
+const TRANSFER_BYTES: usize = 64 << 20;
+const LAYOUTS_KEPT: usize = 64;
+/// While a member that is there would need a snapshot for it, the log is not folded before it is so
+/// long, or so large.
+const KEEP_AFTER: usize = 8_192;
+const KEEP_BYTES: usize = 4 << 20;
 
 #[derive(Clone, Debug, PartialEq)]
 enum Rank {
@@ -65,12 +74,56 @@
 struct Progress {
     next: Index,
     matched: Index,
+    /// Entries from here up to `next` are under way.
+    flying: Index,
+    /// Too large for one message, so on its way in parts; nothing else but heartbeats goes meanwhile.
+    transfer: Option<Transfer>,
     /// When the newest message that this member answered was sent.
     acked: Tick,
     /// Since when this leader has cared for it.
     since: Tick,
 }
 
+impl Progress {
+    fn new(next: Index, since: Tick) -> Self {
+        let (matched, acked) = (Index(0), Tick(0));
+        Self { next, matched, flying: next, transfer: None, acked, since }
+    }
+    /// Goes on from here; whatever was under way has arrived or is lost.
+    fn go_on(&mut self, next: Index) {
+        (self.next, self.flying) = (next, next);
+    }
+}
+
+/// A message on its way to a member in parts, one after the other. It stays as it is, whatever
+/// happens to the log meanwhile.
+#[derive(Clone, Debug)]
+struct Transfer {
+    id: u64,
+    /// The message, encoded; shared where several members get the same snapshot.
+    bytes: Arc<[u8]>,
+    /// The snapshot's last entry, if it is one.
+    snapshot: Option<Index>,
+    /// The first entry after it.
+    then: Index,
+    /// Answered up to here; the part from here on was sent then.
+    offset: usize,
+    sent: Tick,
+}
+
+/// A message that arrives in parts, bounded by `TRANSFER_BYTES`.
+struct Arriving {
+    leader: MemberId,
+    epoch: Epoch,
+    transfer: u64,
+    size: usize,
+    upto: usize,
+    bytes: Vec<u8>,
+}
+
+/// Whether this program can read what a leader's message holds.
+pub type Vet = fn(&RaftKind) -> Result<(), String>;
+
 /// What differs from the disk.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Dirty {
@@ -150,6 +203,18 @@
     pub dirty: Dirty,
     pub out: Vec<(MemberId, Raft)>,
     spread: fn() -> u64,
+    /// The newest time that was passed in.
+    clock: Tick,
+    /// Transfers begun by this one, and the one under way to it.
+    transfers: u64,
+    arriving: Option<Arriving>,
+    /// The layouts that other members read, as their newest frames say.
+    layouts: BTreeMap<MemberId, u8>,
+    /// Looks at what a leader sends before any of it is taken.
+    pub vet: Vet,
+    /// The leader has something that this program can't read: it was neither taken nor acknowledged,
+    /// and there is no going on.
+    pub refused: Option<String>,
 }
 
 impl Hedge {
@@ -176,6 +241,12 @@
             dirty: Dirty::default(),
             out: Vec::new(),
             spread,
+            clock: now,
+            transfers: 0,
+            arriving: None,
+            layouts: BTreeMap::new(),
+            vet: |_| Ok(()),
+            refused: None,
         };
         hedge.durable = hedge.last().1;
         hedge.recall_members();
@@ -282,6 +353,7 @@
     }
 
     pub fn tick(&mut self, now: Tick) {
+        self.clock = now;
         match &self.role {
             Rank::Leader { since, .. } => {
                 let patience = ELECTION_MIN_MS + ELECTION_SPREAD_MS;
@@ -293,7 +365,7 @@
                 } else if now >= self.next_beat {
                     self.next_beat = now.plus(HEARTBEAT_MS);
                     for id in self.others() {
-                        self.append_to(id, now);
+                        self.append_to(id, true, now);
                     }
                 }
             }
@@ -351,13 +423,7 @@
         self.kept.led = Some(self.kept.epoch);
         self.dirty.hard = true;
         self.leaving = None;
-        self.peers = self
-            .others()
-            .into_iter()
-            .map(|id| {
-                (id, Progress { next: opened, matched: Index(0), acked: Tick(0), since: now })
-            })
-            .collect();
+        self.peers = self.others().into_iter().map(|id| (id, Progress::new(opened, now))).collect();
         self.push(Body::Opened, now);
     }
 
@@ -379,55 +445,176 @@
         self.peers.retain(|id, _| others.contains(id));
         for id in others {
             // A new member starts from the beginning: it can't yet say what it lacks.
-            self.peers.entry(id).or_insert(Progress {
-                next: Index(1),
-                matched: Index(0),
-                acked: Tick(0),
-                since: now,
-            });
-            self.append_to(id, now);
+            self.peers.entry(id).or_insert_with(|| Progress::new(Index(1), now));
+            self.append_to(id, false, now);
         }
         index
     }
-    fn append_to(&mut self, id: MemberId, now: Tick) {
-        let Some(progress) = self.peers.get(&id) else {
+    /// What a member's newest frame says of the layout it reads.
+    pub fn reads(&mut self, id: MemberId, layout: u8) {
+        // Ids of what never was a member are forgotten again.
+        if self.layouts.len() > LAYOUTS_KEPT {
+            self.layouts.retain(|id, _| self.members.iter().any(|m| m.id == *id));
+        }
+        self.layouts.insert(id, layout);
+    }
+
+    /// Sends a member what it lacks, as far as it may be under way at once; a heartbeat goes in any
+    /// case.
+    fn append_to(&mut self, id: MemberId, heartbeat: bool, now: Tick) {
+        let (base, sent, commit) = (self.kept.snapshot.last, now.0, self.commit);
+        let Some(progress) = self.peers.get_mut(&id) else {
             return;
         };
-        let base = self.kept.snapshot.last;
-        if progress.next <= base.1 {
-            let kind = RaftKind::Snapshot { snapshot: self.kept.snapshot.clone(), sent: now.0 };
-            self.say(id, kind);
-            if let Some(progress) = self.peers.get_mut(&id) {
-                progress.next = Index(base.1.0 + 1);
+        let parts = self.layouts.get(&id).is_some_and(|l| *l >= PARTS_LAYOUT);
+        if progress.transfer.as_ref().is_some_and(|t| t.then <= base.1) {
+            // The log has been folded over what comes after it: a newer snapshot is needed anyway.
+            progress.transfer = None;
+            progress.next = Index(1);
+        }
+        if progress.transfer.is_some() {
+            if heartbeat {
+                // The beginning of all logs is agreed on by everybody.
+                let previous = (Epoch(0), Index(0));
+                self.say(id, RaftKind::Append { previous, entries: Vec::new(), commit, sent });
             }
             return;
         }
-        let before = Index(progress.next.0 - 1);
+        if progress.next <= base.1 {
+            progress.go_on(Index(base.1.0 + 1));
+            let snapshot = self.kept.snapshot.clone();
+            let kind = RaftKind::Snapshot { snapshot, sent };
+            return match parts {
+                true => self.transfer_to(id, &kind, Some(base.1), now),
+                false => self.say(id, kind),
+            };
+        }
+        let (next, flying) = (progress.next, progress.flying);
+        let before = Index(next.0 - 1);
         let Some(epoch) = self.epoch_at(before) else {
             return;
         };
-        let from = (before.0 - base.1.0) as usize;
-        let mut room = BATCH_BYTES;
+        let at = |index: Index| (index.0.saturating_sub(base.1.0 + 1)) as usize;
+        let under_way = self.kept.log.get(at(flying)..at(next)).unwrap_or_default();
+        let taken: usize = under_way.iter().map(size).sum();
+        let mut room = FLIGHT_BYTES.saturating_sub(taken);
+        // One goes by itself, however large it is.
+        let mut first = under_way.is_empty();
         let fits = |e: &&Entry| {
-            let goes = room > 0;
+            let goes = std::mem::take(&mut first) || size(e) <= room;
             room = room.saturating_sub(size(e));
             goes
         };
-        let waiting = self.kept.log.iter().skip(from).take(BATCH);
+        let waiting = self.kept.log.iter().skip(at(next)).take(BATCH);
         let entries: Vec<Entry> = waiting.take_while(fits).cloned().collect();
-        let next = Index(progress.next.0 + entries.len() as u64);
-        let (commit, sent) = (self.commit, now.0);
-        self.say(id, RaftKind::Append { previous: (epoch, before), entries, commit, sent });
+        if entries.is_empty() && !heartbeat {
+            return;
+        }
+        let next = Index(next.0 + entries.len() as u64);
+        let large = entries.iter().map(size).sum::<usize>() > FLIGHT_BYTES;
+        let kind = RaftKind::Append { previous: (epoch, before), entries, commit, sent };
         if let Some(progress) = self.peers.get_mut(&id) {
             progress.next = next;
         }
+        match large && parts {
+            true => self.transfer_to(id, &kind, None, now),
+            false => self.say(id, kind),
+        }
+    }
+    fn transfer_to(&mut self, id: MemberId, kind: &RaftKind, snapshot: Option<Index>, now: Tick) {
+        let mut others = self.peers.values().filter_map(|p| p.transfer.as_ref());
+        let same = others.find(|t| snapshot.is_some() && t.snapshot == snapshot);
+        let bytes = same.map_or_else(|| pack(kind).into(), |t| Arc::clone(&t.bytes));
+        self.transfers += 1;
+        let transfer = self.transfers;
+        if let Some(progress) = self.peers.get_mut(&id) {
+            let then = progress.next;
+            let begun = Transfer { id: transfer, bytes, snapshot, then, offset: 0, sent: now };
+            progress.transfer = Some(begun);
+        }
+        self.send_part(id, now);
+    }
+    fn send_part(&mut self, id: MemberId, now: Tick) {
+        let Some(transfer) = self.peers.get_mut(&id).and_then(|p| p.transfer.as_mut()) else {
+            return;
+        };
+        transfer.sent = now;
+        let (from, size) = (transfer.offset, transfer.bytes.len());
+        let part = &transfer.bytes[from..size.min(from + FLIGHT_BYTES)];
+        let kind = RaftKind::Part {
+            transfer: transfer.id,
+            size: size as u64,
+            offset: from as u64,
+            bytes: ByteBuf::from(part),
+            sent: now.0,
+        };
+        self.say(id, kind);
+    }
+    /// The next part, once the member has answered the one before; then the entries after it.
+    fn part_taken(&mut self, id: MemberId, transfer: u64, upto: u64, sent: u64, now: Tick) {
+        let Some(progress) = self.peers.get_mut(&id) else {
+            return;
+        };
+        progress.acked = progress.acked.max(Tick(sent));
+        let current = progress.transfer.as_mut().filter(|t| t.id == transfer);
+        // Only the newest part's answer counts; the one before may have been sent twice.
+        let Some(under_way) = current.filter(|t| t.sent <= Tick(sent)) else {
+            return;
+        };
+        if upto < under_way.bytes.len() as u64 {
+            under_way.offset = upto as usize;
+            return self.send_part(id, now);
+        }
+        let then = under_way.then;
+        progress.transfer = None;
+        progress.go_on(then);
+        self.append_to(id, false, now);
+    }
+    /// Gathers the parts of a message, and gives it once it is whole.
+    fn take_part(
+        &mut self,
+        from: MemberId,
+        (transfer, size, offset): (u64, u64, u64),
+        bytes: &[u8],
+        sent: u64,
+    ) -> Option<RaftKind> {
+        let epoch = self.kept.epoch;
+        let same = |a: &Arriving| (a.leader, a.epoch, a.transfer) == (from, epoch, transfer);
+        if !self.arriving.as_ref().is_some_and(same) {
+            let size = usize::try_from(size).ok().filter(|s| *s <= TRANSFER_BYTES)?;
+            let bytes = Vec::new();
+            self.arriving = Some(Arriving { leader: from, epoch, transfer, size, upto: 0, bytes });
+        }
+        let arriving = self.arriving.as_mut()?;
+        let fits = arriving.upto as u64 == offset && arriving.upto + bytes.len() <= arriving.size;
+        if fits {
+            arriving.bytes.extend_from_slice(bytes);
+            arriving.upto += bytes.len();
+        }
+        let upto = arriving.upto as u64;
+        // Known to be taken from here on, but not kept any longer.
+        let whole =
+            (fits && arriving.upto == arriving.size).then(|| std::mem::take(&mut arriving.bytes));
+        self.say(from, RaftKind::PartTaken { transfer, upto, sent });
+        match unpack::<RaftKind>(&whole?) {
+            Ok(kind @ (RaftKind::Append { .. } | RaftKind::Snapshot { .. })) => Some(kind),
+            Ok(_) => None,
+            Err(e) => {
+                self.refused = Some(format!("the leader's message can't be read: {e}"));
+                None
+            }
+        }
     }
 
     pub fn step(&mut self, message: Raft, now: Tick) {
         let Raft { from, epoch, kind } = message;
         match kind {
-            // One that was removed, or was never taken in, can't be elected by those who know it.
+            // One that was removed, or was never taken in, can't be elected by those who know it, nor
+            // do its answers say anything.
             RaftKind::AskVote { .. }
+            | RaftKind::Vote { .. }
+            | RaftKind::Appended { .. }
+            | RaftKind::PartTaken { .. }
                 if !self.members.is_empty() && !self.members.iter().any(|m| m.id == from) => {}
             RaftKind::AskVote { trial, handover, led, last } => {
                 // One that led the newest epoch known here leads no more: there is nobody left
@@ -456,6 +643,11 @@
                     return self.say(from, kind);
                 }
                 let heartbeat = entries.is_empty();
+                let kind = RaftKind::Append { previous, entries, commit, sent };
+                if self.refuses(&kind) {
+                    return;
+                }
+                let RaftKind::Append { entries, .. } = kind else { return };
                 let (ok, upto) = self.take_entries(previous, entries);
                 if ok {
                     self.commit = self.commit.max(commit.min(upto));
@@ -470,6 +662,11 @@
                     return self.say(from, kind);
                 }
                 let upto = snapshot.last.1;
+                let kind = RaftKind::Snapshot { snapshot, sent };
+                if self.refuses(&kind) {
+                    return;
+                }
+                let RaftKind::Snapshot { snapshot, .. } = kind else { return };
                 if upto > self.commit {
                     if self.epoch_at(upto) == Some(snapshot.last.0) {
                         self.kept.log.retain(|e| e.index > upto);
@@ -498,17 +695,44 @@
                     return;
                 };
                 progress.acked = progress.acked.max(Tick(sent));
-                if ok {
+                if let Some(transfer) = &progress.transfer {
+                    // It came later and was answered first: the part before it is lost.
+                    let lost = Tick(sent) > transfer.sent;
+                    if ok {
+                        progress.matched = progress.matched.max(upto);
+                        self.advance();
+                    }
+                    if lost {
+                        self.send_part(from, now);
+                    }
+                } else if ok {
                     progress.matched = progress.matched.max(upto);
-                    progress.next = progress.next.max(Index(progress.matched.0 + 1));
+                    let after = Index(progress.matched.0 + 1);
+                    progress.next = progress.next.max(after);
+                    progress.flying = progress.flying.max(after);
                     let behind = progress.next <= last;
                     self.advance();
                     if behind {
-                        self.append_to(from, now);
+                        self.append_to(from, false, now);
                     }
                 } else {
-                    progress.next = Index(progress.matched.max(upto).0 + 1);
-                    self.append_to(from, now);
+                    progress.go_on(Index(progress.matched.max(upto).0 + 1));
+                    self.append_to(from, true, now);
+                }
+            }
+            RaftKind::Part { transfer, size, offset, bytes, sent } => {
+                if !self.led_by(from, epoch, now) {
+                    let kind = RaftKind::Appended { upto: Index(0), ok: false, sent };
+                    return self.say(from, kind);
+                }
+                let place = (transfer, size, offset);
+                if let Some(kind) = self.take_part(from, place, &bytes, sent) {
+                    self.step(Raft { from, epoch, kind }, now);
+                }
+            }
+            RaftKind::PartTaken { transfer, upto, sent } => {
+                if self.is_leader() && epoch == self.kept.epoch {
+                    self.part_taken(from, transfer, upto, sent, now);
                 }
             }
             RaftKind::TakeOver => {
@@ -520,6 +744,15 @@
         }
     }
 
+    /// Whether a leader's message holds what this program can't read. Looked at before any of it is
+    /// taken, so that the state on disk stays one that it can.
+    fn refuses(&mut self, kind: &RaftKind) -> bool {
+        if let Err(why) = (self.vet)(kind) {
+            self.refused = Some(why);
+        }
+        self.refused.is_some()
+    }
+
     /// Only what is on disk is acknowledged. New entries wait for it; a heartbeat is answered at
     /// once with what there is, as a disk that stalls does not make this steward dead.
     fn acknowledge(&mut self, leader: MemberId, upto: Index, sent: u64, heartbeat: bool) {
@@ -686,6 +919,11 @@
         if at < COMPACT_AFTER && bytes < COMPACT_BYTES {
             return;
         }
+        // A snapshot under way is of use only with the log from there on, and a member that is there
+        // gets what it lacks sooner without another one.
+        if at < KEEP_AFTER && bytes < KEEP_BYTES && self.awaited(applied) {
+            return;
+        }
         let members = self.kept.log[..=at]
             .iter()
             .rev()
@@ -699,6 +937,13 @@
         self.dirty.mark_log(Index(0));
     }
 
+    /// Whether a member that is there would have to get a snapshot if the log began after this entry.
+    fn awaited(&self, applied: Index) -> bool {
+        let lacks = |p: &Progress| p.transfer.is_some() || p.next <= applied;
+        let there = |p: &Progress| self.clock.since(p.acked) < PRESENT_MS;
+        self.peers.values().any(|p| there(p) && lacks(p))
+    }
+
     /// Asks the voter that is furthest along to lead. No lease is given from here on.
     pub fn hand_over(&mut self, now: Tick) {
         if !self.is_leader() || self.leaving.is_some() {
@@ -2434,6 +2679,8 @@
     /// A connection on the peer port, and what came over it.
     Opened(u64, TcpStream),
     Frame(u64, Frame),
+    /// The layout that a steward reads, ahead of each of its frames.
+    Reads(MemberId, u8),
     Closed(u64),
     /// A connection of ours to another steward.
     Linked(MemberId, Option<Wire>),
@@ -2493,6 +2740,17 @@
     }
 }
 
+/// Whether a message is not to wait behind so many bytes that a link has not taken yet. What is left
+/// out here is asked for again, and heartbeats go on as long as there is a way at all.
+pub fn left_out(kind: &RaftKind, waiting: usize) -> bool {
+    match kind {
+        RaftKind::Snapshot { .. } => waiting > 0,
+        RaftKind::Append { entries, .. } if !entries.is_empty() => waiting > FLIGHT_BYTES,
+        RaftKind::Append { .. } | RaftKind::Part { .. } => waiting > LINK_WAITING,
+        _ => false,
+    }
+}
+
 /// A peer's socket and what waits for it. The core never waits for a peer to read.
 struct Wire {
     stream: TcpStream,
@@ -2626,6 +2884,8 @@
     questions: VecDeque<(ServiceName, InstanceId, Ask)>,
 }
 
+/// What may wait for a link to another steward before even heartbeats are left out.
+const LINK_WAITING: usize = 4 * FLIGHT_BYTES;
 /// One that reads nothing for so long, or should speak and does not, is let go.
 const USELESS_MS: u64 = 10_000;
 /// Questions to databases under way at once, and waiting.
@@ -2825,8 +3085,11 @@
                 }
                 let mut reader = std::io::BufReader::with_capacity(4096, stream);
                 loop {
-                    match receive(&mut reader) {
-                        Ok(frame) => {
+                    match receive_with_layout(&mut reader) {
+                        Ok((frame, layout)) => {
+                            if let Frame::Raft { message, .. } = &frame {
+                                drop(tx.send(Input::Reads(message.from, layout)));
+                            }
                             if tx.send(Input::Frame(id, frame)).is_err() {
                                 return;
                             }
@@ -3059,10 +3322,7 @@
         };
         let address = member.peer;
         let link = self.links.entry(to).or_insert(Link { line: None, dialing: false, retry: now });
-        // What a slow link has not taken yet is enough for now: entries that are left out here are
-        // asked for again.
-        let bulky = matches!(message.kind, RaftKind::Append { .. } | RaftKind::Snapshot { .. });
-        if bulky && link.line.as_ref().is_some_and(|l| !l.out.is_empty()) {
+        if link.line.as_ref().is_some_and(|l| left_out(&message.kind, l.out.waiting())) {
             return;
         }
         let frame = encode(&Frame::Raft { to, message: Box::new(message) });
@@ -3151,6 +3411,7 @@
                     link.line = line;
                 }
             }
+            Input::Reads(member, layout) => self.hedge.reads(member, layout),
             Input::Frame(_, Frame::Raft { to, message }) => {
                 if to == self.hedge.kept.me {
                     self.hedge.step(*message, now);
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -3,7 +3,8 @@
 use silvertack::common::config::{Instance, Lifecycle, Role};
 use silvertack::common::ids::*;
 use silvertack::common::peer::*;
-use silvertack::steward::{Almanac, Change, Granary};
+use silvertack::steward::{Almanac, Change, Granary, Hedge, Kept, left_out};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::path::PathBuf;
 
 fn member(id: u64, voter: bool) -> Member {
@@ -99,3 +100,416 @@
     }
     assert_eq!(seen.len(), 12, "{seen:?}");
 }
+
+/// How many bytes links carry, and how.
+#[derive(Clone, Copy)]
+struct Road {
+    /// Bytes a millisecond, and to whom only; to everybody if it is nobody's.
+    rate: usize,
+    only: u64,
+    /// All links of a machine share that.
+    shared: bool,
+    /// Bytes that the kernel takes from the sender before they leave.
+    kernel: usize,
+}
+const WIDE: usize = 100_000;
+/// Of 2 Mbit/s.
+const THIN: Road = Road { rate: 250, only: 0, shared: false, kernel: 0 };
+const STEP_MS: u64 = 5;
+const FAR_MS: u64 = 5;
+
+/// What a steward has applied: a count, a digest, and the newest large body.
+#[derive(Clone, Default, PartialEq)]
+struct Sum {
+    count: u64,
+    digest: u64,
+    body: Vec<u8>,
+}
+impl Sum {
+    fn add(&mut self, bytes: &[u8]) {
+        self.count += 1;
+        for b in bytes.iter().take(16) {
+            self.digest = self.digest.wrapping_mul(31).wrapping_add(u64::from(*b));
+        }
+        if bytes.len() > 1_000 {
+            self.body = bytes.to_vec();
+        }
+    }
+    fn bytes(&self) -> Vec<u8> {
+        [&self.count.to_be_bytes()[..], &self.digest.to_be_bytes(), &self.body].concat()
+    }
+    fn read(bytes: &[u8]) -> Self {
+        let word = |at: usize| u64::from_be_bytes(bytes[at..at + 8].try_into().expect("8 bytes"));
+        match bytes {
+            [] => Self::default(),
+            _ => Self { count: word(0), digest: word(8), body: bytes[16..].to_vec() },
+        }
+    }
+}
+#[derive(Default)]
+struct Line {
+    frames: VecDeque<std::sync::Arc<[u8]>>,
+    left: usize,
+    waiting: usize,
+    flying: VecDeque<(Tick, std::sync::Arc<[u8]>)>,
+}
+
+/// Stewards on links of a rate. What is written is on disk at once.
+struct Country {
+    now: Tick,
+    road: Road,
+    hedges: BTreeMap<u64, Hedge>,
+    lines: BTreeMap<(u64, u64), Line>,
+    down: BTreeSet<u64>,
+    sums: BTreeMap<u64, (Index, Sum)>,
+    /// What everybody must have come to at an entry.
+    truth: BTreeMap<Index, (u64, u64)>,
+    /// Members that read the first layout only.
+    old: BTreeSet<u64>,
+    led: BTreeSet<(u64, Epoch)>,
+    /// Milliseconds without a leader that may act.
+    unled: u64,
+    largest: usize,
+    /// Bytes that left for each member.
+    sent: BTreeMap<u64, usize>,
+}
+impl Country {
+    fn new(road: Road) -> Self {
+        let spreads: [fn() -> u64; 3] = [|| 10, || 130, || 250];
+        let members: Vec<Member> = (1..=3).map(|i| member(i, true)).collect();
+        let start = Tick(10_000);
+        let hedge = |id: u64| {
+            let snapshot = Snapshot { members: members.clone(), ..Snapshot::default() };
+            let kept = Kept { me: MemberId(id), snapshot, ..Kept::default() };
+            (id, Hedge::new(kept, false, start, spreads[id as usize - 1]))
+        };
+        let mut this = Self {
+            now: start,
+            road,
+            hedges: (1..=3).map(hedge).collect(),
+            lines: BTreeMap::new(),
+            down: BTreeSet::new(),
+            sums: BTreeMap::new(),
+            truth: BTreeMap::new(),
+            old: BTreeSet::new(),
+            led: BTreeSet::new(),
+            unled: 0,
+            largest: 0,
+            sent: BTreeMap::new(),
+        };
+        this.run(2_000);
+        this.unled = 0;
+        this
+    }
+    fn leader(&self) -> Option<u64> {
+        let mut all = self.hedges.iter().filter(|(_, h)| h.granting(self.now));
+        let leader = all.next().map(|(id, _)| *id);
+        assert!(all.next().is_none(), "two lead");
+        leader
+    }
+    fn step(&mut self) {
+        self.now = self.now.plus(STEP_MS);
+        let now = self.now;
+        let mut budgets = BTreeMap::new();
+        for ((from, to), line) in &mut self.lines {
+            let thin = self.road.only == 0 || self.road.only == *to || self.road.only == *from;
+            let rate = if thin { self.road.rate } else { WIDE };
+            let key = (*from, if self.road.shared { 0 } else { *to });
+            let all = budgets.entry(key).or_insert(rate * STEP_MS as usize);
+            let mut room = if self.road.shared { *all / 2 } else { *all };
+            *all -= room;
+            while room > 0 && !line.frames.is_empty() {
+                let took = room.min(line.frames[0].len() - line.left);
+                (line.left, line.waiting, room) =
+                    (line.left + took, line.waiting - took, room - took);
+                if line.left == line.frames[0].len() {
+                    line.left = 0;
+                    let whole = line.frames.pop_front().expect("a frame");
+                    line.flying.push_back((now.plus(FAR_MS), whole));
+                }
+            }
+            *all += room;
+            while line.flying.front().is_some_and(|(at, _)| *at <= now) {
+                let (_, bytes) = line.flying.pop_front().expect("a frame");
+                let (frame, layout) = receive_with_layout(&mut &bytes[..]).expect("readable");
+                let Frame::Raft { message, .. } = frame else { panic!("of the stewards") };
+                let Some(hedge) = self.hedges.get_mut(to).filter(|_| !self.down.contains(to))
+                else {
+                    continue;
+                };
+                hedge.reads(MemberId(*from), if self.old.contains(from) { 1 } else { layout });
+                hedge.step(*message, now);
+            }
+        }
+        let ids: Vec<u64> =
+            self.hedges.keys().filter(|i| !self.down.contains(i)).copied().collect();
+        for id in ids {
+            self.hedges.get_mut(&id).expect("there").tick(now);
+            self.settle(id);
+        }
+        match self.leader() {
+            Some(id) => {
+                let hedge = &self.hedges[&id];
+                self.led.insert((id, hedge.kept.epoch));
+                let newest = self.truth.keys().next_back().copied().unwrap_or_default();
+                assert!(hedge.commit >= newest, "{id} leads without all that was committed");
+            }
+            None => self.unled += STEP_MS,
+        }
+    }
+    /// The disk, what is applied, and what is to be sent.
+    fn settle(&mut self, id: u64) {
+        let hedge = self.hedges.get_mut(&id).expect("there");
+        if std::mem::take(&mut hedge.dirty) != Default::default() {
+            hedge.stored(hedge.last());
+        }
+        let (applied, sum) = self.sums.entry(id).or_default();
+        if hedge.kept.snapshot.last.1 > *applied {
+            *applied = hedge.kept.snapshot.last.1;
+            *sum = Sum::read(&hedge.kept.snapshot.state);
+        }
+        for entry in hedge.committed(*applied) {
+            *applied = entry.index;
+            if let Body::Change(bytes) = &entry.body {
+                sum.add(bytes);
+            }
+            let same = *self.truth.entry(entry.index).or_insert((sum.count, sum.digest));
+            assert_eq!(same, (sum.count, sum.digest), "{id} at {}", entry.index);
+        }
+        hedge.compact(*applied, || sum.bytes());
+        self.largest = self.largest.max(hedge.kept.log.len());
+        for (to, message) in hedge.out.drain(..) {
+            let line = self.lines.entry((id, to.0)).or_default();
+            let gone = self.down.contains(&to.0);
+            if gone || left_out(&message.kind, line.waiting.saturating_sub(self.road.kernel)) {
+                continue;
+            }
+            let frame = encode(&Frame::Raft { to, message: Box::new(message) });
+            line.waiting += frame.len();
+            *self.sent.entry(to.0).or_default() += frame.len();
+            line.frames.push_back(frame);
+        }
+    }
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms / STEP_MS {
+            self.step();
+        }
+    }
+    fn propose(&mut self, bytes: Vec<u8>) -> Option<Index> {
+        let (id, now) = (self.leader()?, self.now);
+        let body = Body::Change(ByteBuf::from(bytes));
+        let index = self.hedges.get_mut(&id)?.propose(body, now);
+        self.settle(id);
+        index
+    }
+    fn restart(&mut self, id: u64, empty: bool) {
+        self.lines.retain(|(from, to), _| *from != id && *to != id);
+        let mut kept = self.hedges[&id].kept.clone();
+        self.sums.remove(&id);
+        if empty {
+            kept = Kept { me: MemberId(id), ..Kept::default() };
+        }
+        self.hedges.insert(id, Hedge::new(kept, !empty, self.now, || 200));
+        self.down.remove(&id);
+    }
+    /// So many changes, a large one now and then, each large one once the one before is committed.
+    fn load(&mut self, changes: u64, every: u64, large: usize) {
+        let mut last = None;
+        for n in 0..changes {
+            self.run(20);
+            let committed = self.truth.keys().next_back().copied();
+            let wants = n % every == 0 && (last.is_none() || last <= committed);
+            let mut body = vec![n as u8; if wants { large } else { 150 }];
+            body[..8].copy_from_slice(&n.to_be_bytes());
+            let index = self.propose(body);
+            last = if wants { index } else { last };
+        }
+    }
+    /// Milliseconds until a member has all that is committed at that moment, under small changes.
+    fn catches_up(&mut self, id: u64, within: u64) -> u64 {
+        for ms in 0..within / 20 {
+            let newest = self.truth.keys().next_back().copied().unwrap_or_default();
+            // One change may always be on its way.
+            if self.sums.get(&id).is_some_and(|(at, _)| at.0 + 8 >= newest.0) {
+                return ms * 20;
+            }
+            self.propose(vec![7; 150]);
+            self.run(20);
+        }
+        let newest = self.truth.keys().next_back();
+        panic!("{id} at {:?} of {newest:?} after {within} ms", self.sums.get(&id).map(|s| s.0));
+    }
+}
+
+#[test]
+fn a_leader_keeps_its_majority_while_much_is_under_way_on_thin_links() {
+    let shared = Road { shared: true, ..THIN };
+    // (what, links, changes, every which is large, how large)
+    let cases = [
+        ("a large configuration on thin links", THIN, 20, 10, 250_000),
+        ("the same, and the kernel takes much", Road { kernel: 200_000, ..THIN }, 20, 10, 250_000),
+        ("all links through one thin one", shared, 20, 10, 250_000),
+        ("one member behind a thin link", Road { only: 2, ..THIN }, 40, 5, 250_000),
+        ("many small ones", THIN, 600, 1_000, 0),
+    ];
+    for (what, road, changes, every, large) in cases {
+        let mut country = Country::new(road);
+        country.load(changes, every, large.max(150));
+        country.run(12_000);
+        assert_eq!(country.led.len(), 1, "{what}: {:?}", country.led);
+        assert_eq!(country.unled, 0, "{what}: ms without one that may act");
+        let sums: Vec<u64> = country.sums.values().map(|(_, s)| s.count).collect();
+        assert_eq!(sums, [changes; 3], "{what}");
+    }
+}
+
+#[test]
+fn a_member_that_was_away_catches_up_while_changes_go_on() {
+    // (what, links, its disk is empty, whether it is of the landed layout, changes, every which is
+    // large, how large, most ms)
+    let many = (1_000, 25, 250_000);
+    let few = (300, 150, 2_000_000);
+    let cases = [
+        ("restarted", WIDE, false, false, many, 1_500),
+        ("with an empty disk", WIDE, true, false, many, 1_500),
+        ("of the landed program", WIDE, false, true, many, 1_500),
+        ("behind a thin link", 250, false, false, many, 20_000),
+        ("behind a thin link with an empty disk", 250, true, false, many, 20_000),
+        // Longer on its way than the log is otherwise kept.
+        ("a large state behind a thin link", 250, true, false, few, 15_000),
+    ];
+    for (what, rate, empty, old, (changes, every, large), most) in cases {
+        let mut country = Country::new(Road { rate, ..THIN });
+        let leader = country.leader().expect("a leader");
+        let late = (1..=3).find(|i| *i != leader).expect("another");
+        country.road.only = late;
+        country.down.insert(late);
+        if old {
+            country.old.insert(late);
+        }
+        // The two that are left hold all of it.
+        country.load(changes, every, large);
+        country.restart(late, empty);
+        let took = country.catches_up(late, most);
+        println!("{what}: {took} ms");
+        assert!(country.led.len() == 1 && country.unled == 0, "{what}: {:?}", country.led);
+        assert!(country.largest <= 8_400, "{what}: a log of {} entries", country.largest);
+    }
+}
+
+#[test]
+fn a_transfer_goes_on_where_it_stopped_and_begins_anew_only_where_it_must() {
+    const SIZE: usize = 2_000_000;
+    // (what, how often connections break, ms until the leader goes, or the member restarts; most
+    // bytes sent to it, most ms)
+    let cases = [
+        ("nothing happens", 0, 0, 0, SIZE + 400_000, 15_000),
+        ("connections break", 900, 0, 0, SIZE + 700_000, 18_000),
+        ("the leader goes half way", 0, 4_000, 0, 2 * SIZE, 25_000),
+        ("the member restarts half way", 0, 0, 4_000, 2 * SIZE, 25_000),
+    ];
+    for (what, breaks, leader_goes, restarts, bytes, most) in cases {
+        let mut country = Country::new(THIN);
+        let leader = country.leader().expect("a leader");
+        let late = (1..=3).find(|i| *i != leader).expect("another");
+        country.road.only = late;
+        country.down.insert(late);
+        country.load(300, 150, SIZE);
+        country.restart(late, true);
+        country.sent.clear();
+        let began = country.now;
+        for at in (0..most).step_by(STEP_MS as usize) {
+            country.step();
+            if breaks > 0 && at % breaks == 0 {
+                country.lines.retain(|(from, to), _| *from != late && *to != late);
+            }
+            if at == leader_goes && at > 0 {
+                let now = country.now;
+                country.hedges.get_mut(&leader).expect("leader").hand_over(now);
+                country.settle(leader);
+            }
+            if at == restarts && at > 0 {
+                country.restart(late, false);
+            }
+            if country.sums.get(&late).is_some_and(|(_, s)| s.count == 300) {
+                break;
+            }
+        }
+        let took = country.now.since(began);
+        assert_eq!(country.sums[&late].1.count, 300, "{what}: after {took} ms");
+        let sent = country.sent[&late];
+        println!("{what}: {took} ms, {sent} bytes");
+        assert!(sent <= bytes, "{what}: {sent} bytes");
+    }
+}
+
+#[test]
+fn parts_that_do_not_belong_are_not_taken() {
+    let snapshot = Snapshot {
+        last: (Epoch(4), Index(9)),
+        members: vec![member(1, true), member(2, true)],
+        state: ByteBuf::from(vec![5; 3_000]),
+    };
+    let whole = pack(&RaftKind::Snapshot { snapshot, sent: 1 });
+    let size = whole.len() as u64;
+    let part = |leader, epoch, transfer, size, offset: usize, upto: usize| {
+        let bytes = ByteBuf::from(&whole[offset..upto]);
+        let kind = RaftKind::Part { transfer, size, offset: offset as u64, bytes, sent: 7 };
+        Raft { from: MemberId(leader), epoch: Epoch(epoch), kind }
+    };
+    let end = whole.len();
+    // (parts in their order, what is answered to each, whether the snapshot is taken)
+    type Case = (&'static str, Vec<Raft>, Vec<Option<u64>>, bool);
+    let cases: Vec<Case> = vec![
+        (
+            "in order",
+            vec![part(1, 4, 1, size, 0, 1_000), part(1, 4, 1, size, 1_000, end)],
+            vec![Some(1_000), Some(size)],
+            true,
+        ),
+        (
+            "twice, and one too many",
+            vec![
+                part(1, 4, 1, size, 0, 1_000),
+                part(1, 4, 1, size, 0, 1_000),
+                part(1, 4, 1, size, 1_000, end),
+                part(1, 4, 1, size, 1_000, end),
+            ],
+            vec![Some(1_000), Some(1_000), Some(size), Some(size)],
+            true,
+        ),
+        (
+            "with a gap",
+            vec![part(1, 4, 1, size, 0, 500), part(1, 4, 1, size, 1_000, end)],
+            vec![Some(500), Some(500)],
+            false,
+        ),
+        (
+            "of another transfer, another epoch and an earlier leader",
+            vec![
+                part(1, 4, 1, size, 0, 1_000),
+                part(1, 4, 2, size, 1_000, end),
+                part(2, 5, 2, size, 1_000, end),
+                part(1, 4, 1, size, 1_000, end),
+            ],
+            vec![Some(1_000), Some(0), Some(0), None],
+            false,
+        ),
+        ("larger than any may be", vec![part(1, 4, 1, 1 << 40, 0, 1_000)], vec![None], false),
+        ("more than it said", vec![part(1, 4, 1, 10, 0, 1_000)], vec![Some(0)], false),
+    ];
+    for (what, parts, answers, taken) in cases {
+        let kept = Kept { me: MemberId(2), ..Kept::default() };
+        let mut hedge = Hedge::new(kept, false, Tick(9_000), || 10);
+        for (message, answer) in parts.into_iter().zip(answers) {
+            hedge.step(message, Tick(9_010));
+            let told = hedge.out.drain(..).find_map(|(_, m)| match m.kind {
+                RaftKind::PartTaken { upto, .. } => Some(upto),
+                _ => None,
+            });
+            assert_eq!(told, answer, "{what}");
+        }
+        assert_eq!(hedge.last().1 == Index(9), taken, "{what}");
+        assert!(hedge.refused.is_none(), "{what}");
+    }
+}
