A steward stops where it can't read the state, instead of going on with an old one

A configuration that could not be read counted as none, and a value without an encoding was stored as no bytes.

The same where its own disk holds such a thing, at the start. What is kept begins with a list or a name; a smaller first byte is the number of a later layout, and is named when refused. The bytes of today stay as the landed program writes them, so that both can form a majority while they are exchanged. The file member holds the ids that the folder was, and another member's state in it is refused; as the landed program did not keep it up when a removed member began anew, its form of the file is replaced once, not relied on. A file of another program, and one cut to nothing, are left as they are.

Ruled out: format 2 of the disk: its layout is the same, and the landed program could not go back. A number before every state and change now: landed programs skip a change they can't read.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -459,6 +459,12 @@
         self.layouts.insert(id, layout);
     }
 
+    /// Whether every other member is known to read this layout, so that none is sent what it can't
+    /// follow.
+    pub fn all_read(&self, layout: u8) -> bool {
+        self.others().iter().all(|id| self.layouts.get(id).is_some_and(|l| *l >= layout))
+    }
+
     /// Sends a member what it lacks, as far as it may be under way at once; a heartbeat goes in any
     /// case.
     fn append_to(&mut self, id: MemberId, heartbeat: bool, now: Tick) {
@@ -1054,8 +1060,40 @@
     CREATE TABLE IF NOT EXISTS log (place INTEGER PRIMARY KEY, body BLOB NOT NULL);
     COMMIT;";
 
-/// Says that a member's state was written here, should the state itself ever be missing.
+/// Says that a member's state was written here, should the state itself ever be missing, and whose it
+/// may be: all members that this folder was. Before `MARKED` stood in it, it was not
+/// kept when a removed member began anew under a fresh id, so what it says then is not relied on.
 const MARK: &str = "member";
+const MARKED: &str = "members";
+
+/// The members that a folder is marked as; none if it isn't, or not reliably.
+fn marks(folder: &Path) -> Result<BTreeSet<MemberId>, Fatal> {
+    let text = match std::fs::read_to_string(folder.join(MARK)) {
+        Ok(text) => text,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(BTreeSet::new()),
+        Err(e) => return Err(Fatal::Disk(format!("{MARK}: {e}"))),
+    };
+    let mut words = text.split_whitespace();
+    if words.next() != Some(MARKED) {
+        return Ok(BTreeSet::new());
+    }
+    let ids: Result<_, _> = words.map(|w| w.parse().map(MemberId)).collect();
+    ids.map_err(|_| Fatal::State(format!("the file {MARK} is damaged, left as it is")))
+}
+/// Marks a folder durably, with its own name and that in the folder above, where that may be opened.
+fn mark(folder: &Path, ids: &BTreeSet<MemberId>) -> std::io::Result<()> {
+    let ids: Vec<String> = ids.iter().map(MemberId::to_string).collect();
+    let beside = folder.join("member.new");
+    let mut file = std::fs::File::create(&beside)?;
+    file.write_all(format!("{MARKED} {}\n", ids.join(" ")).as_bytes())?;
+    file.sync_all()?;
+    std::fs::rename(&beside, folder.join(MARK))?;
+    std::fs::File::open(folder)?.sync_all()?;
+    match folder.parent().map(std::fs::File::open) {
+        Some(Ok(above)) => above.sync_all(),
+        _ => Ok(()),
+    }
+}
 
 /// A full or failing disk may be well again later; anything else is wrong with the state itself.
 fn disk(error: rusqlite::Error) -> Fatal {
@@ -1069,6 +1107,9 @@
 /// The SQLite file that holds vote, log and snapshot.
 pub struct Granary {
     db: Connection,
+    /// Where it lies, and the members it may hold the state of.
+    folder: Option<PathBuf>,
+    marked: BTreeSet<MemberId>,
 }
 
 impl Granary {
@@ -1076,7 +1117,7 @@
     pub fn none() -> Result<Self, Fatal> {
         let db = Connection::open_in_memory().map_err(disk)?;
         db.execute_batch(LAYOUT).map_err(disk)?;
-        Ok(Self { db })
+        Ok(Self { db, folder: None, marked: BTreeSet::new() })
     }
 
     /// Opens or makes the file; gives what it holds, `None` if it was new.
@@ -1091,6 +1132,22 @@
                 "format {format} is newer than {FORMAT}, left as it is"
             )));
         }
+        let others = "SELECT count(*) FROM sqlite_master WHERE type = 'table' \
+            AND name NOT IN ('hard', 'led', 'snapshot', 'log')";
+        let others: i64 = db.query_row(others, [], |r| r.get(0)).map_err(disk)?;
+        if others > 0 {
+            return Err(Fatal::State("not a steward's file, left as it is".into()));
+        }
+        // Looked for before anything is written.
+        let founded = "SELECT count(*) FROM sqlite_master WHERE name = 'hard'";
+        let founded: i64 = db.query_row(founded, [], |r| r.get(0)).map_err(disk)?;
+        let gone = || {
+            let why = "a member's state was here and is gone; not taken for a new disk";
+            Fatal::State(why.into())
+        };
+        if founded == 0 && folder.join(MARK).exists() {
+            return Err(gone());
+        }
         db.pragma_update(None, "journal_mode", "WAL").map_err(disk)?;
         db.pragma_update(None, "synchronous", "FULL").map_err(disk)?;
         db.pragma_update(None, "temp_store", "MEMORY").map_err(disk)?;
@@ -1108,11 +1165,22 @@
         }
         let kept = Self::load(&db)?;
         if kept.is_none() && folder.join(MARK).exists() {
-            return Err(Fatal::State(
-                "a member's state was here and is gone; not taken for a new disk".into(),
-            ));
+            return Err(gone());
+        }
+        let mut marked = marks(folder)?;
+        if let Some(kept) = &kept {
+            if !marked.is_empty() && !marked.contains(&kept.me) {
+                return Err(Fatal::State(format!(
+                    "of member {}, in a folder of {}; left as it is",
+                    kept.me,
+                    marked.iter().map(MemberId::to_string).collect::<Vec<_>>().join(", ")
+                )));
+            }
+            if marked.insert(kept.me) {
+                mark(folder, &marked).map_err(|e| Fatal::Disk(e.to_string()))?;
+            }
         }
-        Ok((Self { db }, kept))
+        Ok((Self { db, folder: Some(folder.to_owned()), marked }, kept))
     }
 
     /// Opens the file and makes sure that there is a first state in it, durable with its names.
@@ -1123,18 +1191,8 @@
         }
         let kept = first();
         granary.save(&Sheaf::of(&kept, &Dirty::all())).map_err(disk)?;
-        let sync = || -> std::io::Result<()> {
-            let mut mark = std::fs::File::create(folder.join(MARK))?;
-            mark.write_all(kept.me.to_string().as_bytes())?;
-            mark.sync_all()?;
-            std::fs::File::open(folder)?.sync_all()?;
-            // The folder's own name stands in the one above, where that may be opened.
-            match folder.parent().map(std::fs::File::open) {
-                Some(Ok(above)) => above.sync_all(),
-                _ => Ok(()),
-            }
-        };
-        sync().map_err(|e| Fatal::Disk(e.to_string()))?;
+        granary.marked.insert(kept.me);
+        mark(folder, &granary.marked).map_err(|e| Fatal::Disk(e.to_string()))?;
         Ok((granary, kept, false))
     }
 
@@ -1193,6 +1251,15 @@
 
     /// Writes what changed in one transaction; when this returns it is durable.
     pub fn save(&mut self, sheaf: &Sheaf) -> rusqlite::Result<()> {
+        // A removed member begins anew: the folder is marked as its before the state is.
+        if let (Some(folder), Some((me, ..))) = (&self.folder, &sheaf.hard)
+            && !self.marked.is_empty()
+            && self.marked.insert(*me)
+            && let Err(e) = mark(folder, &self.marked)
+        {
+            self.marked.remove(me);
+            return Err(rusqlite::Error::ToSqlConversionFailure(e.into()));
+        }
         let tx = self.db.transaction()?;
         if let Some((me, epoch, voted, led)) = &sheaf.hard {
             tx.prepare_cached("INSERT OR REPLACE INTO hard VALUES (1, ?1, ?2, ?3)")?
@@ -1401,6 +1468,46 @@
     NotAbove,
 }
 
+/// What an entry's change says, if this program can read all of it.
+fn read_change(index: Index, bytes: &[u8]) -> Result<Change, String> {
+    let unreadable = |e: String| format!("entry {index} can't be read: {e}");
+    let change = unpack::<Change>(bytes).map_err(|e| unreadable(e.to_string()))?;
+    if let Change::Configure { body, .. } = &change {
+        Configuration::read(body).map_err(unreadable)?;
+    }
+    Ok(change)
+}
+/// The state that a snapshot holds; the empty one at the beginning of all logs.
+fn read_state(snapshot: &Snapshot) -> Result<Almanac, String> {
+    if snapshot.state.is_empty() && snapshot.last.1 == Index(0) {
+        return Ok(Almanac::default());
+    }
+    let unreadable = |e| format!("the snapshot at entry {} can't be read: {e}", snapshot.last.1);
+    let almanac = Almanac::read(&snapshot.state).map_err(|e| unreadable(e.to_string()))?;
+    almanac.configuration().map_err(unreadable)?;
+    Ok(almanac)
+}
+fn read_entries(entries: &[Entry]) -> Result<(), String> {
+    entries.iter().try_for_each(|entry| match &entry.body {
+        Body::Change(bytes) => read_change(entry.index, bytes).map(drop),
+        _ => Ok(()),
+    })
+}
+/// The steward's `Vet`: what it could not apply is not taken.
+pub fn readable(kind: &RaftKind) -> Result<(), String> {
+    match kind {
+        RaftKind::Append { entries, .. } => read_entries(entries),
+        RaftKind::Snapshot { snapshot, .. } => read_state(snapshot).map(drop),
+        _ => Ok(()),
+    }
+}
+/// The state of what is on disk, if this program can read all of it.
+pub fn read_kept(kept: &Kept) -> Result<Almanac, Fatal> {
+    let left = |why| Fatal::State(format!("left as it is: {why}"));
+    read_entries(&kept.log).map_err(left)?;
+    read_state(&kept.snapshot).map_err(left)
+}
+
 const GONE_KEPT: usize = 256;
 const TAKEN_KEPT: usize = 4096;
 
@@ -1422,6 +1529,14 @@
         }
         Ok(almanac)
     }
+    /// The configuration in force. One that this program can't read is not the same as none.
+    pub fn configuration(&self) -> Result<Option<Configuration>, String> {
+        if self.body.is_empty() {
+            return Ok(None);
+        }
+        let unreadable = |e| format!("configuration {} can't be read: {e}", self.revision);
+        Configuration::read(&self.body).map(Some).map_err(unreadable)
+    }
     fn unlist(&mut self, id: &InstanceId) -> Option<Record> {
         let record = self.instances.remove(id)?;
         let service = &record.instance.target_service;
@@ -2882,6 +2997,8 @@
     /// Questions to databases: how many are under way, and those that wait.
     asking: usize,
     questions: VecDeque<(ServiceName, InstanceId, Ask)>,
+    /// Something that is committed can't be read here: nothing is said or done on this state any more.
+    unreadable: Option<String>,
 }
 
 /// What may wait for a link to another steward before even heartbeats are left out.
@@ -2943,12 +3060,7 @@
     let now = Tick::now();
     info!(target: "hedge", "member {} starts at epoch {}, entry {}", kept.me, kept.epoch,
         kept.log.last().map_or(kept.snapshot.last.1, |e| e.index));
-    let almanac = if kept.snapshot.state.is_empty() {
-        Almanac::default()
-    } else {
-        Almanac::read(&kept.snapshot.state)
-            .map_err(|e| Fatal::State(format!("damaged, left as it is: {e}")))?
-    };
+    let almanac = read_kept(&kept)?;
     let applied = kept.snapshot.last.1;
     let (tx, rx) = channel();
     let peer = SocketAddr::new(settings.ip_address, settings.peer_port());
@@ -2958,7 +3070,7 @@
     let callers = settings.limits.max_open_files as usize / 4;
     http::serve(listen(admin)?, "admin", callers, move |request| ask_core(&http_tx, request))
         .map_err(|e| Fatal::Listen(admin.to_string(), e))?;
-    let config = Configuration::read(&almanac.body).ok();
+    let config = almanac.configuration().map_err(Fatal::State)?;
     let mut steward = Steward {
         hedge: Hedge::new(kept, restarted, now, rand::random::<u64>),
         settings,
@@ -2991,7 +3103,9 @@
         known_leader: None,
         asking: 0,
         questions: VecDeque::new(),
+        unreadable: None,
     };
+    steward.hedge.vet = readable;
     steward.configure(config);
     steward.serve(rx, &signals, Watched::new(path))
 }
@@ -3251,9 +3365,12 @@
             }
             let now = Tick::now();
             self.hedge.tick(now);
+            self.still_readable()?;
             self.flush(now);
+            self.still_readable()?;
             self.reconcile(now);
             self.flush(now);
+            self.still_readable()?;
             self.tell_moved(now);
             self.pump(now);
             if now.since(looked) > 1_000 {
@@ -3277,6 +3394,15 @@
         }
     }
 
+    /// Going on beside what can't be read would be with an old state.
+    fn still_readable(&self) -> Result<(), Fatal> {
+        match (&self.unreadable, &self.hedge.refused) {
+            (Some(why), _) => Err(Fatal::State(format!("left as it is: {why}"))),
+            (_, Some(why)) => Err(Fatal::State(format!("not taken from the leader: {why}"))),
+            _ => Ok(()),
+        }
+    }
+
     /// Lets the messages leave that may, starts the next write, and applies what was agreed.
     fn flush(&mut self, now: Tick) {
         let troubled = self.desk.troubled(now);
@@ -3450,19 +3576,32 @@
     // -- state ---------------------------------------------------------------------------------
 
     fn apply(&mut self, now: Tick) {
-        if self.hedge.commit <= self.applied {
+        if self.hedge.commit <= self.applied || self.unreadable.is_some() {
             return;
         }
         if self.hedge.kept.snapshot.last.1 > self.applied {
-            match Almanac::read(&self.hedge.kept.snapshot.state) {
+            match read_state(&self.hedge.kept.snapshot) {
                 Ok(almanac) => self.almanac = almanac,
-                Err(e) => error!(target: "hedge", "unreadable snapshot: {e}"),
+                Err(why) => {
+                    self.unreadable = Some(why);
+                    return;
+                }
             }
             self.listing = None;
             self.applied = self.hedge.kept.snapshot.last.1;
         }
         let mut relisted = None;
         for entry in self.hedge.committed(self.applied) {
+            let change = match &entry.body {
+                Body::Change(bytes) => match read_change(entry.index, bytes) {
+                    Ok(change) => Some(change),
+                    Err(why) => {
+                        self.unreadable = Some(why);
+                        return;
+                    }
+                },
+                _ => None,
+            };
             self.applied = entry.index;
             // Another leader's entry may have come to stand where the caller's was.
             let waiter = self.waiting.remove(&entry.index).filter(|w| w.epoch == entry.epoch);
@@ -3473,10 +3612,10 @@
                     self.joining.retain(|id, _| !members.iter().any(|m| m.id == *id));
                     self.links.retain(|id, _| members.iter().any(|m| m.id == *id));
                 }
-                Body::Change(bytes) => match unpack::<Change>(bytes) {
-                    Ok(change) => self.apply_change(&change, waiter, now),
-                    Err(e) => error!(target: "hedge", "unreadable change: {e}"),
-                },
+                Body::Change(_) => {}
+            }
+            if let Some(change) = change {
+                self.apply_change(&change, waiter, now);
             }
         }
         if let Some(members) = relisted {
@@ -3488,7 +3627,13 @@
         }
         if self.config.as_ref().map_or(Revision(0), |c| c.revision) != self.almanac.revision {
             info!(target: "almanac", "configuration {} is in force", self.almanac.revision);
-            self.configure(Configuration::read(&self.almanac.body).ok());
+            match self.almanac.configuration() {
+                Ok(config) => self.configure(config),
+                Err(why) => {
+                    self.unreadable = Some(why);
+                    return;
+                }
+            }
             self.versions.extend(self.config.as_ref().map(Lanes::of));
             if self.versions.len() > VERSIONS_KEPT {
                 self.versions.pop_front();
@@ -3761,6 +3906,7 @@
         let snapshot = Snapshot { members, ..Snapshot::default() };
         let kept = Kept { me, epoch: self.hedge.kept.epoch, snapshot, ..Kept::default() };
         self.hedge = Hedge::new(kept, false, now, rand::random::<u64>);
+        self.hedge.vet = readable;
         self.hedge.dirty = Dirty::all();
         self.desk.forget();
         self.almanac = Almanac::default();
@@ -4245,6 +4391,9 @@
             return say(Response::refusal(503, "no quorum"));
         }
         self.apply(now);
+        if self.unreadable.is_some() {
+            return say(Response::refusal(503, "stopping"));
+        }
         let needed = 2 * self.settings.tolerated() + 1;
         let young = self.young_until.is_some_and(|t| now < t);
         if parsed.is_some() && young && self.hedge.voters().len() < needed {
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -1,11 +1,21 @@
 //! The stewards' state: what is read, refused, sent and folded. Time, links and disks are the test's.
+mod support;
+
 use serde_bytes::ByteBuf;
 use silvertack::common::config::{Instance, Lifecycle, Role};
+use silvertack::common::errors::Fatal;
 use silvertack::common::ids::*;
 use silvertack::common::peer::*;
-use silvertack::steward::{Almanac, Change, Granary, Hedge, Kept, left_out};
+use silvertack::steward::{
+    Almanac, Change, Dirty, Granary, Hedge, Kept, Sheaf, left_out, read_kept, readable,
+};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::path::PathBuf;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::time::{Duration, Instant};
+use support::{free_port, http};
 
 fn member(id: u64, voter: bool) -> Member {
     Member {
@@ -28,6 +38,7 @@
     let path = folder(name);
     let db = rusqlite::Connection::open(path.join("hedge.sqlite")).expect("file");
     db.execute_batch(include_str!("data/hedge-layout-1.sql")).expect("loaded");
+    db.execute_batch("PRAGMA journal_mode = WAL").expect("as it was");
     std::fs::write(path.join("member"), "1").expect("mark");
     path
 }
@@ -513,3 +524,358 @@
         assert!(hedge.refused.is_none(), "{what}");
     }
 }
+
+/// A change that a program of a later layout may write, and one whose configuration it may take.
+fn of_later() -> [Vec<u8>; 2] {
+    let change = Change::Abandon { service: "s".into(), target: "b".into() };
+    let configure = Change::Configure {
+        base: Revision(12),
+        revision: Revision(13),
+        body: ByteBuf::from(br#"{"revision":13,"new":{}"#.to_vec()),
+    };
+    [[&[2][..], &pack(&change)].concat(), pack(&configure)]
+}
+fn entry(index: u64, epoch: u64, bytes: Vec<u8>) -> Entry {
+    let body = Body::Change(ByteBuf::from(bytes));
+    Entry { epoch: Epoch(epoch), index: Index(index), body }
+}
+
+#[test]
+fn a_disk_that_can_not_be_what_it_should_be_stops_the_program_and_is_left_as_it_is() {
+    let set = |sql: &'static str| {
+        move |folder: &Path| {
+            let db = rusqlite::Connection::open(folder.join("hedge.sqlite")).expect("file");
+            db.execute_batch(sql).expect(sql);
+        }
+    };
+    let cut = |to: u64| {
+        move |folder: &Path| {
+            let file = std::fs::OpenOptions::new().write(true).open(folder.join("hedge.sqlite"));
+            file.and_then(|f| f.set_len(to)).expect("cut");
+        }
+    };
+    let keep = |change: fn(&mut Kept)| {
+        move |folder: &Path| {
+            let (mut granary, kept) = Granary::open(folder).expect("opened");
+            let mut kept = kept.expect("a state");
+            change(&mut kept);
+            granary.save(&Sheaf::of(&kept, &Dirty::all())).expect("saved");
+        }
+    };
+    // (what, what becomes of the folder, a part of what is said)
+    type Case = (&'static str, Box<dyn Fn(&Path)>, &'static str);
+    let cases: Vec<Case> = vec![
+        ("cut to nothing", Box::new(cut(0)), "is gone"),
+        ("cut within the header", Box::new(cut(60)), "malformed"),
+        ("cut to a page", Box::new(cut(4_096)), "malformed"),
+        ("cut by a page", Box::new(cut(16_384)), "malformed"),
+        ("newer as a whole", Box::new(set("PRAGMA user_version = 2")), "newer than 1"),
+        ("another program's", Box::new(set("CREATE TABLE t (a)")), "not a steward's"),
+        (
+            "another layout",
+            Box::new(set("ALTER TABLE log RENAME COLUMN body TO bytes")),
+            "no such column",
+        ),
+        ("without an entry", Box::new(set("DELETE FROM log WHERE place = 10")), "10 is missing"),
+        (
+            "of another member",
+            Box::new(|folder| std::fs::write(folder.join("member"), "members 8 9").expect("mark")),
+            "of member 1, in a folder of 8, 9",
+        ),
+        (
+            "a change of a newer layout",
+            Box::new(keep(|k| k.log.push(entry(13, 3, of_later()[0].clone())))),
+            "entry 13 can't be read: of layout 2, this program reads 1",
+        ),
+        (
+            "a configuration of a newer program",
+            Box::new(keep(|k| k.log.push(entry(13, 3, of_later()[1].clone())))),
+            "entry 13 can't be read",
+        ),
+        (
+            "a snapshot of a newer layout",
+            Box::new(keep(|k| k.snapshot.state.insert(0, 2))),
+            "the snapshot at entry 8 can't be read: of layout 2, this program reads 1",
+        ),
+        (
+            "a snapshot with more in it",
+            Box::new(keep(|k| {
+                k.snapshot.state[0] += 1;
+                k.snapshot.state.push(0x90);
+            })),
+            "the snapshot at entry 8 can't be read",
+        ),
+        (
+            "a snapshot with nothing in it",
+            Box::new(keep(|k| k.snapshot.state.clear())),
+            "the snapshot at entry 8 can't be read",
+        ),
+    ];
+    for (what, spoil, said) in cases {
+        let folder = old_folder("bad");
+        spoil(&folder);
+        let file = folder.join("hedge.sqlite");
+        let before = std::fs::read(&file).expect("bytes");
+        let read = Granary::open(&folder).and_then(|(_, kept)| read_kept(&kept.expect("a state")));
+        let refused = read.err().unwrap_or_else(|| panic!("{what}: read"));
+        assert!(
+            matches!(refused, Fatal::State(_)) && refused.exit_code() == 3,
+            "{what}: {refused}"
+        );
+        assert!(refused.to_string().contains(said), "{what}: {refused}");
+        assert!(std::fs::read(&file).expect("bytes") == before, "{what}: left as it is");
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+}
+
+#[test]
+fn a_folder_is_marked_as_the_members_it_was() {
+    let folder = old_folder("marked");
+    let marked = || std::fs::read_to_string(folder.join("member")).expect("mark");
+    // The landed program did not keep the mark when a removed member began anew.
+    std::fs::write(folder.join("member"), "77").expect("mark");
+    let (mut granary, kept) = Granary::open(&folder).expect("not relied on");
+    assert_eq!(marked(), "members 1\n");
+    let mut kept = Kept { me: MemberId(5), ..kept.expect("a state") };
+    granary.save(&Sheaf::of(&kept, &Dirty::all())).expect("saved");
+    drop(granary);
+    assert_eq!(marked(), "members 1 5\n");
+    // As if the machine had stopped between the mark and the state.
+    std::fs::write(folder.join("member"), "members 1 5 6\n").expect("mark");
+    let (mut granary, found) = Granary::open(&folder).expect("again");
+    assert_eq!(found.expect("a state").me, MemberId(5));
+    // Where the mark can't be written, neither is the state.
+    std::fs::create_dir_all(folder.join("member.new")).expect("in the way");
+    kept.me = MemberId(7);
+    assert!(granary.save(&Sheaf::of(&kept, &Dirty::all())).is_err());
+    drop(granary);
+    let (_, found) = Granary::open(&folder).expect("again");
+    assert_eq!(found.expect("a state").me, MemberId(5));
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
+#[test]
+fn what_can_not_be_read_is_neither_taken_nor_acknowledged() {
+    let [newer, unknown] = of_later();
+    let base = (Epoch(2), Index(8));
+    let append = |entries| RaftKind::Append { previous: base, entries, commit: Index(9), sent: 1 };
+    let snapshot = |state| RaftKind::Snapshot {
+        snapshot: Snapshot {
+            last: (Epoch(3), Index(20)),
+            members: vec![member(1, true), member(2, true)],
+            state: ByteBuf::from(state),
+        },
+        sent: 1,
+    };
+    let good = Change::Abandon { service: "s".into(), target: "b".into() };
+    let mut other = old_state();
+    other.body = ByteBuf::from(b"{}".to_vec());
+    // (what, message, a part of what is said; nothing where it is taken)
+    let cases = [
+        ("a change", append(vec![entry(9, 3, pack(&good))]), ""),
+        ("a state", snapshot(pack(&old_state())), ""),
+        ("a newer change", append(vec![entry(9, 3, newer)]), "of layout 2, this program reads 1"),
+        ("no change", append(vec![entry(9, 3, Vec::new())]), "entry 9"),
+        (
+            "a configuration that is none, behind a good change",
+            append(vec![entry(9, 3, pack(&good)), entry(10, 3, unknown)]),
+            "entry 10",
+        ),
+        ("a newer state", snapshot([&[2][..], &pack(&old_state())].concat()), "of layout 2"),
+        ("a state with a configuration that is none", snapshot(pack(&other)), "configuration 12"),
+        ("no state", snapshot(Vec::new()), "entry 20"),
+    ];
+    for (what, kind, said) in cases {
+        let members = vec![member(1, true), member(2, true)];
+        let state = ByteBuf::from(pack(&old_state()));
+        let before = Snapshot { last: base, members, state };
+        let kept =
+            Kept { me: MemberId(2), epoch: Epoch(3), snapshot: before.clone(), ..Kept::default() };
+        let mut hedge = Hedge::new(kept, true, Tick(9_000), || 10);
+        hedge.vet = readable;
+        hedge.step(Raft { from: MemberId(1), epoch: Epoch(3), kind }, Tick(9_500));
+        hedge.stored(hedge.last());
+        let acked =
+            hedge.out.iter().any(|(_, m)| matches!(m.kind, RaftKind::Appended { ok: true, .. }));
+        let refused = hedge.refused.clone().unwrap_or_default();
+        assert!(
+            refused.contains(said) && refused.is_empty() == said.is_empty(),
+            "{what}: {refused}"
+        );
+        let untouched = hedge.kept.log.is_empty() && hedge.kept.snapshot == before;
+        assert_eq!((acked, untouched), (said.is_empty(), !said.is_empty()), "{what}");
+        assert!(untouched != (hedge.dirty != Dirty::default()), "{what}: {:?}", hedge.dirty);
+    }
+}
+
+#[test]
+fn a_frame_of_another_layout_is_read_or_refused_by_name() {
+    let appended = RaftKind::Appended { upto: Index(3), ok: true, sent: 7 };
+    let raft = |kind| Frame::Raft {
+        to: MemberId(2),
+        message: Box::new(Raft { from: MemberId(1), epoch: Epoch(3), kind }),
+    };
+    let whole = encode(&raft(appended)).to_vec();
+    let part = RaftKind::Part {
+        transfer: 1,
+        size: 9,
+        offset: 0,
+        bytes: ByteBuf::from(vec![1; 9]),
+        sent: 7,
+    };
+    let with = |at: usize, byte: u8| {
+        let mut bytes = whole.clone();
+        bytes[at] = byte;
+        bytes
+    };
+    let end = whole.len() - 1;
+    let mut first = whole[..end].to_vec();
+    first[3] -= 1;
+    let mut garbled = with(end, 9);
+    garbled[4] = 0xc1;
+    // (what, bytes, the layout its sender reads or what is said)
+    let cases: Vec<(&str, Vec<u8>, Result<u8, &str>)> = vec![
+        ("this one", whole.clone(), Ok(2)),
+        ("a part, which a landed program takes for too large", encode(&raft(part)).to_vec(), Ok(2)),
+        ("the first", first, Ok(1)),
+        ("readable, of a newer program", with(end, 9), Ok(9)),
+        ("newer", with(0, 3), Err("a frame of layout 3, this program reads 2")),
+        (
+            "newer, though it does not say so",
+            garbled,
+            Err("that reads layout 9, this program reads 2"),
+        ),
+        ("too large", with(1, 0xff), Err("frame of")),
+        ("cut", whole[..end].to_vec(), Err("")),
+    ];
+    for (what, bytes, wanted) in cases {
+        let read = receive_with_layout(&mut &bytes[..]);
+        match (read, wanted) {
+            (Ok((_, layout)), Ok(wanted)) => assert_eq!(layout, wanted, "{what}"),
+            (Err(e), Err(said)) => assert!(e.to_string().contains(said), "{what}: {e}"),
+            (read, _) => panic!("{what}: {read:?}"),
+        }
+    }
+    // Only parts ask for more than the first layout: all else is read by landed programs.
+    assert_eq!(whole[0], 0);
+}
+
+#[test]
+fn answers_of_one_that_was_removed_say_nothing() {
+    let mut country = Country::new(Road { rate: WIDE, ..THIN });
+    let leader = country.leader().expect("a leader");
+    let (now, hedge) = (country.now, country.hedges.get_mut(&leader).expect("leader"));
+    assert!(hedge.all_read(LAYOUT), "the others said so");
+    hedge.reads(MemberId(if leader == 1 { 2 } else { 1 }), FIRST_LAYOUT);
+    assert!(!hedge.all_read(LAYOUT));
+    for kind in [
+        RaftKind::Appended { upto: Index(0), ok: false, sent: 1 },
+        RaftKind::Vote { trial: false, granted: false },
+        RaftKind::PartTaken { transfer: 1, upto: 1, sent: 1 },
+    ] {
+        hedge.step(Raft { from: MemberId(77), epoch: Epoch(90), kind }, now);
+        assert!(hedge.is_leader() && hedge.kept.epoch < Epoch(90));
+    }
+}
+
+/// A steward as a process, on a folder; what it logs stands in `log` there.
+struct Process {
+    child: Child,
+    folder: PathBuf,
+    peer: SocketAddr,
+    admin: SocketAddr,
+}
+impl Process {
+    fn start(folder: &Path) -> Self {
+        let [peer, admin, front, ready] = [0; 4].map(|_| free_port());
+        let settings = format!(
+            "node_name = \"n1\"\nip_address = \"127.0.0.1\"\nzone = \"z\"\n\
+             port_range = [{peer}, {peer}]\nseed_nodes = [\"127.0.0.1:{admin}\"]\n\
+             data_path = \"{}\"\n[listeners]\nfrontend = \"127.0.0.1:{front}\"\n\
+             readiness = \"127.0.0.1:{ready}\"\nadmin = \"127.0.0.1:{admin}\"\n",
+            folder.display()
+        );
+        std::fs::write(folder.join("node.toml"), settings).expect("settings");
+        let log = std::fs::File::create(folder.join("log")).expect("log");
+        let child = Command::new(env!("CARGO_BIN_EXE_silvertack"))
+            .args(["steward", "--settings"])
+            .arg(folder.join("node.toml"))
+            .stderr(log)
+            .spawn()
+            .expect("steward");
+        let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        Self { child, folder: folder.to_owned(), peer: at(peer), admin: at(admin) }
+    }
+    fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).expect("log")
+    }
+    fn answers(&self) -> bool {
+        http(self.admin, "GET", "/status", &[], "").is_ok_and(|(status, _)| status == 200)
+    }
+    /// What it ended with, if it does within a few seconds.
+    fn ended(&mut self) -> Option<i32> {
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_secs(5) {
+            if let Some(status) = self.child.try_wait().expect("asked") {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+}
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+fn eventually(what: &str, mut check: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !check() {
+        assert!(start.elapsed() < Duration::from_secs(10), "never: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn a_steward_that_can_not_read_what_was_agreed_stops_and_says_why() {
+    let newer = || of_later()[0].clone();
+    let found = |name: &str, voters: u64, log: Vec<Entry>| {
+        let folder = folder(name);
+        let members = (1..=voters).map(|id| member(id, true)).collect();
+        let snapshot = Snapshot { members, ..Snapshot::default() };
+        let epoch = Epoch(3);
+        let kept = Kept { me: MemberId(1), epoch, log, snapshot, ..Kept::default() };
+        let (granary, ..) = Granary::found(&folder, || kept).expect("founded");
+        drop(granary);
+        folder
+    };
+    // From its own disk: alone, it would lead and commit that.
+    let mut steward = Process::start(&found("own", 1, vec![entry(1, 3, newer())]));
+    assert_eq!(steward.ended(), Some(3), "{}", steward.log());
+    let said = "entry 1 can't be read: of layout 2, this program reads 1";
+    assert!(steward.log().contains(said), "{}", steward.log());
+    // From its leader: a newer frame first, which only costs the connection.
+    let mut steward = Process::start(&found("told", 2, Vec::new()));
+    eventually("an answer", || steward.answers());
+    let mut stream = TcpStream::connect(steward.peer).expect("connected");
+    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("timeout");
+    stream.write_all(&[3, 0, 0, 1, 0x80]).expect("sent");
+    assert_eq!(stream.read(&mut [0; 8]).expect("closed in order"), 0);
+    let said = "a frame of layout 3, this program reads 2";
+    eventually("a line", || steward.log().contains(said));
+    assert!(steward.answers());
+    let mut stream = TcpStream::connect(steward.peer).expect("connected");
+    let previous = (Epoch(0), Index(0));
+    let entries = vec![entry(1, 9, newer())];
+    let kind = RaftKind::Append { previous, entries, commit: Index(1), sent: 1 };
+    let message = Box::new(Raft { from: MemberId(2), epoch: Epoch(9), kind });
+    send(&mut stream, &Frame::Raft { to: MemberId(1), message }).expect("sent");
+    assert_eq!(steward.ended(), Some(3), "{}", steward.log());
+    let said = "not taken from the leader: entry 1 can't be read: of layout 2";
+    assert!(steward.log().contains(said), "{}", steward.log());
+    let (_, kept) = Granary::open(&steward.folder).expect("opened");
+    assert!(kept.expect("a state").log.is_empty());
+}
