Parts of a large message grow to 64 KiB where they are answered soon

One that is answered late or lost is followed by the least again; links that become thin in the middle of a transfer cost no election (a_leader_keeps_its_majority_while_much_is_under_way_on_thin_links, the last story).

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -55,6 +55,11 @@
 /// So many bytes of entries, or of one part of something larger, are under way to a member before it
 /// has answered: a heartbeat behind them waits no longer than a thin link takes for these.
 const FLIGHT_BYTES: usize = 16 << 10;
+/// A part that was answered within this is followed by a larger one, up to the most; one that took
+/// longer than a thin link takes for the least, by the least.
+const PART_SOON_MS: u64 = 40;
+const PART_LATE_MS: u64 = 120;
+const MOST_PART: usize = 64 << 10;
 /// Whatever goes in parts is no larger than this.
 const TRANSFER_BYTES: usize = 64 << 20;
 const LAYOUTS_KEPT: usize = 64;
@@ -106,8 +111,9 @@
     snapshot: Option<Index>,
     /// The first entry after it.
     then: Index,
-    /// Answered up to here; the part from here on was sent then.
+    /// Answered up to here; the part from here on, so large, was sent then.
     offset: usize,
+    part: usize,
     sent: Tick,
 }
 
@@ -535,7 +541,8 @@
         let transfer = self.transfers;
         if let Some(progress) = self.peers.get_mut(&id) {
             let then = progress.next;
-            let begun = Transfer { id: transfer, bytes, snapshot, then, offset: 0, sent: now };
+            let (offset, part) = (0, FLIGHT_BYTES);
+            let begun = Transfer { id: transfer, bytes, snapshot, then, offset, part, sent: now };
             progress.transfer = Some(begun);
         }
         self.send_part(id, now);
@@ -546,7 +553,7 @@
         };
         transfer.sent = now;
         let (from, size) = (transfer.offset, transfer.bytes.len());
-        let part = &transfer.bytes[from..size.min(from + FLIGHT_BYTES)];
+        let part = &transfer.bytes[from..size.min(from + transfer.part)];
         let kind = RaftKind::Part {
             transfer: transfer.id,
             size: size as u64,
@@ -569,6 +576,12 @@
         };
         if upto < under_way.bytes.len() as u64 {
             under_way.offset = upto as usize;
+            let part = match now.since(under_way.sent) {
+                0..PART_SOON_MS => under_way.part * 2,
+                PART_LATE_MS.. => FLIGHT_BYTES,
+                _ => under_way.part,
+            };
+            under_way.part = part.min(MOST_PART);
             return self.send_part(id, now);
         }
         let then = under_way.then;
@@ -701,9 +714,13 @@
                     return;
                 };
                 progress.acked = progress.acked.max(Tick(sent));
-                if let Some(transfer) = &progress.transfer {
-                    // It came later and was answered first: the part before it is lost.
+                if let Some(transfer) = &mut progress.transfer {
+                    // It came later and was answered first: the part before it is lost, perhaps as
+                    // there is less room on the way than there was.
                     let lost = Tick(sent) > transfer.sent;
+                    if lost {
+                        transfer.part = FLIGHT_BYTES;
+                    }
                     if ok {
                         progress.matched = progress.matched.max(upto);
                         self.advance();
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -372,6 +372,15 @@
         let sums: Vec<u64> = country.sums.values().map(|(_, s)| s.count).collect();
         assert_eq!(sums, [changes; 3], "{what}");
     }
+    // Parts had become larger where there was room, and then there is none.
+    let mut country = Country::new(Road { rate: WIDE, ..THIN });
+    country.propose(vec![1; 2_000_000]);
+    country.run(200);
+    assert!(country.sums.values().all(|(_, s)| s.count == 0), "not there yet");
+    country.road.rate = 250;
+    country.run(15_000);
+    assert_eq!((country.led.len(), country.unled), (1, 0), "links that became thin");
+    assert!(country.sums.values().all(|(_, s)| s.count == 1));
 }
 
 #[test]
