A late beat brings no database back until 4,096 others have left

Cause: the last 256 departures were kept; a release of a large system has more within seconds. After: 2, in under 64 KiB of state. While the program is exchanged, a member of before may list such a database; it is forgotten after a minute like any that is silent.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1525,7 +1525,8 @@
     read_state(&kept.snapshot).map_err(left)
 }
 
-const GONE_KEPT: usize = 256;
+/// More than leave a large system within the time that a beat may be under way.
+const GONE_KEPT: usize = 4_096;
 const TAKEN_KEPT: usize = 4096;
 
 /// FNV-1a: only to tell a resend from another body under the same revision.
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -888,3 +888,24 @@
     let (_, kept) = Granary::open(&steward.folder).expect("opened");
     assert!(kept.expect("a state").log.is_empty());
 }
+
+#[test]
+fn a_late_beat_brings_nothing_back_though_hundreds_left_since() {
+    let mut almanac = old_state();
+    let instance = almanac.instances[&InstanceId::from("b")].instance.clone();
+    let beat = |n: u64| Change::Beat {
+        id: InstanceId(format!("d{n}")),
+        instance: instance.clone(),
+        sequence: 3,
+    };
+    for n in 0..2_000 {
+        almanac.apply(&beat(n));
+        almanac.apply(&Change::Gone { id: InstanceId(format!("d{n}")), sequence: u64::MAX });
+    }
+    let mut almanac = Almanac::read(&pack(&almanac)).expect("read");
+    for n in 0..2_000 {
+        almanac.apply(&beat(n));
+    }
+    assert_eq!(almanac.instances.len(), 2, "only those that never left");
+    assert!(pack(&almanac).len() < 64 << 10, "and they take little room");
+}
