--- a/tests/state.rs
+++ b/tests/state.rs
@@ -180,7 +180,9 @@
     led: BTreeSet<(u64, Epoch)>,
     /// Milliseconds without a leader that may act.
     unled: u64,
-    largest: usize,
+    /// Entries and bytes of the longest and the largest log.
+    largest: (usize, usize),
+    lengths: BTreeMap<u64, usize>,
     /// Bytes that left for each member.
     sent: BTreeMap<u64, usize>,
 }
@@ -205,7 +207,8 @@
             old: BTreeSet::new(),
             led: BTreeSet::new(),
             unled: 0,
-            largest: 0,
+            largest: (0, 0),
+            lengths: BTreeMap::new(),
             sent: BTreeMap::new(),
         };
         this.run(2_000);
@@ -288,7 +291,15 @@
             assert_eq!(same, (sum.count, sum.digest), "{id} at {}", entry.index);
         }
         hedge.compact(*applied, || sum.bytes());
-        self.largest = self.largest.max(hedge.kept.log.len());
+        let bytes = |e: &Entry| match &e.body {
+            Body::Change(bytes) => bytes.len(),
+            _ => 0,
+        };
+        let log = &hedge.kept.log;
+        if log.len() != self.lengths.insert(id, log.len()).unwrap_or_default() {
+            let (entries, most) = self.largest;
+            self.largest = (entries.max(log.len()), most.max(log.iter().map(bytes).sum()));
+        }
         for (to, message) in hedge.out.drain(..) {
             let line = self.lines.entry((id, to.0)).or_default();
             let gone = self.down.contains(&to.0);
@@ -413,10 +424,26 @@
         let took = country.catches_up(late, most);
         println!("{what}: {took} ms");
         assert!(country.led.len() == 1 && country.unled == 0, "{what}: {:?}", country.led);
-        assert!(country.largest <= 8_400, "{what}: a log of {} entries", country.largest);
+        assert!(country.largest.0 <= 8_400, "{what}: {:?}", country.largest);
     }
 }
 
+#[test]
+fn a_member_whose_link_carries_less_than_is_changed_catches_up_once_there_is_less() {
+    let mut country = Country::new(Road { only: 0, ..THIN });
+    let leader = country.leader().expect("a leader");
+    country.road.only = (1..=3).find(|i| *i != leader).expect("another");
+    let late = country.road.only;
+    // Five times what the link carries.
+    country.load(1_000, 10, 250_000);
+    let newest = *country.truth.keys().next_back().expect("entries");
+    assert!(country.sums[&late].0.0 + 100 < newest.0, "it is behind");
+    let took = country.catches_up(late, 25_000);
+    println!("{took} ms, a log of {:?} entries and bytes", country.largest);
+    assert!(country.led.len() == 1 && country.unled == 0, "{:?}", country.led);
+    assert!(country.largest.1 < 5 << 20, "a bounded log: {:?}", country.largest);
+}
+
 #[test]
 fn a_transfer_goes_on_where_it_stopped_and_begins_anew_only_where_it_must() {
     const SIZE: usize = 2_000_000;
