A member that was never heard of is asked first how it can be sent what is large

Now it gets a heartbeat, and its answer tells. A new epoch also frees the parts that had come of an earlier transfer.

Before: nothing_large_goes_whole_to_one_that_was_never_heard_of: a frame of 250,145 bytes. After: green.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -348,6 +348,7 @@
             self.kept.voted = None;
             self.dirty.hard = true;
             self.owed = None;
+            self.arriving = None;
             self.returning = false;
         }
     }
@@ -478,21 +479,27 @@
         let Some(progress) = self.peers.get_mut(&id) else {
             return;
         };
-        let parts = self.layouts.get(&id).is_some_and(|l| *l >= PARTS_LAYOUT);
+        let layout = self.layouts.get(&id).copied();
+        let parts = layout.is_some_and(|l| l >= PARTS_LAYOUT);
         if progress.transfer.as_ref().is_some_and(|t| t.then <= base.1) {
             // The log has been folded over what comes after it: a newer snapshot is needed anyway.
             progress.transfer = None;
             progress.next = Index(1);
         }
+        // The beginning of all logs is agreed on by everybody.
+        let previous = (Epoch(0), Index(0));
+        let only_heartbeat = RaftKind::Append { previous, entries: Vec::new(), commit, sent };
         if progress.transfer.is_some() {
             if heartbeat {
-                // The beginning of all logs is agreed on by everybody.
-                let previous = (Epoch(0), Index(0));
-                self.say(id, RaftKind::Append { previous, entries: Vec::new(), commit, sent });
+                self.say(id, only_heartbeat);
             }
             return;
         }
         if progress.next <= base.1 {
+            if layout.is_none() {
+                // Its answer says first how it can be sent.
+                return self.say(id, only_heartbeat);
+            }
             progress.go_on(Index(base.1.0 + 1));
             let snapshot = self.kept.snapshot.clone();
             let kind = RaftKind::Snapshot { snapshot, sent };
@@ -524,6 +531,9 @@
         }
         let next = Index(next.0 + entries.len() as u64);
         let large = entries.iter().map(size).sum::<usize>() > FLIGHT_BYTES;
+        if large && layout.is_none() {
+            return self.say(id, only_heartbeat);
+        }
         let kind = RaftKind::Append { previous: (epoch, before), entries, commit, sent };
         if let Some(progress) = self.peers.get_mut(&id) {
             progress.next = next;
@@ -709,6 +719,7 @@
                 if !self.is_leader() || epoch < self.kept.epoch {
                     return;
                 }
+                self.layouts.entry(from).or_insert(FIRST_LAYOUT);
                 let last = self.last().1;
                 let Some(progress) = self.peers.get_mut(&from) else {
                     return;
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -183,6 +183,7 @@
     /// Entries and bytes of the longest and the largest log.
     largest: (usize, usize),
     lengths: BTreeMap<u64, usize>,
+    widest: usize,
     /// Bytes that left for each member.
     sent: BTreeMap<u64, usize>,
 }
@@ -210,6 +211,7 @@
             largest: (0, 0),
             lengths: BTreeMap::new(),
             sent: BTreeMap::new(),
+            widest: 0,
         };
         this.run(2_000);
         this.unled = 0;
@@ -308,6 +310,7 @@
             }
             let frame = encode(&Frame::Raft { to, message: Box::new(message) });
             line.waiting += frame.len();
+            self.widest = self.widest.max(frame.len());
             *self.sent.entry(to.0).or_default() += frame.len();
             line.frames.push_back(frame);
         }
@@ -428,6 +431,23 @@
     }
 }
 
+#[test]
+fn nothing_large_goes_whole_to_one_that_was_never_heard_of() {
+    let mut country = Country::new(THIN);
+    country.load(300, 50, 250_000);
+    country.run(10_000);
+    let kept = Kept { me: MemberId(4), ..Kept::default() };
+    country.hedges.insert(4, Hedge::new(kept, false, country.now, || 70));
+    let members = (1..=4).map(|id| member(id, id < 4)).collect();
+    let (leader, now) = (country.leader().expect("a leader"), country.now);
+    let hedge = country.hedges.get_mut(&leader).expect("there");
+    assert!(hedge.kept.snapshot.last.1 > Index(0), "it needs a snapshot");
+    hedge.propose(Body::Members(members), now).expect("taken");
+    country.catches_up(4, 5_000);
+    assert_eq!((country.led.len(), country.unled), (1, 0), "{:?}", country.led);
+    assert!(country.widest < 70_000, "{} bytes at once", country.widest);
+}
+
 #[test]
 fn a_member_whose_link_carries_less_than_is_changed_catches_up_once_there_is_less() {
     let mut country = Country::new(Road { only: 0, ..THIN });
