An empty disk answers the leader that took it in; a member that went back is sent what it reads

Two faults of the parts, found by a trial with processes of both programs. A member that begins has no list, so it could not answer the leader's question how it can be sent what is large; now its answers go to whoever took it in, and the wish to join says the layout already. A member that was put back to the landed program was still sent parts, which close its connection; now its next frame ends that.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -464,6 +464,13 @@
             self.layouts.retain(|id, _| self.members.iter().any(|m| m.id == *id));
         }
         self.layouts.insert(id, layout);
+        if layout < PARTS_LAYOUT
+            && let Some(progress) = self.peers.get_mut(&id)
+            && progress.transfer.take().is_some()
+        {
+            // It went back to the program before, which can't read parts.
+            progress.go_on(Index(progress.matched.0 + 1));
+        }
     }
 
     /// Whether every other member is known to read this layout, so that none is sent what it can't
@@ -2823,7 +2830,7 @@
     /// A connection on the peer port, and what came over it.
     Opened(u64, TcpStream),
     Frame(u64, Frame),
-    /// The layout that a steward reads, ahead of each of its frames.
+    /// The layout that a steward reads, ahead of each frame that names it.
     Reads(MemberId, u8),
     Closed(u64),
     /// A connection of ours to another steward.
@@ -3013,6 +3020,8 @@
     next_join: Tick,
     /// The steward that is said to lead, for asking it to be taken in.
     join_at: Option<SocketAddr>,
+    /// The leader that takes this one in: until it has said who the members are, answers go there.
+    taken_in: Option<SocketAddr>,
     /// Founded by this process: until then nothing is taken before enough stewards hold it.
     young_until: Option<Tick>,
     /// The one that this process told to found the hedge, as no seed has a disk.
@@ -3123,6 +3132,7 @@
         joining: BTreeMap::new(),
         next_join: now,
         join_at: None,
+        taken_in: None,
         young_until: (!restarted && founds).then(|| now.plus(YOUNG_MS)),
         nominated: None,
         pointed: None,
@@ -3230,8 +3240,13 @@
                 loop {
                     match receive_with_layout(&mut reader) {
                         Ok((frame, layout)) => {
-                            if let Frame::Raft { message, .. } = &frame {
-                                drop(tx.send(Input::Reads(message.from, layout)));
+                            let said = match &frame {
+                                Frame::Raft { message, .. } => Some(message.from),
+                                Frame::Join { member, .. } => Some(member.id),
+                                _ => None,
+                            };
+                            if let Some(said) = said {
+                                drop(tx.send(Input::Reads(said, layout)));
                             }
                             if tx.send(Input::Frame(id, frame)).is_err() {
                                 return;
@@ -3472,10 +3487,12 @@
     }
 
     fn send_raft(&mut self, to: MemberId, message: Raft, now: Tick) {
-        let Some(member) = self.hedge.members().iter().find(|m| m.id == to) else {
+        let member = self.hedge.members().iter().find(|m| m.id == to);
+        // One that begins has no list yet, and hears only from the leader that took it in.
+        let taken_in = self.taken_in.filter(|_| self.hedge.members().is_empty());
+        let Some(address) = member.map(|m| m.peer).or(taken_in) else {
             return;
         };
-        let address = member.peer;
         let link = self.links.entry(to).or_insert(Link { line: None, dialing: false, retry: now });
         if link.line.as_ref().is_some_and(|l| left_out(&message.kind, l.out.waiting())) {
             return;
@@ -3905,6 +3922,12 @@
             }
         }
         let Some(answer) = answer else { return };
+        if matches!(answer, Joined::Noted | Joined::Listed) && self.taken_in != Some(at) {
+            self.taken_in = Some(at);
+            if self.hedge.members().is_empty() {
+                self.links.clear();
+            }
+        }
         let listed = self.hedge.members().iter().any(|m| m.id == me);
         match answer {
             Joined::Elsewhere(Some(leader)) if self.join_at.is_none() => {
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -249,6 +249,11 @@
                 let (_, bytes) = line.flying.pop_front().expect("a frame");
                 let (frame, layout) = receive_with_layout(&mut &bytes[..]).expect("readable");
                 let Frame::Raft { message, .. } = frame else { panic!("of the stewards") };
+                if self.old.contains(to) && matches!(message.kind, RaftKind::Part { .. }) {
+                    // Too large a frame for the landed program, which closes the connection.
+                    *line = Line::default();
+                    break;
+                }
                 let Some(hedge) = self.hedges.get_mut(to).filter(|_| !self.down.contains(to))
                 else {
                     continue;
@@ -843,12 +848,17 @@
 }
 impl Process {
     fn start(folder: &Path) -> Self {
-        let [peer, admin, front, ready] = [0; 4].map(|_| free_port());
+        let ports = [0; 4].map(|_| free_port());
+        let seeds = format!("seed_nodes = [\"127.0.0.1:{}\"]\n", ports[1]);
+        Self::start_at(folder, 1, ports, &seeds)
+    }
+    fn start_at(folder: &Path, host: u8, ports: [u16; 4], seeds: &str) -> Self {
+        let [peer, admin, front, ready] = ports;
         let settings = format!(
-            "node_name = \"n1\"\nip_address = \"127.0.0.1\"\nzone = \"z\"\n\
-             port_range = [{peer}, {peer}]\nseed_nodes = [\"127.0.0.1:{admin}\"]\n\
-             data_path = \"{}\"\n[listeners]\nfrontend = \"127.0.0.1:{front}\"\n\
-             readiness = \"127.0.0.1:{ready}\"\nadmin = \"127.0.0.1:{admin}\"\n",
+            "node_name = \"n{host}\"\nip_address = \"127.0.0.{host}\"\nzone = \"z\"\n\
+             port_range = [{peer}, {peer}]\n{seeds}data_path = \"{}\"\n[listeners]\n\
+             frontend = \"127.0.0.{host}:{front}\"\nreadiness = \"127.0.0.{host}:{ready}\"\n\
+             admin = \"127.0.0.{host}:{admin}\"\n",
             folder.display()
         );
         std::fs::write(folder.join("node.toml"), settings).expect("settings");
@@ -859,7 +869,7 @@
             .stderr(log)
             .spawn()
             .expect("steward");
-        let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        let at = |port: u16| SocketAddr::from(([127, 0, 0, host], port));
         Self { child, folder: folder.to_owned(), peer: at(peer), admin: at(admin) }
     }
     fn log(&self) -> String {
@@ -956,3 +966,39 @@
     assert_eq!(almanac.instances.len(), 2, "only those that never left");
     assert!(pack(&almanac).len() < 64 << 10, "and they take little room");
 }
+
+#[test]
+fn an_empty_disk_gets_a_folded_state_from_a_leader_it_only_asked_to_be_taken_in_by() {
+    let ports = [0; 4].map(|_| free_port());
+    let at = |host: u8, port: u16| SocketAddr::from(([127, 0, 0, host], port));
+    let seeds = format!("seed_nodes = [\"{}\"]\nbootstrap = true\n", at(1, ports[1]));
+    let start = |host| Process::start_at(&folder(&format!("join{host}")), host, ports, &seeds);
+    let first = start(1);
+    let put = |revision: u64| {
+        let route = |n: usize| {
+            serde_json::json!({
+                "name": format!("r{n}"), "hostname": format!("h{n}"), "path_prefix": "/x".repeat(200),
+                "route_type": "primary", "timeout_ms": 2000, "target_latency_ms": 250,
+                "priority": 1, "target_service": "s", "max_attempts": 2, "stale_ms": 1500,
+            })
+        };
+        let body = serde_json::json!({
+            "revision": revision, "route_rules": (0..400).map(route).collect::<Vec<_>>(),
+            "services": [{ "name": "s", "health_check_path": "/health", "max_connections": 16,
+                "sync_replicas": 1 }],
+            "limits": { "txn_idle_ms": 3000 },
+        });
+        let base = (revision - 1).to_string();
+        let sent = [("If-Match", base.as_str())];
+        http(first.admin, "PUT", "/configuration", &sent, &body.to_string())
+    };
+    eventually("taken", || put(1).is_ok_and(|(status, _)| status == 200));
+    for revision in 2..=12 {
+        assert_eq!(put(revision).expect("answered").0, 200);
+    }
+    let second = start(2);
+    eventually("caught up", || {
+        let status = http(second.admin, "GET", "/status", &[], "");
+        status.is_ok_and(|(_, body)| body.contains("\"revision\":12"))
+    });
+}
