A member whose list lacks the leader finds it by asking, and answers there

Cause: one that was away while others were taken in could not answer a leader in no list it has, as it knew no address; it heard the leader, so it did not ask either. With no voter to spare it was not removed, and never caught up. Now it asks like one that hears no leader, and answers the one that says it is listed.

Before: a_member_whose_list_lacks_the_leader_still_catches_up: never within 10 s. After: green.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -3020,7 +3020,8 @@
     next_join: Tick,
     /// The steward that is said to lead, for asking it to be taken in.
     join_at: Option<SocketAddr>,
-    /// The leader that takes this one in: until it has said who the members are, answers go there.
+    /// The leader that says that it takes this one in, or has: answers go there while it is in no
+    /// list here.
     taken_in: Option<SocketAddr>,
     /// Founded by this process: until then nothing is taken before enough stewards hold it.
     young_until: Option<Tick>,
@@ -3488,9 +3489,9 @@
 
     fn send_raft(&mut self, to: MemberId, message: Raft, now: Tick) {
         let member = self.hedge.members().iter().find(|m| m.id == to);
-        // One that begins has no list yet, and hears only from the leader that took it in.
-        let taken_in = self.taken_in.filter(|_| self.hedge.members().is_empty());
-        let Some(address) = member.map(|m| m.peer).or(taken_in) else {
+        // One that begins has no list yet, and that of one that was away may lack the leader.
+        let leads = self.taken_in.filter(|_| self.hedge.leader == Some(to));
+        let Some(address) = member.map(|m| m.peer).or(leads) else {
             return;
         };
         let link = self.links.entry(to).or_insert(Link { line: None, dialing: false, retry: now });
@@ -3880,7 +3881,10 @@
     fn ask_to_join(&mut self, now: Tick) {
         let me = self.hedge.kept.me;
         let was = self.hedge.members().iter().any(|m| m.id == me);
-        let idle = was && (self.hedge.is_leader() || !self.hedge.lonely(now, LONELY_MS));
+        // Of a leader that is in no list here, only its messages come: it is found by asking.
+        let unknown = self.hedge.leader.is_some() && self.leader().is_none();
+        let lost = self.hedge.lonely(now, LONELY_MS) || unknown;
+        let idle = was && (self.hedge.is_leader() || !lost);
         if idle || now < self.next_join {
             return;
         }
@@ -3924,9 +3928,8 @@
         let Some(answer) = answer else { return };
         if matches!(answer, Joined::Noted | Joined::Listed) && self.taken_in != Some(at) {
             self.taken_in = Some(at);
-            if self.hedge.members().is_empty() {
-                self.links.clear();
-            }
+            let members = self.hedge.members();
+            self.links.retain(|id, _| members.iter().any(|m| m.id == *id));
         }
         let listed = self.hedge.members().iter().any(|m| m.id == me);
         match answer {
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -1002,3 +1002,45 @@
         status.is_ok_and(|(_, body)| body.contains("\"revision\":12"))
     });
 }
+
+#[test]
+fn a_member_whose_list_lacks_the_leader_still_catches_up() {
+    let ports = [0; 4].map(|_| free_port());
+    let at = |host: u64, port: u16| -> SocketAddr {
+        format!("127.0.0.{host}:{port}").parse().expect("address")
+    };
+    let real =
+        |id: u64| Member { peer: at(id, ports[0]), admin: at(id, ports[1]), ..member(id, true) };
+    // With as many as are needed to bear a loss, nobody is removed for being silent.
+    let tolerates = "fault_tolerance = { machines = 1 }\n";
+    let seeds = format!("seed_nodes = [\"{}\"]\n{tolerates}", at(1, ports[1]));
+    let start = |id: u64, members: Vec<Member>| {
+        let folder = folder(&format!("list{id}"));
+        let snapshot = Snapshot { members, ..Snapshot::default() };
+        let kept = Kept { me: MemberId(id), epoch: Epoch(1), snapshot, ..Kept::default() };
+        drop(Granary::found(&folder, || kept).expect("founded"));
+        Process::start_at(&folder, id as u8, ports, &seeds)
+    };
+    let now = || vec![real(1), real(2), real(3)];
+    let both = [1, 3].map(|id| start(id, now()));
+    let put = |revision: u64| {
+        let body = serde_json::json!({
+            "revision": revision, "route_rules": [], "limits": { "txn_idle_ms": 3000 },
+            "services": [{ "name": "s", "health_check_path": "/health", "max_connections": 16,
+                "sync_replicas": 1 }],
+        });
+        let base = (revision - 1).to_string();
+        let sent = [("If-Match", base.as_str())];
+        let ask = |p: &Process| http(p.admin, "PUT", "/configuration", &sent, &body.to_string());
+        both.iter().any(|p| ask(p).is_ok_and(|(status, _)| status == 200))
+    };
+    for revision in 1..=3 {
+        eventually("taken", || put(revision));
+    }
+    // Away while the others were taken in.
+    let second = start(2, vec![real(2), member(7, true)]);
+    eventually("caught up", || {
+        let status = http(second.admin, "GET", "/status", &[], "");
+        status.is_ok_and(|(_, body)| body.contains("\"revision\":3"))
+    });
+}
