--- a/src/model.rs
+++ b/src/model.rs
@@ -190,8 +190,8 @@
     open: BTreeSet<u64>,
 }
 impl Effects for Queue {
-    fn send_raft(&mut self, to: &Member, message: Raft, _: Tick) {
-        self.raft.push((to.peer, to.id, message));
+    fn send_raft(&mut self, to: MemberId, address: SocketAddr, message: Raft, _: Tick) {
+        self.raft.push((address, to, message));
     }
     fn keep_links(&mut self, _: &[Member]) {}
     fn write(&mut self, sheaf: Sheaf) -> bool {
@@ -760,7 +760,9 @@
         if let Some(input) = input {
             steward.take(input, now);
         }
-        steward.turn(now);
+        if let Err(e) = steward.turn(now) {
+            return self.fail(format!("n{number} stops: {e}"));
+        }
         machine.wake += 1;
         let wake = Event::Wake(number, machine.life, machine.wake);
         let due = steward.due(now).max(1);
@@ -1810,6 +1812,12 @@
                 let number = machine_at(at);
                 let message = Box::new(message);
                 if self.reaches(End::Steward(from), End::Steward(number)) {
+                    // Only what reaches a process that is there counts as said.
+                    let machine = &mut self.machines[number];
+                    let now = Tick(self.now + machine.ahead);
+                    if let Some(steward) = &mut machine.steward {
+                        steward.take(Input::Reads(message.from, LAYOUT), now);
+                    }
                     let frame = Frame::Raft { to, message };
                     self.step(number, Some(Input::Frame(0, frame)));
                 }
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -58,9 +58,23 @@
 /// fewer voters than the loss of so many needs, and so long if there are hardly any.
 const YOUNG_MS: u64 = 5_000;
 const SPARSE_MS: u64 = 60_000;
-/// Entries sent in one message; one at least, and well within the largest frame.
+/// Entries sent in one message; one at least.
 const BATCH: usize = 64;
-const BATCH_BYTES: usize = 512 << 10;
+/// So many bytes of entries, or of one part of something larger, are under way to a member before it
+/// has answered: a heartbeat behind them waits no longer than a thin link takes for these.
+const FLIGHT_BYTES: usize = 16 << 10;
+/// A part that was answered within this is followed by a larger one, up to the most; one that took
+/// longer than a thin link takes for the least, by the least.
+const PART_SOON_MS: u64 = 40;
+const PART_LATE_MS: u64 = 120;
+const MOST_PART: usize = 64 << 10;
+/// Whatever goes in parts is no larger than this.
+const TRANSFER_BYTES: usize = 64 << 20;
+const LAYOUTS_KEPT: usize = 64;
+/// While a member that is there would need a snapshot for it, the log is not folded before it is so
+/// long, or so large.
+const KEEP_AFTER: usize = 8_192;
+const KEEP_BYTES: usize = 4 << 20;
 
 #[derive(Clone, Debug, PartialEq)]
 enum Rank {
@@ -77,6 +91,10 @@
 struct Progress {
     next: Index,
     matched: Index,
+    /// Entries from here up to `next` are under way.
+    flying: Index,
+    /// Too large for one message, so on its way in parts; nothing else but heartbeats goes meanwhile.
+    transfer: Option<Transfer>,
     /// When the newest message that this member answered was sent.
     acked: Tick,
     /// Since when this leader has cared for it.
@@ -86,12 +104,6 @@
     /// Its last round was short: it keeps up with what comes.
     keeps_up: bool,
 }
-impl Progress {
-    fn new(next: Index, last: Index, now: Tick) -> Self {
-        let (matched, acked) = (Index(0), Tick(0));
-        Self { next, matched, acked, since: now, round: (last, now), keeps_up: false }
-    }
-}
 
 /// A question about what is current, at the time it came: Raft's ReadIndex.
 #[derive(Clone, Debug, PartialEq)]
@@ -102,6 +114,56 @@
     pub asked: Tick,
 }
 
+impl Progress {
+    fn new(next: Index, last: Index, now: Tick) -> Self {
+        Self {
+            next,
+            matched: Index(0),
+            flying: next,
+            transfer: None,
+            acked: Tick(0),
+            since: now,
+            round: (last, now),
+            keeps_up: false,
+        }
+    }
+    /// Goes on from here; whatever was under way has arrived or is lost.
+    fn go_on(&mut self, next: Index) {
+        (self.next, self.flying) = (next, next);
+    }
+}
+
+/// A message on its way to a member in parts, one after the other. It stays as it is, whatever
+/// happens to the log meanwhile.
+#[derive(Clone, Debug)]
+struct Transfer {
+    id: u64,
+    /// The message, encoded; shared where several members get the same snapshot.
+    bytes: Arc<[u8]>,
+    /// The snapshot's last entry, if it is one.
+    snapshot: Option<Index>,
+    /// The first entry after it.
+    then: Index,
+    /// Answered up to here; the part from here on, so large, was sent then.
+    offset: usize,
+    part: usize,
+    sent: Tick,
+}
+
+/// A message that arrives in parts, bounded by `TRANSFER_BYTES`.
+#[derive(Clone)]
+struct Arriving {
+    leader: MemberId,
+    epoch: Epoch,
+    transfer: u64,
+    size: usize,
+    upto: usize,
+    bytes: Vec<u8>,
+}
+
+/// Whether this program can read what a leader's message holds.
+pub type Vet = fn(&RaftKind) -> Result<(), String>;
+
 /// What differs from the disk.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Dirty {
@@ -192,6 +254,18 @@
     pub dirty: Dirty,
     pub out: Vec<(MemberId, Raft)>,
     spread: fn() -> u64,
+    /// The newest time that was passed in.
+    clock: Tick,
+    /// Transfers begun by this one, and the one under way to it.
+    transfers: u64,
+    arriving: Option<Arriving>,
+    /// The layouts that other members read, as their newest frames say.
+    layouts: BTreeMap<MemberId, u8>,
+    /// Looks at what a leader sends before any of it is taken.
+    pub vet: Vet,
+    /// The leader has something that this program can't read: it was neither taken nor acknowledged,
+    /// and there is no going on.
+    pub refused: Option<String>,
 }
 
 impl Hedge {
@@ -223,6 +297,12 @@
             dirty: Dirty::default(),
             out: Vec::new(),
             spread,
+            clock: now,
+            transfers: 0,
+            arriving: None,
+            layouts: BTreeMap::new(),
+            vet: |_| Ok(()),
+            refused: None,
         };
         hedge.durable = hedge.last().1;
         hedge.recall_members();
@@ -353,6 +433,7 @@
             self.kept.voted = None;
             self.dirty.hard = true;
             self.owed = None;
+            self.arriving = None;
             self.returning = false;
         }
     }
@@ -366,6 +447,7 @@
     }
 
     pub fn tick(&mut self, now: Tick) {
+        self.clock = now;
         match &self.role {
             Rank::Leader { since, .. } => {
                 let patience = ELECTION_MIN_MS + ELECTION_SPREAD_MS;
@@ -380,7 +462,7 @@
                     self.round = now;
                     self.uncovered = self.uncovered.filter(|asked| *asked >= now);
                     for id in self.others() {
-                        self.append_to(id, now);
+                        self.append_to(id, true, now);
                     }
                 }
                 self.pass_on(now);
@@ -472,50 +554,208 @@
             // One that is taken in again goes on where it was.
             let held = self.removed.remove(&id).unwrap_or_default();
             let next = Index(held.0 + 1);
-            self.peers.entry(id).or_insert(Progress::new(next, index, now));
-            self.append_to(id, now);
+            self.peers.entry(id).or_insert_with(|| Progress::new(next, index, now));
+            self.append_to(id, false, now);
         }
         index
     }
-    fn append_to(&mut self, id: MemberId, now: Tick) {
-        let Some(progress) = self.peers.get(&id) else {
+    /// What a member's newest frame says of the layout it reads.
+    pub fn reads(&mut self, id: MemberId, layout: u8) {
+        // Ids of what never was a member are forgotten again.
+        if self.layouts.len() > LAYOUTS_KEPT {
+            self.layouts.retain(|id, _| self.members.iter().any(|m| m.id == *id));
+        }
+        self.layouts.insert(id, layout);
+        if layout < PARTS_LAYOUT
+            && let Some(progress) = self.peers.get_mut(&id)
+            && progress.transfer.take().is_some()
+        {
+            // It went back to the program before, which can't read parts.
+            progress.go_on(Index(progress.matched.0 + 1));
+        }
+    }
+
+    /// Whether no other member is known not to read this layout. One that has not been heard of is
+    /// taken for dark rather than old: what waits for this keeps failovers from going on.
+    pub fn all_read(&self, layout: u8) -> bool {
+        self.others().iter().all(|id| self.layouts.get(id).is_none_or(|l| *l >= layout))
+    }
+
+    /// Sends a member what it lacks, as far as it may be under way at once; a heartbeat goes in any
+    /// case.
+    fn append_to(&mut self, id: MemberId, heartbeat: bool, now: Tick) {
+        let (base, sent, commit) = (self.kept.snapshot.last, now.0, self.commit);
+        let Some(progress) = self.peers.get_mut(&id) else {
             return;
         };
-        let base = self.kept.snapshot.last;
-        if progress.next <= base.1 {
-            let kind = RaftKind::Snapshot { snapshot: self.kept.snapshot.clone(), sent: now.0 };
-            self.say(id, kind);
-            if let Some(progress) = self.peers.get_mut(&id) {
-                progress.next = Index(base.1.0 + 1);
+        let layout = self.layouts.get(&id).copied();
+        let parts = layout.is_some_and(|l| l >= PARTS_LAYOUT);
+        if progress.transfer.as_ref().is_some_and(|t| t.then <= base.1) {
+            // The log has been folded over what comes after it: a newer snapshot is needed anyway.
+            progress.transfer = None;
+            progress.next = Index(1);
+        }
+        // The beginning of all logs is agreed on by everybody.
+        let previous = (Epoch(0), Index(0));
+        let only_heartbeat = RaftKind::Append { previous, entries: Vec::new(), commit, sent };
+        if progress.transfer.is_some() {
+            if heartbeat {
+                self.say(id, only_heartbeat);
             }
             return;
         }
-        let before = Index(progress.next.0 - 1);
+        if progress.next <= base.1 {
+            // Of an older program it is not known what it would do with a state that it can't read:
+            // it gets what is in the log, and this once it is exchanged.
+            let needed = self.kept.snapshot.state.first().copied().filter(|b| *b < 0x80);
+            if layout.is_none_or(|l| needed.is_some_and(|needed| l < needed)) {
+                // Its answer says first how it can be sent.
+                return self.say(id, only_heartbeat);
+            }
+            progress.go_on(Index(base.1.0 + 1));
+            let snapshot = self.kept.snapshot.clone();
+            let kind = RaftKind::Snapshot { snapshot, sent };
+            return match parts {
+                true => self.transfer_to(id, &kind, Some(base.1), now),
+                false => self.say(id, kind),
+            };
+        }
+        let (next, flying) = (progress.next, progress.flying);
+        let before = Index(next.0 - 1);
         let Some(epoch) = self.epoch_at(before) else {
             return;
         };
-        let from = (before.0 - base.1.0) as usize;
-        let mut room = BATCH_BYTES;
+        let at = |index: Index| (index.0.saturating_sub(base.1.0 + 1)) as usize;
+        let under_way = self.kept.log.get(at(flying)..at(next)).unwrap_or_default();
+        let taken: usize = under_way.iter().map(size).sum();
+        let mut room = FLIGHT_BYTES.saturating_sub(taken);
+        // One goes by itself, however large it is.
+        let mut first = under_way.is_empty();
         let fits = |e: &&Entry| {
-            let goes = room > 0;
+            let goes = std::mem::take(&mut first) || size(e) <= room;
             room = room.saturating_sub(size(e));
             goes
         };
-        let waiting = self.kept.log.iter().skip(from).take(BATCH);
+        let waiting = self.kept.log.iter().skip(at(next)).take(BATCH);
         let entries: Vec<Entry> = waiting.take_while(fits).cloned().collect();
-        let next = Index(progress.next.0 + entries.len() as u64);
-        let (commit, sent) = (self.commit, now.0);
-        self.say(id, RaftKind::Append { previous: (epoch, before), entries, commit, sent });
+        if entries.is_empty() && !heartbeat {
+            return;
+        }
+        let next = Index(next.0 + entries.len() as u64);
+        let large = entries.iter().map(size).sum::<usize>() > FLIGHT_BYTES;
+        if large && layout.is_none() {
+            return self.say(id, only_heartbeat);
+        }
+        let kind = RaftKind::Append { previous: (epoch, before), entries, commit, sent };
         if let Some(progress) = self.peers.get_mut(&id) {
             progress.next = next;
         }
+        match large && parts {
+            true => self.transfer_to(id, &kind, None, now),
+            false => self.say(id, kind),
+        }
+    }
+    fn transfer_to(&mut self, id: MemberId, kind: &RaftKind, snapshot: Option<Index>, now: Tick) {
+        let mut others = self.peers.values().filter_map(|p| p.transfer.as_ref());
+        let same = others.find(|t| snapshot.is_some() && t.snapshot == snapshot);
+        let bytes = same.map_or_else(|| pack(kind).into(), |t| Arc::clone(&t.bytes));
+        self.transfers += 1;
+        let transfer = self.transfers;
+        if let Some(progress) = self.peers.get_mut(&id) {
+            let then = progress.next;
+            let (offset, part) = (0, FLIGHT_BYTES);
+            let begun = Transfer { id: transfer, bytes, snapshot, then, offset, part, sent: now };
+            progress.transfer = Some(begun);
+        }
+        self.send_part(id, now);
+    }
+    fn send_part(&mut self, id: MemberId, now: Tick) {
+        let Some(transfer) = self.peers.get_mut(&id).and_then(|p| p.transfer.as_mut()) else {
+            return;
+        };
+        transfer.sent = now;
+        let (from, size) = (transfer.offset, transfer.bytes.len());
+        let part = &transfer.bytes[from..size.min(from + transfer.part)];
+        let kind = RaftKind::Part {
+            transfer: transfer.id,
+            size: size as u64,
+            offset: from as u64,
+            bytes: ByteBuf::from(part),
+            sent: now.0,
+        };
+        self.say(id, kind);
+    }
+    /// The next part, once the member has answered the one before; then the entries after it.
+    fn part_taken(&mut self, id: MemberId, transfer: u64, upto: u64, sent: u64, now: Tick) {
+        let Some(progress) = self.peers.get_mut(&id) else {
+            return;
+        };
+        progress.acked = progress.acked.max(Tick(sent));
+        let current = progress.transfer.as_mut().filter(|t| t.id == transfer);
+        // Only the newest part's answer counts; the one before may have been sent twice.
+        let Some(under_way) = current.filter(|t| t.sent <= Tick(sent)) else {
+            return;
+        };
+        if upto < under_way.bytes.len() as u64 {
+            under_way.offset = upto as usize;
+            let part = match now.since(under_way.sent) {
+                0..PART_SOON_MS => under_way.part * 2,
+                PART_LATE_MS.. => FLIGHT_BYTES,
+                _ => under_way.part,
+            };
+            under_way.part = part.min(MOST_PART);
+            return self.send_part(id, now);
+        }
+        let then = under_way.then;
+        progress.transfer = None;
+        progress.go_on(then);
+        self.append_to(id, false, now);
+    }
+    /// Gathers the parts of a message, and gives it once it is whole.
+    fn take_part(
+        &mut self,
+        from: MemberId,
+        (transfer, size, offset): (u64, u64, u64),
+        bytes: &[u8],
+        sent: u64,
+    ) -> Option<RaftKind> {
+        let epoch = self.kept.epoch;
+        let same = |a: &Arriving| (a.leader, a.epoch, a.transfer) == (from, epoch, transfer);
+        if !self.arriving.as_ref().is_some_and(same) {
+            let size = usize::try_from(size).ok().filter(|s| *s <= TRANSFER_BYTES)?;
+            let bytes = Vec::new();
+            self.arriving = Some(Arriving { leader: from, epoch, transfer, size, upto: 0, bytes });
+        }
+        let arriving = self.arriving.as_mut()?;
+        let fits = arriving.upto as u64 == offset && arriving.upto + bytes.len() <= arriving.size;
+        if fits {
+            arriving.bytes.extend_from_slice(bytes);
+            arriving.upto += bytes.len();
+        }
+        let upto = arriving.upto as u64;
+        // Known to be taken from here on, but not kept any longer.
+        let whole =
+            (fits && arriving.upto == arriving.size).then(|| std::mem::take(&mut arriving.bytes));
+        self.say(from, RaftKind::PartTaken { transfer, upto, sent });
+        match unpack::<RaftKind>(&whole?) {
+            Ok(kind @ (RaftKind::Append { .. } | RaftKind::Snapshot { .. })) => Some(kind),
+            Ok(_) => None,
+            Err(e) => {
+                self.refused = Some(format!("the leader's message can't be read: {e}"));
+                None
+            }
+        }
     }
 
     pub fn step(&mut self, message: Raft, now: Tick) {
         let Raft { from, epoch, kind } = message;
         match kind {
-            // One that was removed, or was never taken in, can't be elected by those who know it.
+            // One that was removed, or was never taken in, can't be elected by those who know it, nor
+            // do its answers say anything.
             RaftKind::AskVote { .. }
+            | RaftKind::Vote { .. }
+            | RaftKind::Appended { .. }
+            | RaftKind::PartTaken { .. }
                 if !self.members.is_empty() && !self.members.iter().any(|m| m.id == from) => {}
             RaftKind::AskVote { trial, handover, led, last } => {
                 // One that led the newest epoch known here leads no more: there is nobody left
@@ -543,6 +783,11 @@
                     return self.say(from, OUTDATED);
                 }
                 let heartbeat = entries.is_empty();
+                let kind = RaftKind::Append { previous, entries, commit, sent };
+                if self.refuses(&kind) {
+                    return;
+                }
+                let RaftKind::Append { entries, .. } = kind else { return };
                 let (ok, upto) = self.take_entries(previous, entries);
                 if ok {
                     self.commit = self.commit.max(commit.min(upto));
@@ -556,6 +801,11 @@
                     return self.say(from, OUTDATED);
                 }
                 let upto = snapshot.last.1;
+                let kind = RaftKind::Snapshot { snapshot, sent };
+                if self.refuses(&kind) {
+                    return;
+                }
+                let RaftKind::Snapshot { snapshot, .. } = kind else { return };
                 if upto > self.commit {
                     if self.epoch_at(upto) == Some(snapshot.last.0) {
                         self.kept.log.retain(|e| e.index > upto);
@@ -579,6 +829,7 @@
                 if !self.is_leader() || epoch < self.kept.epoch {
                     return;
                 }
+                self.layouts.entry(from).or_insert(FIRST_LAYOUT);
                 let last = self.last().1;
                 let Some(progress) = self.peers.get_mut(&from) else {
                     return;
@@ -587,9 +838,25 @@
                 if Tick(sent) <= now {
                     progress.acked = progress.acked.max(Tick(sent));
                 }
-                if ok {
+                if let Some(transfer) = &mut progress.transfer {
+                    // It came later and was answered first: the part before it is lost, perhaps as
+                    // there is less room on the way than there was.
+                    let lost = Tick(sent) > transfer.sent;
+                    if lost {
+                        transfer.part = FLIGHT_BYTES;
+                    }
+                    if ok {
+                        progress.matched = progress.matched.max(upto);
+                        self.advance();
+                    }
+                    if lost {
+                        self.send_part(from, now);
+                    }
+                } else if ok {
                     progress.matched = progress.matched.max(upto);
-                    progress.next = progress.next.max(Index(progress.matched.0 + 1));
+                    let after = Index(progress.matched.0 + 1);
+                    progress.next = progress.next.max(after);
+                    progress.flying = progress.flying.max(after);
                     let (goal, began) = progress.round;
                     if progress.matched >= goal {
                         progress.keeps_up = now.since(began) < ELECTION_MIN_MS;
@@ -598,12 +865,26 @@
                     let behind = progress.next <= last;
                     self.advance();
                     if behind {
-                        self.append_to(from, now);
+                        self.append_to(from, false, now);
                     }
                     self.pass_on(now);
                 } else {
-                    progress.next = Index(progress.matched.max(upto).0 + 1);
-                    self.append_to(from, now);
+                    progress.go_on(Index(progress.matched.max(upto).0 + 1));
+                    self.append_to(from, true, now);
+                }
+            }
+            RaftKind::Part { transfer, size, offset, bytes, sent } => {
+                if !self.led_by(from, epoch, now) {
+                    return self.say(from, OUTDATED);
+                }
+                let place = (transfer, size, offset);
+                if let Some(kind) = self.take_part(from, place, &bytes, sent) {
+                    self.step(Raft { from, epoch, kind }, now);
+                }
+            }
+            RaftKind::PartTaken { transfer, upto, sent } => {
+                if self.is_leader() && epoch == self.kept.epoch {
+                    self.part_taken(from, transfer, upto, sent, now);
                 }
             }
             RaftKind::TakeOver => {
@@ -615,6 +896,15 @@
         }
     }
 
+    /// Whether a leader's message holds what this program can't read. Looked at before any of it is
+    /// taken, so that the state on disk stays one that it can.
+    fn refuses(&mut self, kind: &RaftKind) -> bool {
+        if let Err(why) = (self.vet)(kind) {
+            self.refused = Some(why);
+        }
+        self.refused.is_some()
+    }
+
     /// Only what is on disk is acknowledged. New entries wait for it; a heartbeat is answered at
     /// once with what there is, as a disk that stalls does not make this steward dead.
     fn acknowledge(&mut self, leader: MemberId, upto: Index, sent: u64, heartbeat: bool) {
@@ -781,6 +1071,11 @@
         if at < COMPACT_AFTER && bytes < COMPACT_BYTES {
             return;
         }
+        // A snapshot under way is of use only with the log from there on, and a member that is there
+        // gets what it lacks sooner without another one.
+        if at < KEEP_AFTER && bytes < KEEP_BYTES && self.awaited(applied) {
+            return;
+        }
         let members = self.kept.log[..=at]
             .iter()
             .rev()
@@ -794,6 +1089,13 @@
         self.dirty.mark_log(Index(0));
     }
 
+    /// Whether a member that is there would have to get a snapshot if the log began after this entry.
+    fn awaited(&self, applied: Index) -> bool {
+        let lacks = |p: &Progress| p.transfer.is_some() || p.next <= applied;
+        let there = |p: &Progress| self.clock.since(p.acked) < PRESENT_MS;
+        self.peers.values().any(|p| there(p) && lacks(p))
+    }
+
     /// Another is to lead. No lease is given from here on, and nothing is added to the log.
     pub fn hand_over(&mut self, now: Tick) {
         if !self.is_leader() || self.leaving.is_some() {
@@ -934,15 +1236,47 @@
 /// The layout this program writes. A file with a higher one is from a newer program.
 const FORMAT: i64 = 1;
 
-const LAYOUT: &str = "BEGIN;
+const TABLES: &str = "BEGIN;
     CREATE TABLE IF NOT EXISTS hard (only_one INTEGER PRIMARY KEY CHECK (only_one = 1), me INTEGER, epoch INTEGER, voted INTEGER);
     CREATE TABLE IF NOT EXISTS led (only_one INTEGER PRIMARY KEY CHECK (only_one = 1), epoch INTEGER NOT NULL);
     CREATE TABLE IF NOT EXISTS snapshot (only_one INTEGER PRIMARY KEY CHECK (only_one = 1), body BLOB NOT NULL);
     CREATE TABLE IF NOT EXISTS log (place INTEGER PRIMARY KEY, body BLOB NOT NULL);
     COMMIT;";
 
-/// Says that a member's state was written here, should the state itself ever be missing.
+/// Says that a member's state was written here, should the state itself ever be missing, and whose it
+/// may be: all members that this folder was. Before `MARKED` stood in it, it was not
+/// kept when a removed member began anew under a fresh id, so what it says then is not relied on.
 const MARK: &str = "member";
+const MARKED: &str = "members";
+
+/// The members that a folder is marked as; none if it isn't, or not reliably.
+fn marks(folder: &Path) -> Result<BTreeSet<MemberId>, Fatal> {
+    let text = match std::fs::read_to_string(folder.join(MARK)) {
+        Ok(text) => text,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(BTreeSet::new()),
+        Err(e) => return Err(Fatal::Disk(format!("{MARK}: {e}"))),
+    };
+    let mut words = text.split_whitespace();
+    if words.next() != Some(MARKED) {
+        return Ok(BTreeSet::new());
+    }
+    let ids: Result<_, _> = words.map(|w| w.parse().map(MemberId)).collect();
+    ids.map_err(|_| Fatal::State(format!("the file {MARK} is damaged, left as it is")))
+}
+/// Marks a folder durably, with its own name and that in the folder above, where that may be opened.
+fn mark(folder: &Path, ids: &BTreeSet<MemberId>) -> std::io::Result<()> {
+    let ids: Vec<String> = ids.iter().map(MemberId::to_string).collect();
+    let beside = folder.join("member.new");
+    let mut file = std::fs::File::create(&beside)?;
+    file.write_all(format!("{MARKED} {}\n", ids.join(" ")).as_bytes())?;
+    file.sync_all()?;
+    std::fs::rename(&beside, folder.join(MARK))?;
+    std::fs::File::open(folder)?.sync_all()?;
+    match folder.parent().map(std::fs::File::open) {
+        Some(Ok(above)) => above.sync_all(),
+        _ => Ok(()),
+    }
+}
 
 /// A full or failing disk may be well again later; anything else is wrong with the state itself.
 fn disk(error: rusqlite::Error) -> Fatal {
@@ -956,14 +1290,17 @@
 /// The SQLite file that holds vote, log and snapshot.
 pub struct Granary {
     db: Connection,
+    /// Where it lies, and the members it may hold the state of.
+    folder: Option<PathBuf>,
+    marked: BTreeSet<MemberId>,
 }
 
 impl Granary {
     /// For a steward without a disk, which votes on nothing: all is forgotten when it ends.
     pub fn none() -> Result<Self, Fatal> {
         let db = Connection::open_in_memory().map_err(disk)?;
-        db.execute_batch(LAYOUT).map_err(disk)?;
-        Ok(Self { db })
+        db.execute_batch(TABLES).map_err(disk)?;
+        Ok(Self { db, folder: None, marked: BTreeSet::new() })
     }
 
     /// Opens or makes the file; gives what it holds, `None` if it was new.
@@ -978,6 +1315,22 @@
                 "format {format} is newer than {FORMAT}, left as it is"
             )));
         }
+        let others = "SELECT count(*) FROM sqlite_master WHERE type = 'table' \
+            AND name NOT IN ('hard', 'led', 'snapshot', 'log')";
+        let others: i64 = db.query_row(others, [], |r| r.get(0)).map_err(disk)?;
+        if others > 0 {
+            return Err(Fatal::State("not a steward's file, left as it is".into()));
+        }
+        // Looked for before anything is written.
+        let founded = "SELECT count(*) FROM sqlite_master WHERE name = 'hard'";
+        let founded: i64 = db.query_row(founded, [], |r| r.get(0)).map_err(disk)?;
+        let gone = || {
+            let why = "a member's state was here and is gone; not taken for a new disk";
+            Fatal::State(why.into())
+        };
+        if founded == 0 && folder.join(MARK).exists() {
+            return Err(gone());
+        }
         db.pragma_update(None, "journal_mode", "WAL").map_err(disk)?;
         db.pragma_update(None, "synchronous", "FULL").map_err(disk)?;
         db.pragma_update(None, "temp_store", "MEMORY").map_err(disk)?;
@@ -989,17 +1342,28 @@
         }
         // Writes nothing where all is there. The table `led` came later than the rest; files
         // without it are read as ever.
-        db.execute_batch(LAYOUT).map_err(disk)?;
+        db.execute_batch(TABLES).map_err(disk)?;
         if format == 0 {
             db.pragma_update(None, "user_version", FORMAT).map_err(disk)?;
         }
         let kept = Self::load(&db)?;
         if kept.is_none() && folder.join(MARK).exists() {
-            return Err(Fatal::State(
-                "a member's state was here and is gone; not taken for a new disk".into(),
-            ));
+            return Err(gone());
         }
-        Ok((Self { db }, kept))
+        let mut marked = marks(folder)?;
+        if let Some(kept) = &kept {
+            if !marked.is_empty() && !marked.contains(&kept.me) {
+                return Err(Fatal::State(format!(
+                    "of member {}, in a folder of {}; left as it is",
+                    kept.me,
+                    marked.iter().map(MemberId::to_string).collect::<Vec<_>>().join(", ")
+                )));
+            }
+            if marked.insert(kept.me) {
+                mark(folder, &marked).map_err(|e| Fatal::Disk(e.to_string()))?;
+            }
+        }
+        Ok((Self { db, folder: Some(folder.to_owned()), marked }, kept))
     }
 
     /// Opens the file and makes sure that there is a first state in it, durable with its names.
@@ -1010,18 +1374,8 @@
         }
         let kept = first();
         granary.save(&Sheaf::of(&kept, &Dirty::all())).map_err(disk)?;
-        let sync = || -> std::io::Result<()> {
-            let mut mark = std::fs::File::create(folder.join(MARK))?;
-            mark.write_all(kept.me.to_string().as_bytes())?;
-            mark.sync_all()?;
-            std::fs::File::open(folder)?.sync_all()?;
-            // The folder's own name stands in the one above, where that may be opened.
-            match folder.parent().map(std::fs::File::open) {
-                Some(Ok(above)) => above.sync_all(),
-                _ => Ok(()),
-            }
-        };
-        sync().map_err(|e| Fatal::Disk(e.to_string()))?;
+        granary.marked.insert(kept.me);
+        mark(folder, &granary.marked).map_err(|e| Fatal::Disk(e.to_string()))?;
         Ok((granary, kept, false))
     }
 
@@ -1088,6 +1442,15 @@
 
     /// Writes what changed in one transaction; when this returns it is durable.
     pub fn save(&mut self, sheaf: &Sheaf) -> rusqlite::Result<()> {
+        // A removed member begins anew: the folder is marked as its before the state is.
+        if let (Some(folder), Some((me, ..))) = (&self.folder, &sheaf.hard)
+            && !self.marked.is_empty()
+            && self.marked.insert(*me)
+            && let Err(e) = mark(folder, &self.marked)
+        {
+            self.marked.remove(me);
+            return Err(rusqlite::Error::ToSqlConversionFailure(e.into()));
+        }
         let tx = self.db.transaction()?;
         if let Some((me, epoch, voted, led)) = &sheaf.hard {
             tx.prepare_cached("INSERT OR REPLACE INTO hard VALUES (1, ?1, ?2, ?3)")?
@@ -1316,6 +1679,46 @@
     Forgotten,
 }
 
+/// What an entry's change says, if this program can read all of it.
+fn read_change(index: Index, bytes: &[u8]) -> Result<Change, String> {
+    let unreadable = |e: String| format!("entry {index} can't be read: {e}");
+    let change = unpack::<Change>(bytes).map_err(|e| unreadable(e.to_string()))?;
+    if let Change::Configure { body, .. } = &change {
+        Configuration::read(body).map_err(unreadable)?;
+    }
+    Ok(change)
+}
+/// The state that a snapshot holds; the empty one at the beginning of all logs.
+fn read_state(snapshot: &Snapshot) -> Result<Almanac, String> {
+    if snapshot.state.is_empty() && snapshot.last.1 == Index(0) {
+        return Ok(Almanac::default());
+    }
+    let unreadable = |e| format!("the snapshot at entry {} can't be read: {e}", snapshot.last.1);
+    let almanac = Almanac::read(&snapshot.state).map_err(|e| unreadable(e.to_string()))?;
+    almanac.configuration().map_err(unreadable)?;
+    Ok(almanac)
+}
+fn read_entries(entries: &[Entry]) -> Result<(), String> {
+    entries.iter().try_for_each(|entry| match &entry.body {
+        Body::Change(bytes) => read_change(entry.index, bytes).map(drop),
+        _ => Ok(()),
+    })
+}
+/// The steward's `Vet`: what it could not apply is not taken.
+pub fn readable(kind: &RaftKind) -> Result<(), String> {
+    match kind {
+        RaftKind::Append { entries, .. } => read_entries(entries),
+        RaftKind::Snapshot { snapshot, .. } => read_state(snapshot).map(drop),
+        _ => Ok(()),
+    }
+}
+/// The state of what is on disk, if this program can read all of it.
+pub fn read_kept(kept: &Kept) -> Result<Almanac, Fatal> {
+    let left = |why| Fatal::State(format!("left as it is: {why}"));
+    read_entries(&kept.log).map_err(left)?;
+    read_state(&kept.snapshot).map_err(left)
+}
+
 /// More than leave while a beat can be under way; a full list takes about 90 KB of a snapshot.
 const GONE_KEPT: usize = 4096;
 /// Of one service. As many as there are synchronous replicas bar every choice already.
@@ -1347,10 +1750,14 @@
     }
 }
 
+/// The layout of a state with digests of orders, or departed databases, that the first one does not
+/// know. Stands in front of it.
+const STATE_LAYOUT: u8 = 2;
+
 impl Almanac {
     /// The state that a snapshot holds.
     pub fn read(bytes: &[u8]) -> std::io::Result<Self> {
-        let mut almanac: Self = unpack(bytes)?;
+        let mut almanac: Self = unpack(bytes.strip_prefix(&[STATE_LAYOUT]).unwrap_or(bytes))?;
         for (id, record) in &almanac.instances {
             let service = record.instance.target_service.clone();
             almanac.by_service.entry(service).or_default().insert(id.clone());
@@ -1359,11 +1766,27 @@
         almanac.gone_by_id = almanac.gone.iter().cloned().collect();
         Ok(almanac)
     }
+    /// The bytes of a snapshot. As long as there is nothing in it that the first layout has no place
+    /// for, they are of that one, so that an older program can go on with them.
+    pub fn write(&self) -> Vec<u8> {
+        let old = |digest: &Digest| matches!(digest, Digest::Fnv(..));
+        let first = self.departed.is_empty() && self.taken.values().all(old);
+        let prefix: &[u8] = if first { &[] } else { &[STATE_LAYOUT] };
+        [prefix, &pack(self)].concat()
+    }
     /// Whether anything was taken yet. Whoever founds a hedge has to wait for enough stewards
     /// before; afterwards there may be fewer for a moment, while one is exchanged.
     pub fn begun(&self) -> bool {
         !self.body.is_empty() || !self.instances.is_empty()
     }
+    /// The configuration in force. One that this program can't read is not the same as none.
+    pub fn configuration(&self) -> Result<Option<Configuration>, String> {
+        if self.body.is_empty() {
+            return Ok(None);
+        }
+        let unreadable = |e| format!("configuration {} can't be read: {e}", self.revision);
+        Configuration::read(&self.body).map(Some).map_err(unreadable)
+    }
     fn unlist(&mut self, id: &InstanceId) -> Option<Record> {
         let record = self.instances.remove(id)?;
         let service = &record.instance.target_service;
@@ -3107,6 +3530,8 @@
 pub enum Input {
     /// What came over a connection on the peer port.
     Frame(u64, Frame),
+    /// The layout that a steward reads, ahead of each frame that names it.
+    Reads(MemberId, u8),
     Closed(u64),
     Http(Request, SyncSender<Response>),
     Told(ServiceName, InstanceId, Ask, Attempt, Told),
@@ -3121,7 +3546,7 @@
 /// model in the tests with queues in virtual time. Nothing here waits.
 pub trait Effects {
     /// Sends another steward a consensus message, or drops it: the hedge asks again for what got lost.
-    fn send_raft(&mut self, to: &Member, message: Raft, now: Tick);
+    fn send_raft(&mut self, to: MemberId, address: SocketAddr, message: Raft, now: Tick);
     /// Connections to all others are of no use any more.
     fn keep_links(&mut self, members: &[Member]);
     /// Starts to write; `Input::Saved` follows. False if nothing writes any more.
@@ -3205,6 +3630,17 @@
     }
 }
 
+/// Whether a message is not to wait behind so many bytes that a link has not taken yet. What is left
+/// out here is asked for again, and heartbeats go on as long as there is a way at all.
+pub fn left_out(kind: &RaftKind, waiting: usize) -> bool {
+    match kind {
+        RaftKind::Snapshot { .. } => waiting > 0,
+        RaftKind::Append { entries, .. } if !entries.is_empty() => waiting > FLIGHT_BYTES,
+        RaftKind::Append { .. } | RaftKind::Part { .. } => waiting > LINK_WAITING,
+        _ => false,
+    }
+}
+
 /// A peer's socket and what waits for it. The core never waits for a peer to read.
 struct Wire {
     stream: TcpStream,
@@ -3315,6 +3751,9 @@
     next_join: Tick,
     /// The steward that is said to lead, for asking it to be taken in.
     join_at: Option<SocketAddr>,
+    /// The leader that says that it takes this one in, or has: answers go there while it is in no
+    /// list here.
+    taken_in: Option<SocketAddr>,
     /// The one that this process told to found the hedge, as no seed has a disk.
     nominated: Option<MemberId>,
     /// Without a disk this steward is in no list and only points at the one that leads.
@@ -3329,8 +3768,12 @@
     /// Questions to databases: how many are under way, and those that wait.
     asking: usize,
     questions: VecDeque<(ServiceName, InstanceId, Ask, Attempt)>,
+    /// Something that is committed can't be read here: nothing is said or done on this state any more.
+    unreadable: Option<String>,
 }
 
+/// What may wait for a link to another steward before even heartbeats are left out.
+const LINK_WAITING: usize = 4 * FLIGHT_BYTES;
 /// One that reads nothing for so long, or should speak and does not, is let go.
 const USELESS_MS: u64 = 10_000;
 /// Questions to databases under way at once, and waiting.
@@ -3488,8 +3931,16 @@
                 }
                 let mut reader = std::io::BufReader::with_capacity(4096, stream);
                 loop {
-                    match receive(&mut reader) {
-                        Ok(frame) => {
+                    match receive_with_layout(&mut reader) {
+                        Ok((frame, layout)) => {
+                            let said = match &frame {
+                                Frame::Raft { message, .. } => Some(message.from),
+                                Frame::Join { member, .. } => Some(member.id),
+                                _ => None,
+                            };
+                            if let Some(said) = said {
+                                drop(tx.send(Event::Input(Input::Reads(said, layout))));
+                            }
                             if tx.send(Event::Input(Input::Frame(id, frame))).is_err() {
                                 return;
                             }
@@ -3662,13 +4113,9 @@
 }
 
 impl Effects for Sockets {
-    fn send_raft(&mut self, to: &Member, message: Raft, now: Tick) {
-        let (to, address) = (to.id, to.peer);
+    fn send_raft(&mut self, to: MemberId, address: SocketAddr, message: Raft, now: Tick) {
         let link = self.links.entry(to).or_insert(Link { line: None, dialing: false, retry: now });
-        // What a slow link has not taken yet is enough for now: entries that are left out here are
-        // asked for again.
-        let bulky = matches!(message.kind, RaftKind::Append { .. } | RaftKind::Snapshot { .. });
-        if bulky && link.line.as_ref().is_some_and(|l| !l.out.is_empty()) {
+        if link.line.as_ref().is_some_and(|l| left_out(&message.kind, l.out.waiting())) {
             return;
         }
         let frame = encode(&Frame::Raft { to, message: Box::new(message) });
@@ -3808,7 +4255,7 @@
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
             }
             let now = Tick::now();
-            self.turn(now);
+            self.turn(now)?;
             if now.since(looked) > 1_000 {
                 looked = now;
                 let stiles = &self.stiles;
@@ -3872,14 +4319,9 @@
     ) -> Result<Self, Fatal> {
         info!(target: "hedge", "member {} starts at epoch {}, entry {}", kept.me, kept.epoch,
             kept.log.last().map_or(kept.snapshot.last.1, |e| e.index));
-        let almanac = if kept.snapshot.state.is_empty() {
-            Almanac::default()
-        } else {
-            Almanac::read(&kept.snapshot.state)
-                .map_err(|e| Fatal::State(format!("damaged, left as it is: {e}")))?
-        };
+        let almanac = read_kept(&kept)?;
         let applied = kept.snapshot.last.1;
-        let config = Configuration::read(&almanac.body).ok();
+        let config = almanac.configuration().map_err(Fatal::State)?;
         let mut steward = Self {
             hedge: Hedge::new(kept, restarted, now, random),
             settings,
@@ -3900,6 +4342,7 @@
             joining: BTreeMap::new(),
             next_join: now,
             join_at: None,
+            taken_in: None,
             nominated: None,
             pointed: None,
             office: None,
@@ -3910,7 +4353,9 @@
             known_leader: None,
             asking: 0,
             questions: VecDeque::new(),
+            unreadable: None,
         };
+        steward.hedge.vet = readable;
         steward.configure(config);
         Ok(steward)
     }
@@ -3924,13 +4369,28 @@
         self.hedge.due().since(now).clamp(1, wait)
     }
     /// Does what is due, after inputs were taken.
-    pub fn turn(&mut self, now: Tick) {
+    ///
+    /// # Errors
+    /// `Fatal::State` if something that is committed can't be read here: the process has to end.
+    pub fn turn(&mut self, now: Tick) -> Result<(), Fatal> {
         self.hedge.tick(now);
+        self.still_readable()?;
         self.flush(now);
+        self.still_readable()?;
         self.reconcile(now);
         self.flush(now);
+        self.still_readable()?;
         self.tell_moved(now);
         self.pump(now);
+        Ok(())
+    }
+    /// Going on beside what can't be read would be with an old state.
+    fn still_readable(&self) -> Result<(), Fatal> {
+        match (&self.unreadable, &self.hedge.refused) {
+            (Some(why), _) => Err(Fatal::State(format!("left as it is: {why}"))),
+            (_, Some(why)) => Err(Fatal::State(format!("not taken from the leader: {why}"))),
+            _ => Ok(()),
+        }
     }
     /// Asked to stop: another is to lead.
     pub fn leave(&mut self, now: Tick) {
@@ -3988,8 +4448,11 @@
     }
 
     fn send_raft(&mut self, to: MemberId, message: Raft, now: Tick) {
-        if let Some(member) = self.hedge.members().iter().find(|m| m.id == to) {
-            self.effects.send_raft(member, message, now);
+        let member = self.hedge.members().iter().find(|m| m.id == to);
+        // One that begins has no list yet, and that of one that was away may lack the leader.
+        let leads = self.taken_in.filter(|_| self.hedge.leader == Some(to));
+        if let Some(address) = member.map(|m| m.peer).or(leads) {
+            self.effects.send_raft(to, address, message, now);
         }
     }
 
@@ -4012,6 +4475,7 @@
                     info!(target: "stiles", "{node} lost");
                 }
             }
+            Input::Reads(member, layout) => self.hedge.reads(member, layout),
             Input::Frame(_, Frame::Raft { to, message }) => {
                 if to == self.hedge.kept.me {
                     self.hedge.step(*message, now);
@@ -4053,19 +4517,32 @@
     // -- state ---------------------------------------------------------------------------------
 
     fn apply(&mut self, now: Tick) {
-        if self.hedge.commit <= self.applied {
+        if self.hedge.commit <= self.applied || self.unreadable.is_some() {
             return;
         }
         if self.hedge.kept.snapshot.last.1 > self.applied {
-            match Almanac::read(&self.hedge.kept.snapshot.state) {
+            match read_state(&self.hedge.kept.snapshot) {
                 Ok(almanac) => self.almanac = almanac,
-                Err(e) => error!(target: "hedge", "unreadable snapshot: {e}"),
+                Err(why) => {
+                    self.unreadable = Some(why);
+                    return;
+                }
             }
             self.listing = None;
             self.applied = self.hedge.kept.snapshot.last.1;
         }
         let mut relisted = None;
         for entry in self.hedge.committed(self.applied) {
+            let change = match &entry.body {
+                Body::Change(bytes) => match read_change(entry.index, bytes) {
+                    Ok(change) => Some(change),
+                    Err(why) => {
+                        self.unreadable = Some(why);
+                        return;
+                    }
+                },
+                _ => None,
+            };
             self.applied = entry.index;
             let waiter = self.proposed.take(&entry);
             match &entry.body {
@@ -4075,10 +4552,10 @@
                     self.joining.retain(|id, _| !members.iter().any(|m| m.id == *id));
                     self.effects.keep_links(members);
                 }
-                Body::Change(bytes) => match unpack::<Change>(bytes) {
-                    Ok(change) => self.apply_change(&change, waiter, now),
-                    Err(e) => error!(target: "hedge", "unreadable change: {e}"),
-                },
+                Body::Change(_) => {}
+            }
+            if let Some(change) = change {
+                self.apply_change(&change, waiter, now);
             }
         }
         if let Some(members) = relisted {
@@ -4090,7 +4567,13 @@
         }
         if self.config.as_ref().map_or(Revision(0), |c| c.revision) != self.almanac.revision {
             info!(target: "almanac", "configuration {} is in force", self.almanac.revision);
-            self.configure(Configuration::read(&self.almanac.body).ok());
+            match self.almanac.configuration() {
+                Ok(config) => self.configure(config),
+                Err(why) => {
+                    self.unreadable = Some(why);
+                    return;
+                }
+            }
             self.versions.extend(self.config.as_ref().map(Lanes::of));
             if self.versions.len() > VERSIONS_KEPT {
                 self.versions.pop_front();
@@ -4101,7 +4584,7 @@
             }
         }
         let almanac = &self.almanac;
-        self.hedge.compact(self.applied, || pack(almanac));
+        self.hedge.compact(self.applied, || almanac.write());
     }
 
     fn configure(&mut self, config: Option<Configuration>) {
@@ -4308,7 +4791,10 @@
     fn ask_to_join(&mut self, now: Tick) {
         let me = self.hedge.kept.me;
         let was = self.hedge.members().iter().any(|m| m.id == me);
-        let idle = was && (self.hedge.is_leader() || !self.hedge.lonely(now, LONELY_MS));
+        // Of a leader that is in no list here, only its messages come: it is found by asking.
+        let unknown = self.hedge.leader.is_some() && self.leader().is_none();
+        let lost = self.hedge.lonely(now, LONELY_MS) || unknown;
+        let idle = was && (self.hedge.is_leader() || !lost);
         if idle || now < self.next_join {
             return;
         }
@@ -4345,6 +4831,10 @@
             }
         }
         let Some(answer) = answer else { return };
+        if matches!(answer, Joined::Noted | Joined::Listed) && self.taken_in != Some(at) {
+            self.taken_in = Some(at);
+            self.effects.keep_links(self.hedge.members());
+        }
         let listed = self.hedge.members().iter().any(|m| m.id == me);
         match answer {
             Joined::Elsewhere(Some(leader)) if self.join_at.is_none() => {
@@ -4374,6 +4864,7 @@
         let snapshot = Snapshot { members, ..Snapshot::default() };
         let kept = Kept { me, epoch: self.hedge.kept.epoch, snapshot, ..Kept::default() };
         self.hedge = Hedge::new(kept, false, now, self.random);
+        self.hedge.vet = readable;
         self.hedge.dirty = Dirty::all();
         self.desk.forget();
         self.almanac = Almanac::default();
@@ -4495,6 +4986,11 @@
 
     fn carry_out(&mut self, service: &ServiceName, deed: Deed, attempt: Attempt, now: Tick) {
         match deed {
+            Deed::Propose(Change::Covered { .. } | Change::Returned { .. })
+                if !self.hedge.all_read(LAYOUT) =>
+            {
+                debug!(target: "failover", "{service}: waits until all stewards are exchanged");
+            }
             Deed::Propose(change) => {
                 self.propose(&change, now);
             }
@@ -4840,6 +5336,9 @@
             return say(Response::refusal(503, "no quorum"));
         }
         self.apply(now);
+        if self.unreadable.is_some() {
+            return say(Response::refusal(503, "stopping"));
+        }
         let tolerated = self.settings.tolerated();
         if parsed.is_some() && !self.almanac.begun() {
             let (voters, needed) = (self.hedge.voters().len(), 2 * tolerated + 1);
