A node reaches for the stewards side by side, so a crowded link doesn't keep it out

Cause: behind a crowded link (60% of the nodes killed, the others carry all the load) a connection takes 200 to 600 ms. The wait for one grew from 150 ms on, but went back to 150 ms whenever any steward had said who leads: so just the leader was given 150 ms, again and again.

Change: a try goes on for up to 2 s while the next begins 150 ms later (Search, pure); the first that welcomes the node is followed. It greets each steward but once at a time. A steward that says nothing costs one turn.

--- a/src/common/link.rs
+++ b/src/common/link.rs
@@ -1,12 +1,15 @@
 //! The connection that a node keeps to the leading steward.
 use super::ids::Tick;
 use super::lock;
-use super::peer::{Frame, REACH, ToSteward, ToStile, dial, receive, send};
+use super::peer::{Frame, ToSteward, ToStile, dial, receive, send};
+use super::start_thread;
 use log::info;
-use std::io;
+use std::collections::BTreeSet;
+use std::io::{self, BufReader};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 /// A node that follows the leader.
@@ -20,8 +23,126 @@
     fn hear(&self, message: ToStile);
 }
 
-/// The longest that is waited for a connection to a steward.
-const MOST_REACH: Duration = Duration::from_millis(800);
+/// The longest that is waited for a connection to a steward, and again for its first word. Behind a
+/// crowded link both take long; a dark steward costs no more than its turn.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// The next steward is tried after this, beside those that have not answered.
+const TURN_MS: u64 = 150;
+/// After a round in which nobody led.
+const PAUSE_MS: u64 = 80;
+/// Tries of one steward at once: the first packet of one may be lost.
+const TRIES: usize = 2;
+
+/// Which steward is tried when, as a value. A try that has not ended goes on while the next begins: how
+/// long an answer takes on this node's own link can't be told from a steward that gives none.
+#[derive(Debug)]
+pub struct Search {
+    known: Vec<SocketAddr>,
+    next: usize,
+    /// Said to lead.
+    hint: Option<SocketAddr>,
+    /// Tries that have not ended.
+    open: Vec<SocketAddr>,
+    due: Tick,
+}
+impl Search {
+    pub fn new(known: Vec<SocketAddr>) -> Self {
+        Self { known, next: 0, hint: None, open: Vec::new(), due: Tick(0) }
+    }
+    /// Looks anew; what was tried before counts no more, but that its turn is kept: a leader that
+    /// welcomes and ends at once is not asked without a pause.
+    pub fn begin(&mut self, hint: Option<SocketAddr>, now: Tick) {
+        (self.hint, self.due) = (hint, self.due.max(now));
+        self.open.clear();
+    }
+    /// These are stewards too.
+    pub fn learn(&mut self, seeds: &[SocketAddr]) {
+        for seed in seeds {
+            if !self.known.contains(seed) {
+                self.known.push(*seed);
+            }
+        }
+    }
+    /// When `step` next has something to do.
+    pub fn due(&self) -> Tick {
+        self.due
+    }
+    /// The steward to be tried now, if one is.
+    pub fn step(&mut self, now: Tick) -> Option<SocketAddr> {
+        if now < self.due {
+            return None;
+        }
+        self.due = now.plus(TURN_MS);
+        let busy = |to: &SocketAddr| self.open.iter().filter(|o| *o == to).count() >= TRIES;
+        let mut to = self.hint.take().filter(|to| !busy(to));
+        for _ in 0..self.known.len() {
+            if to.is_some() {
+                break;
+            }
+            self.next = (self.next + 1) % self.known.len();
+            to = Some(self.known[self.next]).filter(|to| !busy(to));
+        }
+        self.open.extend(to);
+        to
+    }
+    /// A try has ended without a welcome; perhaps with the name of the leader.
+    pub fn ended(&mut self, to: SocketAddr, elsewhere: Option<SocketAddr>, now: Tick) {
+        if let Some(at) = self.open.iter().position(|o| *o == to) {
+            self.open.swap_remove(at);
+        }
+        let hint = elsewhere.filter(|e| *e != to);
+        self.hint = hint.or(self.hint);
+        // One that is being tried already may answer yet, and need not be asked for at every turn.
+        if hint.is_some_and(|h| !self.open.contains(&h)) {
+            self.due = now;
+        } else if self.open.is_empty() {
+            let round = self.next == 0 && self.hint.is_none();
+            self.due = if round { now.plus(PAUSE_MS) } else { now };
+        }
+    }
+}
+
+/// What a steward said first.
+enum Answer {
+    Welcome { stream: TcpStream, reader: BufReader<TcpStream>, stewards: Vec<SocketAddr> },
+    Elsewhere(Option<SocketAddr>),
+}
+/// The steward that welcomed the node, the connection, and the stewards that there are.
+type Found = (SocketAddr, TcpStream, BufReader<TcpStream>, Vec<SocketAddr>);
+/// Opens a connection to a steward within a time.
+pub type Dial = fn(SocketAddr, Duration) -> io::Result<TcpStream>;
+/// The stewards that were greeted and have not answered; none once one has welcomed the node. It greets
+/// each but once at a time: to the leader only the newest greeting counts.
+type Greeted = Mutex<Option<BTreeSet<SocketAddr>>>;
+
+fn greet(dial: Dial, to: SocketAddr, hello: ToSteward, greeted: &Greeted) -> io::Result<Answer> {
+    let mut stream = dial(to, PATIENCE)?;
+    stream.set_write_timeout(Some(Duration::from_millis(500)))?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    if !lock(greeted).as_mut().is_some_and(|g| g.insert(to)) {
+        return Err(io::Error::new(io::ErrorKind::AlreadyExists, "not needed any more"));
+    }
+    let answer = first_word(&mut stream, hello);
+    if !matches!(answer, Ok(Answer::Welcome { .. }))
+        && let Some(greeted) = lock(greeted).as_mut()
+    {
+        greeted.remove(&to);
+    }
+    answer
+}
+fn first_word(stream: &mut TcpStream, hello: ToSteward) -> io::Result<Answer> {
+    send(stream, &Frame::Stile(hello))?;
+    let mut reader = BufReader::with_capacity(4096, stream.try_clone()?);
+    match receive(&mut reader)? {
+        Frame::Steward(ToStile::Welcome { stewards }) => {
+            // Renewals are answered far more often than this; silence means another leader.
+            stream.set_read_timeout(Some(Duration::from_millis(1_200)))?;
+            Ok(Answer::Welcome { stream: stream.try_clone()?, reader, stewards })
+        }
+        Frame::Steward(ToStile::Elsewhere(other)) => Ok(Answer::Elsewhere(other)),
+        _ => Err(io::ErrorKind::InvalidData.into()),
+    }
+}
 
 pub struct Link {
     /// The part that logs.
@@ -32,16 +153,21 @@
     up: AtomicBool,
     /// When something last came from a leader.
     heard: AtomicU64,
+    dial: Dial,
 }
 
 impl Link {
     pub fn new(part: &'static str, seeds: Vec<SocketAddr>) -> Self {
+        Self::through(part, seeds, |to, within| dial(to, within, Duration::from_secs(2)))
+    }
+    pub fn through(part: &'static str, seeds: Vec<SocketAddr>, dial: Dial) -> Self {
         Self {
             part,
             seeds: Mutex::new(seeds),
             stream: Mutex::new(None),
             up: AtomicBool::new(false),
             heard: AtomicU64::new(0),
+            dial,
         }
     }
     /// Looks for stewards here from now on.
@@ -72,37 +198,49 @@
 
     /// Keeps a connection to the leader, looking for it whenever there is none.
     pub fn keep(&self, follower: &dyn Follower) {
-        let mut known = lock(&self.seeds).clone();
-        let mut hint: Option<SocketAddr> = None;
-        let mut next = 0usize;
-        let mut reach = REACH;
+        let mut search = Search::new(lock(&self.seeds).clone());
+        let mut hint = None;
         loop {
-            let to = match hint.take() {
-                Some(to) => to,
-                None => {
-                    next += 1;
-                    if next.is_multiple_of(known.len().max(1)) {
-                        std::thread::sleep(Duration::from_millis(80));
-                    }
-                    known[next % known.len().max(1)]
+            search.begin(hint.take(), Tick::now());
+            let (to, stream, reader, stewards) = self.find(follower.hello(), &mut search);
+            if !stewards.is_empty() {
+                search.known = stewards;
+            }
+            match self.follow(follower, to, stream, reader, &mut search.known) {
+                Ok(elsewhere) => hint = elsewhere.filter(|e| *e != to),
+                Err(e) => log::debug!(target: self.part, "steward {to}: {e}"),
+            }
+        }
+    }
+
+    /// Asks stewards side by side until one that leads has welcomed the node.
+    fn find(&self, hello: ToSteward, search: &mut Search) -> Found {
+        let greeted: Arc<Greeted> = Arc::new(Mutex::new(Some(BTreeSet::new())));
+        let (tx, rx) = channel();
+        loop {
+            search.learn(&lock(&self.seeds));
+            let now = Tick::now();
+            if let Some(to) = search.step(now) {
+                let (dial, hello, greeted, tx) =
+                    (self.dial, hello.clone(), Arc::clone(&greeted), tx.clone());
+                // One that comes after the welcome is dropped, and its connection with it.
+                let work = move || drop(tx.send((to, greet(dial, to, hello, &greeted))));
+                if !start_thread(work) {
+                    search.ended(to, None, now.plus(TURN_MS));
                 }
-            };
-            match self.follow(follower, to, reach, &mut known) {
-                Ok(elsewhere) => {
-                    hint = elsewhere.filter(|e| *e != to);
-                    reach = REACH;
+            }
+            let wait = search.due().since(Tick::now()).max(1);
+            match rx.recv_timeout(Duration::from_millis(wait)) {
+                Ok((to, Ok(Answer::Welcome { stream, reader, stewards }))) => {
+                    *lock(&greeted) = None;
+                    return (to, stream, reader, stewards);
                 }
-                // A dark steward costs as much as is waited for it; behind a crowded link, none
-                // answers as soon as that.
-                Err(e) => {
+                Ok((to, Ok(Answer::Elsewhere(other)))) => search.ended(to, other, Tick::now()),
+                Ok((to, Err(e))) => {
                     log::debug!(target: self.part, "steward {to}: {e}");
-                    reach = (reach * 5 / 4).min(MOST_REACH);
-                }
-            }
-            for seed in lock(&self.seeds).iter() {
-                if !known.contains(seed) {
-                    known.push(*seed);
+                    search.ended(to, None, Tick::now());
                 }
+                Err(_) => {}
             }
         }
     }
@@ -112,24 +250,10 @@
         &self,
         follower: &dyn Follower,
         to: SocketAddr,
-        reach: Duration,
+        stream: TcpStream,
+        mut reader: BufReader<TcpStream>,
         known: &mut Vec<SocketAddr>,
     ) -> io::Result<Option<SocketAddr>> {
-        let mut stream = dial(to, reach, Duration::from_secs(2))?;
-        stream.set_write_timeout(Some(Duration::from_millis(500)))?;
-        // Renewals are answered far more often than this; silence means another leader.
-        stream.set_read_timeout(Some(Duration::from_millis(1_200)))?;
-        send(&mut stream, &Frame::Stile(follower.hello()))?;
-        let mut reader = io::BufReader::with_capacity(4096, stream.try_clone()?);
-        match receive(&mut reader)? {
-            Frame::Steward(ToStile::Welcome { stewards }) => {
-                if !stewards.is_empty() {
-                    *known = stewards;
-                }
-            }
-            Frame::Steward(ToStile::Elsewhere(other)) => return Ok(other),
-            _ => return Err(io::ErrorKind::InvalidData.into()),
-        }
         info!(target: self.part, "following {to}");
         follower.linked();
         *self.held() = Some(stream);
