A node that left before the leader was sure of itself is not taken in; versions never go back

Cause: a greeting waits (early) while the leader is not granting. If the connection ended meanwhile it was greeted all the same: the seat stayed connected for ever, counted among the live (smaller shares), in the cadastre's division and in the status. Tries side by side would have made that more common.

Test: tests/nodes.rs a_node_that_left_before_the_leader_was_sure_is_not_taken_in, red before ("goes" was there). Cleared suspect: a_version_in_force_at_a_node_never_goes_back plays an older leader against both kinds of node: whole, changed and from a version that it lacks. Green on the old code as well: nodes keep the newest and tell it in their greeting, so an old leader can only be late.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -3791,6 +3791,10 @@
                 self.early.push((conn, ToSteward::Hello { node, life, revision, zone }));
                 return;
             }
+            // It may have left while this leader was not sure yet; nothing would end its seat.
+            if !self.conns.contains_key(&conn) {
+                return;
+            }
             info!(target: "stiles", "{node} is here");
             if let Some(office) = &mut self.office {
                 office.leases.seat(&node, life, conn, now);
--- /dev/null
+++ b/tests/nodes.rs
@@ -0,0 +1,192 @@
+//! Nodes and stewards as processes: what a node keeps of versions, and what a leader keeps of nodes.
+mod support;
+
+use silvertack::common::config::{Configuration, Lanes};
+use silvertack::common::ids::{NodeName, Revision};
+use silvertack::common::peer::{Frame, ToSteward, ToStile, receive, send};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use support::{free_port, http};
+
+struct Process(Child);
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+impl Process {
+    fn run(role: &str, settings: &Path) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_silvertack"));
+        command.args([role, "--settings"]).arg(settings).stderr(Stdio::null());
+        Self(command.spawn().expect(role))
+    }
+    fn signal(&self, name: &str) {
+        let pid = self.0.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
+    }
+}
+struct Folder(PathBuf);
+impl Folder {
+    fn new(name: &str, port: u16) -> Self {
+        let folder = std::env::temp_dir().join(format!("silvertack-{name}-{port}"));
+        std::fs::create_dir_all(&folder).expect("folder");
+        Self(folder)
+    }
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let file = self.0.join(name);
+        std::fs::write(&file, text).expect("settings");
+        file
+    }
+}
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn eventually(what: &str, mut check: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !check() {
+        assert!(start.elapsed() < Duration::from_secs(20), "never: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+fn status(at: SocketAddr) -> serde_json::Value {
+    let answer = http(at, "GET", "/status", &[], "");
+    answer.ok().and_then(|(_, body)| serde_json::from_str(&body).ok()).unwrap_or_default()
+}
+
+fn lanes(revision: u64, hosts: &[&str]) -> Lanes {
+    let route = |host: &&str| {
+        serde_json::json!({
+            "name": host, "hostname": host, "path_prefix": "/", "route_type": "idempotent",
+            "timeout_ms": 2000, "target_latency_ms": 250, "priority": 1, "target_service": "s",
+        })
+    };
+    let config = serde_json::json!({
+        "revision": revision,
+        "route_rules": hosts.iter().map(route).collect::<Vec<_>>(),
+        "services": [{ "name": "s", "max_connections": 16 }], "limits": {},
+    });
+    Lanes::of(&Configuration::read(config.to_string().as_bytes()).expect("configuration"))
+}
+/// A node says which version it has, and is taken in.
+fn welcome(at: &TcpListener) -> (TcpStream, Revision) {
+    let (mut stream, _) = at.accept().expect("a node");
+    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("timeout");
+    let Ok(Frame::Stile(ToSteward::Hello { revision, .. })) = receive(&mut stream) else {
+        panic!("no hello");
+    };
+    tell(&mut stream, ToStile::Welcome { stewards: Vec::new() });
+    (stream, revision)
+}
+fn tell(to: &mut TcpStream, message: ToStile) {
+    send(to, &Frame::Steward(message)).expect("sent");
+}
+/// The node has handled all that was told before it answers to this.
+fn wait_for_whole(stream: &mut TcpStream) {
+    while !matches!(receive(stream), Ok(Frame::Stile(ToSteward::Whole))) {}
+}
+
+/// An old leader that froze and thawed, or one that was cut off, may bring what it has: a node stays
+/// with the newest, and says so to the next leader.
+#[test]
+fn a_version_in_force_at_a_node_never_goes_back() {
+    for role in ["wicket", "stile"] {
+        let ports: Vec<u16> = (0..4).map(|_| free_port()).collect();
+        let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        let (peer, ready) = (at(ports[0]), at(ports[1]));
+        let leader = TcpListener::bind(peer).expect("a port");
+        let folder = Folder::new(role, ports[0]);
+        let settings = format!(
+            "node_name = \"n\"\nip_address = \"127.0.0.1\"\nzone = \"here\"\nport_range = [{p}, {p}]\n\
+             seed_nodes = [\"{}\"]\nrollout = \"api\"\n[listeners]\nreadiness = \"{ready}\"\nfrontend = \"{}\"\n",
+            at(ports[2]),
+            at(ports[3]),
+            p = ports[0],
+        );
+        let _node = Process::run(role, &folder.write("node.toml", &settings));
+        let (one, two, three) = (lanes(1, &["a"]), lanes(2, &["a", "b"]), lanes(3, &["b"]));
+        let (four, five) = (lanes(4, &["c"]), lanes(5, &["b", "c"]));
+        let has = || status(ready)["revision"].as_u64();
+        let whole = |lanes: &Lanes| ToStile::Configured(Box::new(lanes.clone()));
+        let changed = |from: &Lanes, to: &Lanes| ToStile::Changed(Box::new(to.since(from)));
+
+        let (mut link, had) = welcome(&leader);
+        assert_eq!(had, Revision(0), "{role}");
+        tell(&mut link, ToStile::Directory(Vec::new()));
+        tell(&mut link, whole(&three));
+        // Older ones, and a change to a newer one from a version that it does not have.
+        let stale = [whole(&two), changed(&one, &two), changed(&two, &four)];
+        stale.clone().into_iter().for_each(|message| tell(&mut link, message));
+        wait_for_whole(&mut link);
+        assert_eq!(has(), Some(3), "{role}");
+        // The next leader is told what it has, and has less itself.
+        drop(link);
+        let (mut link, had) = welcome(&leader);
+        assert_eq!(had, Revision(3), "{role}");
+        tell(&mut link, ToStile::Directory(Vec::new()));
+        tell(&mut link, whole(&one));
+        stale.into_iter().for_each(|message| tell(&mut link, message));
+        wait_for_whole(&mut link);
+        assert_eq!(has(), Some(3), "{role}");
+        tell(&mut link, changed(&three, &five));
+        eventually("the newest", || has() == Some(5));
+    }
+}
+
+/// A greeting waits while the leader is not sure that it leads. Whoever left meanwhile is not there.
+#[test]
+fn a_node_that_left_before_the_leader_was_sure_is_not_taken_in() {
+    let (peer, admin) = (free_port(), free_port());
+    let folder = Folder::new("early", peer);
+    let at = |n: u8, port: u16| SocketAddr::from(([127, 0, 0, n], port));
+    let stewards: Vec<Process> = (1..=3)
+        .map(|n| {
+            let settings = format!(
+                "node_name = \"s{n}\"\nip_address = \"127.0.0.{n}\"\nzone = \"here\"\nbootstrap = true\n\
+                 port_range = [{peer}, {peer}]\nseed_nodes = [\"{}\", \"{}\", \"{}\"]\ndata_path = \"{}\"\n\
+                 quorum_member = true\n[listeners]\nadmin = \"{}\"\n[fault_tolerance]\nmachines = 1\n",
+                at(1, admin),
+                at(2, admin),
+                at(3, admin),
+                folder.0.join(n.to_string()).display(),
+                at(n, admin),
+            );
+            Process::run("steward", &folder.write(&format!("{n}.toml"), &settings))
+        })
+        .collect();
+    let leads = |n: u8| status(at(n, admin))["leads"] == true;
+    let voters = |n: u8| {
+        let members = status(at(n, admin))["members"].clone();
+        members.as_array().map_or(0, |m| m.iter().filter(|m| m["voter"] == true).count())
+    };
+    let mut leader = 0;
+    eventually("a leader of three", || {
+        leader = (1..=3).find(|n| leads(*n) && voters(*n) == 3).unwrap_or_default();
+        leader > 0
+    });
+    let others = || (1..=3u8).filter(|n| *n != leader).map(|n| &stewards[usize::from(n) - 1]);
+    others().for_each(|s| s.signal("-STOP"));
+    eventually("doubt", || !leads(leader));
+    let greet = |name: &str| {
+        let mut stream = TcpStream::connect(at(leader, peer)).expect("the leader");
+        let zone = "here".into();
+        let hello =
+            ToSteward::Hello { node: NodeName::from(name), life: 1, revision: Revision(0), zone };
+        send(&mut stream, &Frame::Stile(hello)).expect("sent");
+        stream
+    };
+    let stays = greet("stays");
+    drop(greet("goes"));
+    std::thread::sleep(Duration::from_millis(100));
+    others().for_each(|s| s.signal("-CONT"));
+    let nodes = || status(at(leader, admin))["stiles"].as_array().cloned().unwrap_or_default();
+    let there = |name: &str| nodes().iter().any(|n| n["node"] == name && n["connected"] == true);
+    eventually("the node that stayed, or another leader", || there("stays") || !leads(leader));
+    assert!(!there("goes"));
+    drop(stays);
+}
