--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -86,9 +86,12 @@
 fn tell(to: &mut TcpStream, message: ToStile) {
     send(to, &Frame::Steward(message)).expect("sent");
 }
-/// The node has handled all that was told before it answers to this.
+/// The node asks for the whole, and has handled all that was told before.
 fn wait_for_whole(stream: &mut TcpStream) {
-    while !matches!(receive(stream), Ok(Frame::Stile(ToSteward::Whole))) {}
+    let begun = Instant::now();
+    while !matches!(receive(stream).expect("a frame"), Frame::Stile(ToSteward::Whole)) {
+        assert!(begun.elapsed() < Duration::from_secs(5), "took a change it has no base for");
+    }
 }
 
 /// An old leader that froze and thawed, or one that was cut off, may bring what it has: a node stays
