A database's answer is the next statement's only on a connection that owed nothing

Cause: answers carry no id, and only bytes that had been read were looked at before a statement left. A second answer that came while the connection rested lay in the kernel, and the next session that borrowed the connection got it as its own. Nor was a second answer right behind the first a reason to doubt the first.

Now a connection counts what it is owed; nothing is written on one that owes an answer, holds unread bytes, has news in the kernel or was closed (one poll); none is given back that owes or holds anything; a borrowed one is looked at first, so one that was reset while it rested costs no rerun, and a write goes on another one instead of ending UNKNOWN (nothing had been sent). An answer with more behind it is a loss. The state told in the answers to the set-up has to be the one due.

Ruled out: a wrong answer by an id used twice (session ids only grow; a woken client is taken off the list by its id).

--- a/src/common/parked.rs
+++ b/src/common/parked.rs
@@ -1,13 +1,19 @@
 //! Clients that say nothing wait together, without a thread each.
 use super::lock;
 use log::warn;
-use rustix::event::epoll;
+use rustix::event::{PollFd, PollFlags, Timespec, epoll, poll};
 use std::collections::HashMap;
 use std::net::TcpStream;
 use std::os::fd::OwnedFd;
 use std::sync::Mutex;
 use std::time::Duration;
 
+/// Something waits to be read, or the far end has closed.
+pub fn has_news(stream: &TcpStream) -> bool {
+    let mut fds = [PollFd::new(stream, PollFlags::IN | PollFlags::RDHUP)];
+    !matches!(poll(&mut fds, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })), Ok(0))
+}
+
 /// Those that rest, by a number of their own, and what wakes when one of them speaks or leaves.
 pub struct Parked<T> {
     part: &'static str,
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -8,7 +8,7 @@
 use crate::common::http;
 use crate::common::ids::*;
 use crate::common::link::{Follower, Link};
-use crate::common::parked::Parked;
+use crate::common::parked::{Parked, has_news};
 use crate::common::peer::*;
 use crate::common::settings::{Settings, Watched};
 use crate::common::signals::Signals;
@@ -331,6 +331,9 @@
 pub struct Rootstock {
     stream: TcpStream,
     inbox: Inbox,
+    /// Answers that the database owes. They carry no id: only by their count is one known to be the
+    /// next statement's.
+    owed: u32,
     values: BTreeMap<String, String>,
     prepared: HashSet<u64>,
     /// The session and the version of its state that was last laid on.
@@ -356,6 +359,7 @@
         Self {
             stream,
             inbox: Inbox::default(),
+            owed: 0,
             values: BTreeMap::new(),
             prepared: HashSet::new(),
             holds: None,
@@ -363,18 +367,38 @@
             inside: false,
         }
     }
-    fn write(&mut self, bytes: &[u8]) -> Result<(), Loss> {
+    /// Nothing is owed and nothing unasked has been read.
+    fn settled(&self) -> bool {
+        self.owed == 0 && self.inbox.is_empty()
+    }
+    /// Nothing else has come either, and the far end has not closed.
+    fn quiet(&self) -> bool {
+        self.settled() && !has_news(&self.stream)
+    }
+    /// Sends what will be answered `answers` times. An error tells whether a part may have left.
+    fn write(&mut self, bytes: &[u8], answers: u32) -> Result<(), (Loss, bool)> {
         // Bytes that nobody asked for make every later answer doubtful.
-        if !self.inbox.is_empty() {
-            return Err(Loss::Broken);
+        if !self.quiet() {
+            return Err((Loss::Broken, false));
         }
-        self.stream.write_all(bytes).map_err(|_| Loss::Broken)
+        self.owed = answers;
+        self.stream.write_all(bytes).map_err(|_| (Loss::Broken, true))
+    }
+    /// An answer was taken in or passed on.
+    fn taken(&mut self, reply: &Reply) {
+        self.inbox.use_up(reply.end);
+        self.owed = self.owed.saturating_sub(1);
     }
     /// Waits for one answer. `look` is asked now and then whether it is still worth it.
     fn answer(&mut self, mut look: impl FnMut() -> Option<Loss>) -> Result<Reply, Loss> {
         loop {
             if !self.inbox.is_empty() {
                 match wire::reply(self.inbox.pending()) {
+                    // With more behind the last one due, either may be another statement's.
+                    Ok(Some(reply)) if self.owed <= 1 && reply.end < self.inbox.pending().len() => {
+                        warn!(target: "pool", "an answer too many");
+                        return Err(Loss::Broken);
+                    }
                     Ok(Some(reply)) => return Ok(reply),
                     Ok(None) if self.inbox.pending().len() > MAX_ANSWER => {
                         return Err(Loss::Broken);
@@ -628,6 +652,12 @@
             if inner.admission.turn(turn.as_ref(), free) {
                 if let Some(best) = best_fit(&inner.idle, graft, session) {
                     let stock = inner.idle.swap_remove(best);
+                    // Closed while it rested, or an answer too many came: it is of no use, and
+                    // nothing is lost with it.
+                    if !stock.quiet() {
+                        inner.admission.shrink();
+                        continue;
+                    }
                     if let Some(turn) = &turn {
                         inner.admission.leave(turn);
                     }
@@ -686,6 +716,9 @@
                 match wire::reply(stock.inbox.pending()) {
                     Ok(Some(reply)) => {
                         stock.inbox.use_up(reply.end);
+                        if reply.state != State::Idle || !stock.settled() {
+                            return Err(io::ErrorKind::InvalidData.into());
+                        }
                         return Ok(Ok(stock));
                     }
                     Ok(None) => {}
@@ -730,7 +763,7 @@
     /// Takes a connection back that is at rest.
     fn give_back(&self, stock: Rootstock) {
         let mut inner = lock(&self.inner);
-        if inner.gone || inner.admission.over() {
+        if inner.gone || inner.admission.over() || !stock.settled() {
             inner.admission.shrink();
         } else {
             inner.idle.push(stock);
@@ -1571,7 +1604,7 @@
                     return Ok(());
                 };
                 let sent = client.write_all(&bound.stock.inbox.pending()[..reply.end]);
-                bound.stock.inbox.use_up(reply.end);
+                bound.stock.taken(&reply);
                 if self.graft.reusable() {
                     self.unbind();
                 }
@@ -1590,11 +1623,12 @@
         }
         let limit = Tick::now().plus(300);
         let ended = stock
-            .write(b"QUERY - ABORT\r\n")
+            .write(b"QUERY - ABORT\r\n", 1)
+            .map_err(|(loss, _)| loss)
             .and_then(|()| stock.answer(|| (Tick::now() >= limit).then_some(Loss::Overdue)));
         match ended {
             Ok(reply) if reply.state == State::Idle => {
-                stock.inbox.use_up(reply.end);
+                stock.taken(&reply);
                 stock.open = false;
                 // What was laid on inside may have been rolled back too; it is laid on anew.
                 if stock.inside {
@@ -1820,13 +1854,17 @@
         if !task.alone && !bound.stock.open {
             let begin = if task.read_only { "BEGIN FETCH" } else { "BEGIN" };
             let line = format!("QUERY - {waits}{begin}\r\n");
-            bound.stock.write(line.as_bytes()).map_err(|l| broken(l, false))?;
+            bound.stock.write(line.as_bytes(), 1).map_err(|(l, _)| broken(l, false))?;
             let reply = bound.stock.answer(look(Tick::now())).map_err(|l| broken(l, false))?;
             pool.heard(Tick::now());
             if reply.outcome != Outcome::Complete {
                 return Ok(reply);
             }
-            bound.stock.inbox.use_up(reply.end);
+            if reply.state != State::Open {
+                // An answer to something else.
+                return Err(broken(Loss::Broken, false));
+            }
+            bound.stock.taken(&reply);
             bound.stock.open = true;
         }
         if !task.alone {
@@ -1844,7 +1882,7 @@
         if term.is_some_and(|term| !stile.still(&service, term, sent)) {
             return Err((Loss::Overdue, false));
         }
-        bound.stock.write(line.as_bytes()).map_err(|l| broken(l, true))?;
+        bound.stock.write(line.as_bytes(), 1).map_err(|(l, left)| broken(l, left))?;
         let reply = bound.stock.answer(look(sent)).map_err(|l| broken(l, true))?;
         let now = Tick::now();
         pool.heard(now);
@@ -1910,7 +1948,7 @@
         let id = bound.pool.id.clone();
         let at_primary = bound.term.is_some();
         if again {
-            bound.stock.inbox.use_up(reply.end);
+            bound.stock.taken(reply);
             bound.stock.open = reply.state != State::Idle;
             match kind {
                 ErrorKind::ReadOnly if at_primary => {
@@ -1948,12 +1986,12 @@
             if same {
                 return Some(Say::Passed { reply: reply.clone() });
             }
-            bound.stock.inbox.use_up(reply.end);
+            bound.stock.taken(reply);
             self.unbind();
             return Some(Say::Error(kind, "from the database".to_owned()));
         }
         // It did not run, but its transaction can't go on as if nothing had been.
-        bound.stock.inbox.use_up(reply.end);
+        bound.stock.taken(reply);
         bound.stock.open = reply.state != State::Idle;
         self.unbind();
         self.graft.give_up();
@@ -2016,14 +2054,14 @@
     }
     if count > 0 {
         stock.inside |= stock.open;
-        stock.write(lines.as_bytes())?;
+        stock.write(lines.as_bytes(), count).map_err(|(loss, _)| loss)?;
         for _ in 0..count {
             let reply = stock.answer(&mut look)?;
-            if reply.outcome != Outcome::Complete {
+            if reply.outcome != Outcome::Complete || (reply.state == State::Open) != stock.open {
                 // What it holds now is not known.
                 return Err(Loss::Broken);
             }
-            stock.inbox.use_up(reply.end);
+            stock.taken(&reply);
         }
     }
     stock.holds = Some(mark);
--- a/src/wicket.rs
+++ b/src/wicket.rs
@@ -8,7 +8,7 @@
 use crate::common::http;
 use crate::common::ids::*;
 use crate::common::link::{Follower, Link};
-use crate::common::parked::Parked;
+use crate::common::parked::{Parked, has_news};
 use crate::common::peer::*;
 use crate::common::settings::{Settings, Watched};
 use crate::common::signals::Signals;
@@ -1438,11 +1438,6 @@
     }
 }
 
-/// Something waits to be read, or the far end has closed.
-fn has_news(stream: &TcpStream) -> bool {
-    let mut fds = [PollFd::new(stream, PollFlags::IN | PollFlags::RDHUP)];
-    !matches!(poll(&mut fds, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })), Ok(0))
-}
 /// Waits until one of the legs has something to read, or the time is over.
 fn wait_for(legs: &[Leg], ms: u64) -> io::Result<Vec<bool>> {
     let mut fds: Vec<PollFd<'_>> =
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,7 +4,7 @@
 //! set in `Faults`; everything that reached a database is kept in `ran`.
 // The tests and the example each need a part of it.
 #![allow(dead_code)]
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -17,6 +17,25 @@
     pub text: String,
 }
 
+/// What a statement meets at a database, instead of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mishap {
+    /// As it should be; a place in the order.
+    Fine,
+    /// Never answered; the connection stays.
+    Silence,
+    /// Answered after so many milliseconds.
+    Late(u64),
+    /// Reset before it ran, after it ran, in the middle of the answer, after the answer.
+    ResetBefore,
+    ResetAfter,
+    ResetWithin,
+    ResetThen,
+    /// Answered twice: at once, or so many milliseconds apart.
+    Doubled,
+    DoubledLate(u64),
+}
+
 /// Each is spent once when it is set.
 #[derive(Default)]
 pub struct Faults {
@@ -24,6 +43,9 @@
     pub break_next: AtomicBool,
     /// Answer it with something that is no answer.
     pub garble_next: AtomicBool,
+    /// By the id of a statement, or by the first word of a text where the id is `-`: what the next
+    /// ones meet, in their order.
+    pub mishaps: Mutex<HashMap<String, VecDeque<Mishap>>>,
 }
 
 #[derive(Default)]
@@ -50,6 +72,11 @@
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
+/// Has the connection be reset when it is closed.
+fn reset(stream: &TcpStream) -> std::io::Result<()> {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
 impl StandIn {
     /// Starts `count` databases on ports of the loopback address, the first of them primary.
     pub fn start(service: &str, count: usize) -> std::io::Result<Arc<Self>> {
@@ -105,6 +132,19 @@
     pub fn last_database(&self, id: &str) -> Option<usize> {
         hold(&self.ran).iter().rev().find(|r| r.id == id).map(|r| r.database)
     }
+    /// How often a statement with this id reached any database.
+    pub fn reached(&self, id: &str) -> usize {
+        hold(&self.ran).iter().filter(|r| r.id == id).count()
+    }
+    pub fn will(&self, key: &str, mishaps: &[Mishap]) {
+        let mishaps = mishaps.iter().copied().collect();
+        hold(&self.faults.mishaps).insert(key.to_owned(), mishaps);
+    }
+    fn mishap(&self, id: &str, text: &str) -> Mishap {
+        let key = if id == "-" { text.split(' ').next().unwrap_or_default() } else { id };
+        let mut all = hold(&self.faults.mishaps);
+        all.get_mut(key).and_then(VecDeque::pop_front).unwrap_or(Mishap::Fine)
+    }
     /// The body of a beat of this database.
     pub fn beat(&self, database: usize, sequence: u64) -> String {
         let role = if hold(&self.store).primary == database { "primary" } else { "replica" };
@@ -184,7 +224,26 @@
                 return Ok(());
             };
             hold(&self.ran).push(Ran { database, id: id.to_owned(), text: text.to_owned() });
-            let answer = self.answer(database, text, &mut names, &mut open);
+            let mishap = self.mishap(id, text);
+            if mishap == Mishap::ResetBefore {
+                return reset(&out);
+            }
+            let answer = self.answer(database, id, text, &mut names, &mut open);
+            // What it holds when an answer is owed that never comes.
+            match mishap {
+                Mishap::Silence => {
+                    while reader.read_line(&mut line)? > 0 {}
+                    return Ok(());
+                }
+                Mishap::ResetAfter => return reset(&out),
+                Mishap::ResetWithin => {
+                    out.write_all(&answer.as_bytes()[..answer.len() - 3])?;
+                    std::thread::sleep(Duration::from_millis(20));
+                    return reset(&out);
+                }
+                Mishap::Late(ms) => std::thread::sleep(Duration::from_millis(ms)),
+                _ => {}
+            }
             if id != "-" && self.faults.break_next.swap(false, Ordering::SeqCst) {
                 return Ok(());
             }
@@ -193,7 +252,21 @@
                 continue;
             }
             let state = if open.is_some() { 'T' } else { 'I' };
-            out.write_all(format!("{answer}READY {state} {}\r\n", self.position()).as_bytes())?;
+            let answer = format!("{answer}READY {state} {}\r\n", self.position());
+            match mishap {
+                Mishap::Doubled => out.write_all(answer.repeat(2).as_bytes())?,
+                Mishap::DoubledLate(ms) => {
+                    out.write_all(answer.as_bytes())?;
+                    std::thread::sleep(Duration::from_millis(ms));
+                    out.write_all(answer.as_bytes())?;
+                }
+                _ => out.write_all(answer.as_bytes())?,
+            }
+            if mishap == Mishap::ResetThen {
+                // Once the answer was read; a reset would take it along.
+                std::thread::sleep(Duration::from_millis(50));
+                return reset(&out);
+            }
         }
     }
 
@@ -205,6 +278,7 @@
     fn answer(
         &self,
         database: usize,
+        id: &str,
         text: &str,
         names: &mut BTreeMap<String, String>,
         open: &mut Option<Vec<(String, String)>>,
@@ -214,7 +288,7 @@
             None => text,
         };
         let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
-        let stamp = format!("stamp.{}", self.stamps.fetch_add(1, Ordering::SeqCst));
+        let stamp = format!("stamp.{id}.{}", self.stamps.fetch_add(1, Ordering::SeqCst));
         let primary = hold(&self.store).primary == database;
         let done = "COMPLETE -\r\n".to_owned();
         match word {
@@ -262,7 +336,7 @@
                 match names.get(name).and_then(|shape| shape.split(' ').next()) {
                     Some(verb) => {
                         let text = format!("{verb} {rest}");
-                        self.answer(database, &text, &mut BTreeMap::new(), open)
+                        self.answer(database, id, &text, &mut BTreeMap::new(), open)
                     }
                     None => "ERROR NOTFOUND name\r\n".to_owned(),
                 }
