A success without a database's stamp is no answer to a client's statement

Cause: a second answer to BEGIN, CONFIGURE or PREPARE that comes just after the client's statement left looks like that statement's answer (COMPLETE -, the state that is due). It was passed on: FETCH b ended in success without a row. Statements of clients succeed only with a database's stamp, so such an answer is a loss.

Left: a second answer to a client's statement of the same state that comes between the sending of the next one and its answer can't be told apart by anything on this wire; docs/control.md says so.

--- a/src/common/wire.rs
+++ b/src/common/wire.rs
@@ -152,6 +152,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
     pub outcome: Outcome,
+    /// It bears a database's stamp, as each success of a client's statement does.
+    pub stamped: bool,
     pub state: State,
     pub position: Option<Position>,
     pub end: usize,
@@ -168,6 +170,7 @@
     let mut at = 0;
     let mut row = None;
     let mut outcome = None;
+    let mut stamped = false;
     loop {
         let Some(length) = bytes[at..].iter().position(|b| *b == b'\n') else {
             if bytes.len() - at > MAX_MESSAGE {
@@ -191,7 +194,8 @@
         let mut words = line.split(' ');
         match (words.next(), &outcome) {
             (Some("COMPLETE"), None) => {
-                words.next().filter(|stamp| !stamp.is_empty()).ok_or(Garbled)?;
+                let stamp = words.next().filter(|stamp| !stamp.is_empty()).ok_or(Garbled)?;
+                stamped = stamp != "-";
                 outcome = Some(Outcome::Complete);
             }
             (Some("ERROR"), None) => {
@@ -215,7 +219,7 @@
                 }
                 // The answer to CONNECT is a READY alone.
                 let outcome = outcome.unwrap_or(Outcome::Complete);
-                return Ok(Some(Reply { outcome, state, position, end: at, row }));
+                return Ok(Some(Reply { outcome, stamped, state, position, end: at, row }));
             }
             _ => return Err(Garbled),
         }
--- a/src/stile.rs
+++ b/src/stile.rs
@@ -1886,6 +1886,10 @@
         let reply = bound.stock.answer(look(sent)).map_err(|l| broken(l, true))?;
         let now = Tick::now();
         pool.heard(now);
+        if reply.outcome == Outcome::Complete && !reply.stamped {
+            // An answer to the set-up that went ahead, come a second time.
+            return Err(broken(Loss::Broken, true));
+        }
         if reply.outcome == Outcome::Complete {
             lock(&pool.paces)[kind].learn(now.since(sent));
         }
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -270,7 +270,7 @@
         ("PREPARE", &["PREPARE p FETCH shape"][..], "own I"),
     ] {
         let text = if word == "PREPARE" { "EXECUTE p b" } else { "FETCH b" };
-        for mishap in [Doubled, ResetBefore, ResetWithin] {
+        for mishap in [Doubled, DoubledLate(30), ResetBefore, ResetWithin] {
             let (early, id) = (fresh_id(), fresh_id());
             let mut session = prepared(&site, "strict", &early, before).expect("open");
             databases.will(word, &[mishap]);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -259,6 +259,8 @@
                     out.write_all(answer.as_bytes())?;
                     std::thread::sleep(Duration::from_millis(ms));
                     out.write_all(answer.as_bytes())?;
+                    // It stands alone for a while, whatever was asked meanwhile.
+                    std::thread::sleep(Duration::from_millis(ms));
                 }
                 _ => out.write_all(answer.as_bytes())?,
             }
