A 503 promises that nothing ran also where a rested connection was reset on the way

Cause: an idempotent request that a reset met on a rested connection goes to the same database once more, which was not counted as a send that may have run. When the second send was refused (Not-Executed, or no connection), the client got 503: "has not run and never will". Likewise a Not-Executed answer with a body over 64 KiB was passed on as it came, whatever another database may have done with the request.

Weighed: a request that only met a forgotten connection and then a full database now ends 502, not 503; clients try idempotent requests again after either.

--- a/src/wicket.rs
+++ b/src/wicket.rs
@@ -461,6 +461,10 @@
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
     }
+    /// It goes to the same database once more, which may have run it before it broke off.
+    pub fn sent_anew(&mut self) {
+        self.may_have_run = true;
+    }
     /// One send has ended. `others` are still under way; `time` is left and `budget` would pay.
     pub fn after(&mut self, ended: Ended, others: bool, time: bool, budget: bool) -> Next {
         match ended {
@@ -1315,6 +1319,7 @@
                         // Most likely forgotten while it rested: the same database may have it again,
                         // on a connection of its own.
                         if lane.route_type.repeatable() && !streamed && leg.forgotten() {
+                            tries.sent_anew();
                             let taken = Taken { id: leg.id, address: leg.address, stem: None };
                             match self.send_to(errand, taken) {
                                 Ok(leg) => legs.push(leg),
@@ -1341,7 +1346,12 @@
                             Next::Pass if leg.body.done() => return Ok(Say::Leg(Box::new(leg))),
                             Next::Pass => {
                                 self.judge(leg, ended);
-                                return Ok(self.own(errand, Refusal::Lost));
+                                // Its own words are too many to be held; these say the same.
+                                let same = match ended {
+                                    Ended::NotRun => Refusal::Full,
+                                    _ => Refusal::Lost,
+                                };
+                                return Ok(self.own(errand, same));
                             }
                             Next::Refuse(refusal) => {
                                 self.judge(leg, ended);
@@ -1524,7 +1534,14 @@
             if self.body.done() {
                 return self.whole();
             }
-            return if self.held.len() >= HELD { Progress::Ready } else { Progress::Waits };
+            if self.held.len() < HELD {
+                return Progress::Waits;
+            }
+            // Whether its promise may be passed on is decided with all sends in view.
+            return match head.not_executed {
+                true => Progress::Ended(Ended::NotRun),
+                false => Progress::Ready,
+            };
         }
     }
     /// The whole answer is there.
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -4,7 +4,8 @@
 mod shed;
 mod support;
 
-use std::io::{BufRead, BufReader, Write};
+use shed::{How, Shed};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -363,3 +364,151 @@
         }
     });
 }
+
+// ---------------------------------------------------------------------------------------------
+// The wicket
+
+fn start_wicket(databases: &Arc<Shed>) -> Site {
+    let route = |prefix: &str, kind: &str| {
+        serde_json::json!({
+            "name": prefix, "hostname": "shop.example", "path_prefix": prefix, "route_type": kind,
+            "timeout_ms": 1500, "target_latency_ms": 600, "priority": 1, "target_service": "query",
+            "max_attempts": 2,
+        })
+    };
+    let configuration = serde_json::json!({
+        "revision": 1,
+        "route_rules": [route("/once/", "non_idempotent"), route("/many/", "idempotent")],
+        "services": [{ "name": "query", "max_connections": 64 }],
+    })
+    .to_string();
+    let all = databases.addresses.len();
+    let site = start("wicket", "rollout = \"api\"", &configuration, |admin| {
+        eventually("databases", || databases.beat_all(admin, 1));
+    });
+    eventually("all databases known", || {
+        let (_, body) = http(site.readiness, "GET", "/status", &[], "").expect("status");
+        let status: serde_json::Value = serde_json::from_str(&body).expect("json");
+        status["databases"].as_array().is_some_and(|d| d.len() == all)
+    });
+    site
+}
+
+/// One request on a connection of its own: the status, the head and the body.
+fn request(site: &Site, method: &str, path: &str, id: Option<&str>) -> (u16, String, Vec<u8>) {
+    let mut client = TcpStream::connect(site.frontend).expect("frontend");
+    client.set_read_timeout(Some(Duration::from_secs(10))).expect("timeout");
+    let id = id.map_or(String::new(), |id| format!("Request-Id: {id}\r\n"));
+    let head =
+        format!("{method} {path} HTTP/1.1\r\nHost: shop.example\r\n{id}Connection: close\r\n\r\n");
+    client.write_all(head.as_bytes()).expect("sent");
+    let mut bytes = Vec::new();
+    client.read_to_end(&mut bytes).expect("an answer");
+    let (told, size) =
+        silvertack::wicket::read_answer(&bytes, method).expect("read").expect("whole");
+    let head = String::from_utf8_lossy(&bytes[..size]).into_owned();
+    (told.status, head, bytes.split_off(size))
+}
+
+#[test]
+fn a_request_reaches_a_database_as_often_as_it_may_and_its_answer_is_its_own() {
+    use How::*;
+    let databases = Shed::start("query", 4).expect("databases");
+    let site = start_wicket(&databases);
+    // What the databases do in turn; the status and how often it ran, where it may be repeated and where
+    // not.
+    let cases: [(&[How], u16, usize, u16, usize); 14] = [
+        (&[Serve], 200, 1, 200, 1),
+        (&[Continue], 200, 1, 200, 1),
+        (&[Late(150)], 200, 1, 200, 1),
+        (&[ServeThenReset], 200, 1, 200, 1),
+        (&[Extra], 200, 1, 200, 1),
+        (&[DoubledLate(20)], 200, 1, 200, 1),
+        (&[Reset, Serve], 200, 2, 502, 1),
+        (&[CutHead, Serve], 200, 2, 502, 1),
+        (&[CutAfterHead, Serve], 200, 2, 502, 1),
+        (&[Cut, Serve], 200, 2, 502, 1),
+        (&[Hang, Serve], 200, 2, 504, 1),
+        // Not run, as the database says; true only while no other may have run it.
+        (&[Full, Full], 503, 2, 503, 2),
+        (&[FullLarge(100_000), FullLarge(100_000)], 503, 2, 503, 2),
+        (&[CutAfterHead, Full], 502, 2, 502, 1),
+    ];
+    for (next, many, many_ran, once, once_ran) in cases {
+        for (path, status, runs) in [("/many/x", many, many_ran), ("/once/x", once, once_ran)] {
+            for method in ["GET", "HEAD"] {
+                if method == "HEAD" && matches!(next[0], Cut | CutAfterHead | Extra | Hang) {
+                    continue;
+                }
+                eventually("fresh databases", || databases.beat_all(site.admin, 2));
+                databases.will(next);
+                let id = fresh_id();
+                let (got, head, body) = request(&site, method, path, Some(&id));
+                databases.will(&[]);
+                // What follows behind an answer has come by then.
+                std::thread::sleep(Duration::from_millis(50));
+                let ran = databases.ran(&id).len();
+                let what = format!("{next:?} {method} {path}");
+                assert_eq!(got, status, "{what}");
+                // A busy machine may make one late, so that it gets company.
+                let most = if path == "/many/x" { runs.max(3) } else { runs };
+                assert!((runs..=most).contains(&ran), "{what}: ran {ran} times");
+                if got == 200 {
+                    assert!(head.contains(&format!("Request-Id: {id}\r\n")), "{what}: {head}");
+                    let rows: &[u8] = if method == "HEAD" { b"" } else { b"the rows" };
+                    assert_eq!(body, rows, "{what}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_promise_is_passed_on_only_while_it_is_true_of_the_whole_request() {
+    use How::*;
+    let databases = Shed::start("query", 1).expect("databases");
+    let site = start_wicket(&databases);
+    // A rested connection is reset after the request ran, and the second send of it is refused.
+    for second in [FullLarge(100_000), Full] {
+        let rested = fresh_id();
+        eventually("a connection that rests", || {
+            request(&site, "GET", "/many/x", Some(&rested)).0 == 200
+        });
+        databases.will(&[Reset, second]);
+        let id = fresh_id();
+        let (status, head, _) = request(&site, "GET", "/many/x", Some(&id));
+        databases.will(&[]);
+        let ran = databases.ran(&id).len();
+        assert_eq!((status, ran), (502, 2), "{second:?}: {head}");
+        eventually("fresh databases", || databases.beat_all(site.admin, 3));
+    }
+    let two = Shed::start("query", 2).expect("databases");
+    let site = start_wicket(&two);
+    two.will(&[Reset, FullLarge(100_000)]);
+    let id = fresh_id();
+    let (status, head, _) = request(&site, "GET", "/many/x", Some(&id));
+    assert_eq!((status, two.ran(&id).len()), (502, 2), "{head}");
+}
+
+#[test]
+fn an_answer_too_many_is_no_later_requests() {
+    let databases = Shed::start("query", 1).expect("databases");
+    let site = start_wicket(&databases);
+    for kind in ["many", "once"] {
+        for round in 0..6 {
+            for id in [Some(fresh_id())] {
+                databases.will(&[How::DoubledLate(if round % 2 == 0 { 0 } else { 15 })]);
+                let first = format!("/{kind}/first{round}");
+                assert_eq!(request(&site, "GET", &first, id.as_deref()).0, 200, "{first}");
+                databases.will(&[]);
+                let next = id.as_ref().map(|_| fresh_id());
+                let second = format!("/{kind}/second{round}");
+                let (status, head, _) = request(&site, "GET", &second, next.as_deref());
+                assert!(
+                    status == 200 && head.contains(&format!("X-For: {second}\r\n")),
+                    "{id:?}: {head}"
+                );
+            }
+        }
+    }
+}
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -29,6 +29,17 @@
     Chunked,
     Large(usize),
     Hang,
+    /// Run, and the connection reset in the head, after the head, or after the whole answer.
+    CutHead,
+    CutAfterHead,
+    ServeThenReset,
+    /// Answered after so many milliseconds, or twice so many apart.
+    Late(u64),
+    DoubledLate(u64),
+    /// With a word in between first.
+    Continue,
+    /// Not run, and said so in a body of this size.
+    FullLarge(usize),
 }
 
 #[derive(Clone, Debug)]
@@ -151,8 +162,14 @@
             });
             let answer = |status: &str, id: &str, more: &str, body: &str| {
                 let length = body.len();
+                // Without an id of the request there is none to repeat.
+                let id =
+                    if id.is_empty() { String::new() } else { format!("Request-Id: {id}\r\n") };
+                let none = asked.method == "HEAD" || status.starts_with("204");
+                let body = if none { "" } else { body };
                 format!(
-                    "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nContent-Length: {length}\r\n{more}\r\n{body}"
+                    "HTTP/1.1 {status}\r\n{id}X-For: {}\r\nContent-Length: {length}\r\n{more}\r\n{body}",
+                    asked.target
                 )
             };
             let stamp = "Response-Signature: s.1\r\n";
@@ -173,6 +190,22 @@
                      4\r\nthe \r\n4\r\nrows\r\n0\r\n\r\n"
                 ),
                 How::Large(size) => answer("200 OK", &id, stamp, &"x".repeat(size)),
+                How::Late(ms) => {
+                    std::thread::sleep(Duration::from_millis(ms));
+                    good
+                }
+                How::DoubledLate(ms) => {
+                    stream.write_all(good.as_bytes())?;
+                    std::thread::sleep(Duration::from_millis(ms));
+                    good
+                }
+                How::CutHead => good[..20].to_owned(),
+                How::CutAfterHead => good[..good.len() - "the rows".len()].to_owned(),
+                How::ServeThenReset => good,
+                How::Continue => "HTTP/1.1 100 Continue\r\n\r\n".to_owned() + &good,
+                How::FullLarge(size) => {
+                    answer("503 Full", &id, "Not-Executed: 1\r\n", &"x".repeat(size))
+                }
                 How::Hang => {
                     std::thread::sleep(Duration::from_secs(20));
                     return Ok(());
@@ -182,6 +215,11 @@
             if how == How::Cut {
                 return stream.shutdown(Shutdown::Both);
             }
+            if matches!(how, How::CutHead | How::CutAfterHead | How::ServeThenReset) {
+                // Once it was read; a reset would take it along.
+                std::thread::sleep(Duration::from_millis(30));
+                return socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            }
         }
     }
 }
