A request of which a byte has left is not sent again as if none had

Cause: a write that broke off on a rested connection counted as not sent, whatever had left before, and the request went out again, also one that can't be repeated ("a part of a request is none" rests on what the database does with a part). An answer that bore two different ids was read by the last of them.

Before: with the old rules behind the new function, repeats::once_a_byte_has_left_a_request_may_have_run (left NotSent, right MayHaveRun after 1 byte) and repeats::an_answer_with_two_ids_is_nobodys (left Ok, right Garbled) were red. Now only a write of which nothing left is repeated for any request; on a new connection such a one counts as not sent. After: repeats, gateway, wicket green.

--- a/src/wicket.rs
+++ b/src/wicket.rs
@@ -276,7 +276,10 @@
     for header in parsed.headers.iter() {
         let text = || std::str::from_utf8(header.value).map(str::trim).unwrap_or_default();
         if header.name.eq_ignore_ascii_case("request-id") {
-            answered.id = Some(text().to_owned());
+            let id = text().to_owned();
+            if answered.id.replace(id.clone()).is_some_and(|before| before != id) {
+                return Err(Garbled);
+            }
         } else if header.name.eq_ignore_ascii_case("response-signature") {
             answered.stamped = !text().is_empty();
         } else if header.name.eq_ignore_ascii_case("not-executed") {
@@ -1145,14 +1148,14 @@
             };
             let sent = Tick::now();
             let head = self.head_for(errand, &id, sent);
-            let done = one.stream.set_write_timeout(Some(Duration::from_secs(2))).and_then(|()| {
+            let patient = one.stream.set_write_timeout(Some(Duration::from_secs(2)));
+            let done = patient.map_err(|_| Ended::NotSent).and_then(|()| {
                 if head.len() + errand.body.len() <= 64 << 10 {
                     let mut all = head;
                     all.extend_from_slice(errand.body);
-                    one.stream.write_all(&all)
+                    send_whole(&mut one.stream, &[&all])
                 } else {
-                    one.stream.write_all(&head)?;
-                    one.stream.write_all(errand.body)
+                    send_whole(&mut one.stream, &[&head, errand.body])
                 }
             });
             match done {
@@ -1170,9 +1173,9 @@
                         ended: false,
                     });
                 }
-                // It may have got a part; a part of a request is none.
-                Err(_) if reused => {}
-                Err(_) => return fail(id, Ended::MayHaveRun),
+                // Closed while it rested, and nothing of the request has left.
+                Err(Ended::NotSent) if reused => {}
+                Err(ended) => return fail(id, ended),
             }
         }
         fail(id, Ended::NotSent)
@@ -1448,6 +1451,25 @@
     }
 }
 
+/// Writes it all. Once a byte has left, the far end may have begun with it.
+pub fn send_whole(to: &mut impl Write, parts: &[&[u8]]) -> Result<(), Ended> {
+    let mut begun = false;
+    for part in parts {
+        let mut left = *part;
+        while !left.is_empty() {
+            match to.write(left) {
+                Ok(n) if n > 0 => {
+                    begun = true;
+                    left = &left[n..];
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                _ if begun => return Err(Ended::MayHaveRun),
+                _ => return Err(Ended::NotSent),
+            }
+        }
+    }
+    Ok(())
+}
 /// Waits until one of the legs has something to read, or the time is over.
 fn wait_for(legs: &[Leg], ms: u64) -> io::Result<Vec<bool>> {
     let mut fds: Vec<PollFd<'_>> =
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -512,3 +512,42 @@
         }
     }
 }
+
+/// Takes so many bytes, then fails.
+struct Breaks(usize);
+impl Write for Breaks {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let taken = bytes.len().min(self.0).min(4);
+        self.0 -= taken;
+        if taken == 0 { Err(std::io::ErrorKind::ConnectionReset.into()) } else { Ok(taken) }
+    }
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn once_a_byte_has_left_a_request_may_have_run() {
+    use silvertack::wicket::{Ended, send_whole};
+    let cases = [
+        (0, Err(Ended::NotSent)),
+        (1, Err(Ended::MayHaveRun)),
+        (9, Err(Ended::MayHaveRun)),
+        (10, Err(Ended::MayHaveRun)),
+        (11, Ok(())),
+    ];
+    for (takes, ended) in cases {
+        assert_eq!(send_whole(&mut Breaks(takes), &[b"the head", b"row"]), ended, "{takes} bytes");
+    }
+}
+
+#[test]
+fn an_answer_with_two_ids_is_nobodys() {
+    use silvertack::wicket::{Garbled, read_answer};
+    let cases = [("a", true), ("b", false), ("", false)];
+    for (second, same) in cases {
+        let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nRequest-Id: {second}\r\n\r\n");
+        let got = read_answer(head.as_bytes(), "GET").map(|found| found.is_some());
+        assert_eq!(got, if same { Ok(true) } else { Err(Garbled) }, "{second:?}");
+    }
+}
