A 100 in between is no answer to a call of the stewards

Cause: http::call took the first head that came for the answer, also an interim one (1xx), and would have told the operator's or the platform's call status 100. Before: repeats::what_is_no_whole_answer_is_none_to_a_call red (left Some(100), right Some(200)). After: green. Cleared with it: a call that gave up has a connection of its own, so its late answer reaches nobody (repeats::a_call_gets_its_own_answer_or_none); an answer of a primary that comes after the lease is not passed on (repeats::an_answer_that_comes_after_the_lease_is_not_passed_on).

--- a/src/common/http.rs
+++ b/src/common/http.rs
@@ -247,6 +247,10 @@
         let mut headers = [httparse::EMPTY_HEADER; 48];
         let mut parsed = httparse::Response::new(&mut headers);
         match parsed.parse(&bytes) {
+            // Only a word in between; the answer follows.
+            Ok(httparse::Status::Complete(head)) if parsed.code.is_some_and(|c| c < 200) => {
+                bytes.drain(..head);
+            }
             Ok(httparse::Status::Complete(head)) => {
                 let find = |name: &str| {
                     parsed
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -28,7 +28,7 @@
     admin: SocketAddr,
     frontend: SocketAddr,
     readiness: SocketAddr,
-    _steward: Process,
+    steward: Option<Process>,
     _node: Process,
 }
 impl Drop for Site {
@@ -67,10 +67,10 @@
     );
     let file = folder.join("node.toml");
     std::fs::write(&file, settings).expect("settings");
-    let _steward = run("steward", &file);
+    let steward = Some(run("steward", &file));
     let node = run(role, &file);
     let site =
-        Site { folder, admin: at[1], frontend: at[2], readiness: at[3], _steward, _node: node };
+        Site { folder, admin: at[1], frontend: at[2], readiness: at[3], steward, _node: node };
     eventually("a configuration", || {
         let base = [("If-Match", "0")];
         http(site.admin, "PUT", "/configuration", &base, configuration).is_ok_and(|(s, _)| s == 200)
@@ -365,6 +365,34 @@
     });
 }
 
+#[test]
+fn an_answer_that_comes_after_the_lease_is_not_passed_on() {
+    let databases = StandIn::start("ledger", 2).expect("databases");
+    let mut site = start_stile(&databases);
+    // The first write, the last of a transaction, a read at the primary only.
+    let cases: [(&[&str], &str, &str); 3] = [
+        (&[], "STORE a a", "UNKNOWN I"),
+        (&["BEGIN", "STORE a a"], "COMMIT", "UNKNOWN I"),
+        (&[], "FETCH a", "THROTTLED I"),
+    ];
+    let mut sessions: Vec<_> = cases
+        .iter()
+        .map(|(before, text, end)| {
+            let id = fresh_id();
+            databases.will(&id, &[Late(3_000); 8]);
+            (prepared(&site, "strict", &fresh_id(), before).expect("open"), id, *text, *end)
+        })
+        .collect();
+    site.steward = None;
+    for (session, id, text, _) in &mut sessions {
+        session.send(id, text);
+    }
+    for (mut session, id, text, end) in sessions {
+        assert_eq!(session.answer(&id).0, end, "{text}");
+        assert!(text == "FETCH a" || databases.reached(&id) == 1, "{text}");
+    }
+}
+
 // ---------------------------------------------------------------------------------------------
 // The wicket
 
@@ -551,3 +579,63 @@
         assert_eq!(got, if same { Ok(true) } else { Err(Garbled) }, "{second:?}");
     }
 }
+
+// ---------------------------------------------------------------------------------------------
+// Calls between own processes, and the system's own questions to databases
+
+#[test]
+fn a_call_gets_its_own_answer_or_none() {
+    use silvertack::common::http::{Response, call, serve};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("listener");
+    let at = listener.local_addr().expect("address");
+    serve(listener, "echo", 8, |request| {
+        if request.path.starts_with("/slow") {
+            std::thread::sleep(Duration::from_millis(300));
+        }
+        Response::json(200, request.path.into_bytes())
+    })
+    .expect("served");
+    let ask = |path: &str, ms| call(at, "GET", path, &[], b"", Duration::from_millis(ms)).ok();
+    // One that gave up is followed by another: each call has a connection of its own.
+    assert_eq!(ask("/slow/1", 60), None);
+    assert_eq!(ask("/quick/1", 5_000).expect("an answer").2, b"/quick/1");
+    assert_eq!(ask("/slow/2", 5_000).expect("an answer").2, b"/slow/2");
+    // On a kept connection answers come in the order of the calls, the late one first.
+    let mut kept = TcpStream::connect(at).expect("connection");
+    kept.set_read_timeout(Some(Duration::from_secs(5))).expect("timeout");
+    kept.write_all(
+        b"GET /slow/3 HTTP/1.1\r\n\r\nGET /quick/3 HTTP/1.1\r\nConnection: close\r\n\r\n",
+    )
+    .expect("sent");
+    let mut all = String::new();
+    kept.read_to_string(&mut all).expect("answers");
+    let (slow, quick) = (all.find("/slow/3"), all.find("/quick/3"));
+    assert!(slow.is_some() && slow < quick, "{all}");
+}
+
+#[test]
+fn what_is_no_whole_answer_is_none_to_a_call() {
+    use silvertack::common::http::call;
+    let good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    let cases: [(String, Option<u16>); 7] = [
+        (good.to_owned(), Some(200)),
+        (good.repeat(2), Some(200)),
+        (format!("HTTP/1.1 100 Continue\r\n\r\n{good}"), Some(200)),
+        ("HTTP/1.1 100 Continue\r\n\r\n".to_owned(), None),
+        (good[..good.len() - 1].to_owned(), None),
+        (good[..12].to_owned(), None),
+        (String::new(), None),
+    ];
+    for (answer, status) in cases {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("listener");
+        let at = listener.local_addr().expect("address");
+        let answers = answer.clone();
+        std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a caller");
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(answers.as_bytes());
+        });
+        let got = call(at, "POST", "/failovers", &[], b"{}", Duration::from_secs(5));
+        assert_eq!(got.ok().map(|(status, ..)| status), status, "{answer:?}");
+    }
+}
