A row counts as the answer to PAUSE or DESCRIBE only with its success

Cause: ask_database took the first row of whatever answer came. A database that began to answer and failed (ROW, then ERROR) counted as one that has paused, or whose position is known. Before: with the old rule behind the new function, repeats::a_row_counts_only_with_its_success red (left true, right false for ROW, ERROR FAILED). After: green. It is now Alive, as an ERROR without a row was.

--- a/src/common/wire.rs
+++ b/src/common/wire.rs
@@ -161,6 +161,18 @@
     pub row: Option<(usize, usize)>,
 }
 
+impl Reply {
+    /// The row that one of the system's own questions was answered with, if it was in success. `bytes`
+    /// are those that it was read from.
+    pub fn described(&self, bytes: &[u8]) -> Option<Described> {
+        if self.outcome != Outcome::Complete {
+            return None;
+        }
+        let (from, to) = self.row?;
+        described(std::str::from_utf8(bytes.get(from..to)?).ok()?)
+    }
+}
+
 /// What came is no answer of the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Garbled;
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -2880,9 +2880,7 @@
         loop {
             match wire::reply(inbox.pending()) {
                 Ok(Some(reply)) => {
-                    let row = reply.row.and_then(|(from, to)| {
-                        wire::described(std::str::from_utf8(&inbox.pending()[from..to]).ok()?)
-                    });
+                    let row = reply.described(inbox.pending());
                     return Ok(row.map_or(Told::Alive, Told::Row));
                 }
                 Ok(None) => {
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -639,3 +639,21 @@
         assert_eq!(got.ok().map(|(status, ..)| status), status, "{answer:?}");
     }
 }
+
+#[test]
+fn a_row_counts_only_with_its_success() {
+    use silvertack::common::wire::reply;
+    let row = "ROW replica 3 3.1209 0 12 2 17\r\n";
+    let cases = [
+        (format!("{row}COMPLETE -\r\nREADY I -\r\n"), true),
+        // It began to answer PAUSE, and failed.
+        (format!("{row}ERROR FAILED oh\r\nREADY I -\r\n"), false),
+        ("ERROR THROTTLED no\r\nREADY I -\r\n".to_owned(), false),
+        ("READY I -\r\n".to_owned(), false),
+        ("ROW primary 3\r\nCOMPLETE -\r\nREADY I -\r\n".to_owned(), false),
+    ];
+    for (answer, counts) in cases {
+        let got = reply(answer.as_bytes()).expect("well formed").expect("whole");
+        assert_eq!(got.described(answer.as_bytes()).is_some(), counts, "{answer:?}");
+    }
+}
