What was laid on in a transaction that the database ended is laid on anew

Cause: where a database refused a statement and its transaction was gone with it (READY I), the connection went back with the mark that it holds all of the session's state; values and names laid on inside may have been rolled back. Only the path over ABORT took the mark away. Now lay_on decides, for every path.

--- a/src/stile.rs
+++ b/src/stile.rs
@@ -1630,10 +1630,6 @@
             Ok(reply) if reply.state == State::Idle => {
                 stock.taken(&reply);
                 stock.open = false;
-                // What was laid on inside may have been rolled back too; it is laid on anew.
-                if stock.inside {
-                    stock.holds = None;
-                }
                 pool.give_back(stock);
             }
             _ => pool.lose(stock),
@@ -2024,7 +2020,8 @@
     mut look: impl FnMut() -> Option<Loss>,
 ) -> Result<(), Loss> {
     let mark = (session, graft.version());
-    if stock.holds == Some(mark) {
+    // What was laid on inside a transaction may have gone with it.
+    if stock.holds == Some(mark) && (stock.open || !stock.inside) {
         return Ok(());
     }
     let (values, shapes) = graft.replay();
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -365,6 +365,25 @@
     });
 }
 
+#[test]
+fn what_was_laid_on_in_a_transaction_that_is_gone_is_laid_on_anew() {
+    let databases = StandIn::start("ledger", 2).expect("databases");
+    let site = start_stile(&databases);
+    for round in 0..3 {
+        let id = fresh_id();
+        let one = format!("CONFIGURE tenant one{round}");
+        let two = format!("two{round}");
+        let texts = [&one, "FETCH =tenant", "BEGIN", "FETCH a", &format!("CONFIGURE tenant {two}")];
+        let mut session = prepared(&site, "strict", &id, &texts).expect("open");
+        assert_eq!(session.ask(&id, "FETCH =tenant"), ("own T".to_owned(), two.clone()));
+        let end = fresh_id();
+        databases.will(&end, &[RolledBack]);
+        assert_eq!(session.ask(&end, "COMMIT").0, "ROLLEDBACK I");
+        // It was acknowledged to the client, so it holds.
+        assert_eq!(session.ask(&id, "FETCH =tenant"), ("own I".to_owned(), two));
+    }
+}
+
 #[test]
 fn an_answer_that_comes_after_the_lease_is_not_passed_on() {
     let databases = StandIn::start("ledger", 2).expect("databases");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -31,6 +31,8 @@
     ResetAfter,
     ResetWithin,
     ResetThen,
+    /// Not run, and the transaction is gone with what was laid on inside.
+    RolledBack,
     /// Answered twice: at once, or so many milliseconds apart.
     Doubled,
     DoubledLate(u64),
@@ -212,6 +214,7 @@
         }
         out.write_all(format!("READY I {}\r\n", self.position()).as_bytes())?;
         let mut names: BTreeMap<String, String> = BTreeMap::new();
+        let mut before = names.clone();
         let mut open: Option<Vec<(String, String)>> = None;
         loop {
             line.clear();
@@ -228,7 +231,17 @@
             if mishap == Mishap::ResetBefore {
                 return reset(&out);
             }
-            let answer = self.answer(database, id, text, &mut names, &mut open);
+            if open.is_none() {
+                before.clone_from(&names);
+            }
+            let answer = match mishap {
+                Mishap::RolledBack => "ERROR THROTTLED not now\r\n".to_owned(),
+                _ => self.answer(database, id, text, &mut names, &mut open),
+            };
+            if mishap == Mishap::RolledBack || text == "ABORT" {
+                open = None;
+                names.clone_from(&before);
+            }
             // What it holds when an answer is owed that never comes.
             match mishap {
                 Mishap::Silence => {
@@ -310,6 +323,10 @@
                 *open = None;
                 done
             }
+            "FETCH" if rest.starts_with('=') => {
+                let value = names.get(rest).cloned().unwrap_or_default();
+                format!("ROW {value}\r\nCOMPLETE {stamp}\r\n")
+            }
             "FETCH" => {
                 let value = hold(&self.store).things.get(rest).cloned().unwrap_or_default();
                 format!("ROW {value}\r\nCOMPLETE {stamp}\r\n")
@@ -347,7 +364,11 @@
                 names.clear();
                 done
             }
-            "CONFIGURE" => done,
+            "CONFIGURE" => {
+                let (name, value) = rest.split_once(' ').unwrap_or((rest, ""));
+                names.insert(format!("={name}"), value.to_owned());
+                done
+            }
             "DESCRIBE" | "PAUSE" | "CONTINUE" | "STEPDOWN" => {
                 let store = hold(&self.store);
                 let role = if primary { "primary" } else { "replica" };
