Tests: a set-up that is never answered, and the slower of two sends

Cleared: silence to BEGIN, CONFIGURE and PREPARE is rerun elsewhere with the answer due; the slower database's late answer goes to nobody (repeats::what_comes_late_on_a_connection_is_nobodys_answer, repeats::a_request_reaches_a_database_as_often_as_it_may_and_its_answer_is_its_own).

--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -271,7 +271,7 @@
         ("PREPARE", &["PREPARE p FETCH shape"][..], "own I"),
     ] {
         let text = if word == "PREPARE" { "EXECUTE p b" } else { "FETCH b" };
-        for mishap in [Doubled, DoubledLate(30), ResetBefore, ResetWithin] {
+        for mishap in [Doubled, DoubledLate(30), ResetBefore, ResetWithin, Silence] {
             let (early, id) = (fresh_id(), fresh_id());
             let mut session = prepared(&site, "strict", &early, before).expect("open");
             databases.will(word, &[mishap]);
@@ -464,7 +464,7 @@
     let site = start_wicket(&databases);
     // What the databases do in turn; the status and how often it ran, where it may be repeated and where
     // not.
-    let cases: [(&[How], u16, usize, u16, usize); 14] = [
+    let cases: [(&[How], u16, usize, u16, usize); 16] = [
         (&[Serve], 200, 1, 200, 1),
         (&[Continue], 200, 1, 200, 1),
         (&[Late(150)], 200, 1, 200, 1),
@@ -476,6 +476,9 @@
         (&[CutAfterHead, Serve], 200, 2, 502, 1),
         (&[Cut, Serve], 200, 2, 502, 1),
         (&[Hang, Serve], 200, 2, 504, 1),
+        // The slower one's answer comes when the other has won, and to nobody.
+        (&[Late(700), Serve], 200, 2, 200, 1),
+        (&[Serve], 200, 1, 200, 1),
         // Not run, as the database says; true only while no other may have run it.
         (&[Full, Full], 503, 2, 503, 2),
         (&[FullLarge(100_000), FullLarge(100_000)], 503, 2, 503, 2),
