Test: many connections reset at once while they rest cost a write nothing

repeats::what_comes_late_on_a_connection_is_nobodys_answer: seven connections (more than a statement's reruns) are reset at rest; the next write reaches a database once and succeeds. Without the look at borrowed connections it is refused (mutation in a scratch copy: red).

--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -290,6 +290,22 @@
         let (id, (end, _)) = served(&site, "strict", "STORE a a");
         assert_eq!((end.as_str(), databases.reached(&id)), ("own I", 1));
     }
+    // Also where many were reset at once, more than a statement is run again.
+    let mut open = Vec::new();
+    // Who waits is given a larger share.
+    eventually("seven connections", || {
+        open.extend(prepared(&site, "strict", &fresh_id(), &["BEGIN", "FETCH a"]));
+        open.len() == 7
+    });
+    for session in &mut open {
+        let id = fresh_id();
+        databases.will(&id, &[ResetThen]);
+        assert_eq!(session.ask(&id, "COMMIT").0, "own I");
+    }
+    std::thread::sleep(Duration::from_millis(150));
+    let id = fresh_id();
+    assert_eq!(open[0].ask(&id, "STORE a a").0, "own I");
+    assert_eq!(databases.reached(&id), 1);
     // A client that is gone before its answer came: it goes to nobody else.
     for _ in 0..3 {
         let id = fresh_id();
