--- a/src/wicket.rs
+++ b/src/wicket.rs
@@ -8,7 +8,7 @@
 use crate::common::http;
 use crate::common::ids::*;
 use crate::common::link::{Follower, Link};
-use crate::common::parked::Parked;
+use crate::common::parked::{Parked, has_news};
 use crate::common::peer::*;
 use crate::common::settings::{Settings, Watched};
 use crate::common::signals::Signals;
@@ -276,7 +276,10 @@
     for header in parsed.headers.iter() {
         let text = || std::str::from_utf8(header.value).map(str::trim).unwrap_or_default();
         if header.name.eq_ignore_ascii_case("request-id") {
-            answered.id = Some(text().to_owned());
+            let id = text().to_owned();
+            if answered.id.replace(id.clone()).is_some_and(|before| before != id) {
+                return Err(Garbled);
+            }
         } else if header.name.eq_ignore_ascii_case("response-signature") {
             answered.stamped = !text().is_empty();
         } else if header.name.eq_ignore_ascii_case("not-executed") {
@@ -461,6 +464,10 @@
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
     }
+    /// It goes to the same database once more, which may have run it before it broke off.
+    pub fn sent_anew(&mut self) {
+        self.may_have_run = true;
+    }
     /// One send has ended. `others` are still under way; `time` is left and `budget` would pay.
     pub fn after(&mut self, ended: Ended, others: bool, time: bool, budget: bool) -> Next {
         match ended {
@@ -1141,14 +1148,14 @@
             };
             let sent = Tick::now();
             let head = self.head_for(errand, &id, sent);
-            let done = one.stream.set_write_timeout(Some(Duration::from_secs(2))).and_then(|()| {
+            let patient = one.stream.set_write_timeout(Some(Duration::from_secs(2)));
+            let done = patient.map_err(|_| Ended::NotSent).and_then(|()| {
                 if head.len() + errand.body.len() <= 64 << 10 {
                     let mut all = head;
                     all.extend_from_slice(errand.body);
-                    one.stream.write_all(&all)
+                    send_whole(&mut one.stream, &[&all])
                 } else {
-                    one.stream.write_all(&head)?;
-                    one.stream.write_all(errand.body)
+                    send_whole(&mut one.stream, &[&head, errand.body])
                 }
             });
             match done {
@@ -1166,9 +1173,9 @@
                         ended: false,
                     });
                 }
-                // It may have got a part; a part of a request is none.
-                Err(_) if reused => {}
-                Err(_) => return fail(id, Ended::MayHaveRun),
+                // Closed while it rested, and nothing of the request has left.
+                Err(Ended::NotSent) if reused => {}
+                Err(ended) => return fail(id, ended),
             }
         }
         fail(id, Ended::NotSent)
@@ -1315,6 +1322,7 @@
                         // Most likely forgotten while it rested: the same database may have it again,
                         // on a connection of its own.
                         if lane.route_type.repeatable() && !streamed && leg.forgotten() {
+                            tries.sent_anew();
                             let taken = Taken { id: leg.id, address: leg.address, stem: None };
                             match self.send_to(errand, taken) {
                                 Ok(leg) => legs.push(leg),
@@ -1341,7 +1349,12 @@
                             Next::Pass if leg.body.done() => return Ok(Say::Leg(Box::new(leg))),
                             Next::Pass => {
                                 self.judge(leg, ended);
-                                return Ok(self.own(errand, Refusal::Lost));
+                                // Its own words are too many to be held; these say the same.
+                                let same = match ended {
+                                    Ended::NotRun => Refusal::Full,
+                                    _ => Refusal::Lost,
+                                };
+                                return Ok(self.own(errand, same));
                             }
                             Next::Refuse(refusal) => {
                                 self.judge(leg, ended);
@@ -1438,10 +1451,24 @@
     }
 }
 
-/// Something waits to be read, or the far end has closed.
-fn has_news(stream: &TcpStream) -> bool {
-    let mut fds = [PollFd::new(stream, PollFlags::IN | PollFlags::RDHUP)];
-    !matches!(poll(&mut fds, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })), Ok(0))
+/// Writes it all. Once a byte has left, the far end may have begun with it.
+pub fn send_whole(to: &mut impl Write, parts: &[&[u8]]) -> Result<(), Ended> {
+    let mut begun = false;
+    for part in parts {
+        let mut left = *part;
+        while !left.is_empty() {
+            match to.write(left) {
+                Ok(n) if n > 0 => {
+                    begun = true;
+                    left = &left[n..];
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                _ if begun => return Err(Ended::MayHaveRun),
+                _ => return Err(Ended::NotSent),
+            }
+        }
+    }
+    Ok(())
 }
 /// Waits until one of the legs has something to read, or the time is over.
 fn wait_for(legs: &[Leg], ms: u64) -> io::Result<Vec<bool>> {
@@ -1529,7 +1556,14 @@
             if self.body.done() {
                 return self.whole();
             }
-            return if self.held.len() >= HELD { Progress::Ready } else { Progress::Waits };
+            if self.held.len() < HELD {
+                return Progress::Waits;
+            }
+            // Whether its promise may be passed on is decided with all sends in view.
+            return match head.not_executed {
+                true => Progress::Ended(Ended::NotRun),
+                false => Progress::Ready,
+            };
         }
     }
     /// The whole answer is there.
@@ -1543,7 +1577,9 @@
     /// The connection, if another request may use it.
     fn kept(self) -> Option<Stem> {
         let head = self.head.as_ref()?;
-        let clean = self.body.done()
+        // An answer too many is known by its id; where there is none, nothing may follow.
+        let clean = head.id.is_some()
+            && self.body.done()
             && self.stem.inbox.is_empty()
             && !self.stray
             && !self.ended
--- /dev/null
+++ b/tests/repeats.rs
@@ -0,0 +1,697 @@
+//! Answers and repeats, by processes against databases that misbehave on purpose: how often each
+//! statement or request reached any of them, and whose answer each caller got.
+#[path = "support/gateway.rs"]
+mod shed;
+mod support;
+
+use shed::{How, Shed};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use support::Mishap::*;
+use support::{StandIn, free_port, http};
+
+struct Process(Child);
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+/// A steward and one node that serves clients.
+struct Site {
+    folder: PathBuf,
+    admin: SocketAddr,
+    frontend: SocketAddr,
+    readiness: SocketAddr,
+    steward: Option<Process>,
+    _node: Process,
+}
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn eventually(what: &str, mut check: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !check() {
+        assert!(start.elapsed() < Duration::from_secs(20), "never: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+fn run(role: &str, settings: &std::path::Path) -> Process {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_silvertack"));
+    command.args([role, "--settings"]).arg(settings).stderr(Stdio::null());
+    Process(command.spawn().expect(role))
+}
+fn start(role: &str, more: &str, configuration: &str, beat: impl Fn(SocketAddr)) -> Site {
+    let at: Vec<SocketAddr> =
+        (0..4).map(|_| SocketAddr::from(([127, 0, 0, 1], free_port()))).collect();
+    let folder = std::env::temp_dir().join(format!("silvertack-repeats-{}", at[0].port()));
+    std::fs::create_dir_all(&folder).expect("folder");
+    let settings = format!(
+        "node_name = \"one\"\nip_address = \"127.0.0.1\"\nzone = \"here\"\nport_range = [{p}, {p}]\n\
+         seed_nodes = [\"{admin}\"]\nbootstrap = true\ndata_path = \"{data}\"\n{more}\n\
+         [listeners]\nfrontend = \"{front}\"\nreadiness = \"{ready}\"\nadmin = \"{admin}\"\n\
+         [timing_bounds]\ngrace_s = 3\nretry_ratio = 1.0\n",
+        p = at[0].port(),
+        admin = at[1],
+        front = at[2],
+        ready = at[3],
+        data = folder.join("data").display(),
+    );
+    let file = folder.join("node.toml");
+    std::fs::write(&file, settings).expect("settings");
+    let steward = Some(run("steward", &file));
+    let node = run(role, &file);
+    let site =
+        Site { folder, admin: at[1], frontend: at[2], readiness: at[3], steward, _node: node };
+    eventually("a configuration", || {
+        let base = [("If-Match", "0")];
+        http(site.admin, "PUT", "/configuration", &base, configuration).is_ok_and(|(s, _)| s == 200)
+    });
+    beat(site.admin);
+    eventually("readiness", || {
+        http(site.readiness, "GET", "/readiness", &[], "").is_ok_and(|(s, _)| s == 200)
+    });
+    site
+}
+fn fresh_id() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    format!("q{}", NEXT.fetch_add(1, Ordering::SeqCst))
+}
+
+// ---------------------------------------------------------------------------------------------
+// The stile
+
+fn start_stile(databases: &Arc<StandIn>) -> Site {
+    let route = |name: &str, kind: &str, timeout: u64| {
+        serde_json::json!({
+            "name": name, "hostname": name, "path_prefix": "/", "route_type": kind, "priority": 1,
+            "timeout_ms": timeout, "target_latency_ms": 250, "target_service": "ledger",
+            "max_attempts": 2, "stale_ms": 1500,
+        })
+    };
+    let configuration = serde_json::json!({
+        "revision": 1,
+        "route_rules": [route("strict", "primary", 4000), route("loose", "bounded", 4000),
+                        route("short", "primary", 700)],
+        "services": [{ "name": "ledger", "health_check_path": "/health", "max_connections": 48, "sync_replicas": 1 }],
+        "limits": { "txn_idle_ms": 5000 },
+    })
+    .to_string();
+    let platform = format!("[provider]\naddress = \"{}\"", databases.platform);
+    let beating = Arc::clone(databases);
+    let site = start("stile", &platform, &configuration, move |admin| {
+        beating.keep_beating(admin, Duration::from_millis(200));
+    });
+    eventually("the first write", || {
+        Session::open(&site, "strict")
+            .is_some_and(|mut s| s.ask(&fresh_id(), "STORE a a").0 == "own I")
+    });
+    site
+}
+
+struct Session(BufReader<TcpStream>);
+impl Session {
+    fn open(site: &Site, route: &str) -> Option<Self> {
+        let mut stream = TcpStream::connect(site.frontend).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(15))).ok()?;
+        stream.write_all(format!("CONNECT {route} me\r\n").as_bytes()).ok()?;
+        let mut this = Self(BufReader::new(stream));
+        this.line().starts_with("READY I").then_some(this)
+    }
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        // A connection that was reset reads as one that ended.
+        let _ = self.0.read_line(&mut line);
+        line.trim_end().to_owned()
+    }
+    fn send(&mut self, id: &str, text: &str) {
+        self.0.get_mut().write_all(format!("QUERY {id} {text}\r\n").as_bytes()).expect("sent");
+    }
+    /// How it ended, with whose stamp, and the row that came.
+    fn ask(&mut self, id: &str, text: &str) -> (String, String) {
+        self.send(id, text);
+        self.answer(id)
+    }
+    fn answer(&mut self, id: &str) -> (String, String) {
+        let (mut end, mut row) = (String::new(), String::new());
+        loop {
+            let line = self.line();
+            let (word, rest) = line.split_once(' ').unwrap_or((&line, ""));
+            let first = rest.split(' ').next().unwrap_or_default();
+            match word {
+                "ROW" => row += rest,
+                "COMPLETE" if first == "-" => end = "done".to_owned(),
+                "COMPLETE" if first.starts_with(&format!("stamp.{id}.")) => end = "own".to_owned(),
+                "COMPLETE" => end = format!("another's: {first}"),
+                "ERROR" => end = first.to_owned(),
+                "READY" => return (format!("{end} {first}"), row),
+                _ => return (format!("{end} cut"), row),
+            }
+        }
+    }
+}
+
+/// Opens a session and says what comes before the statement in question. Tried anew where a busy
+/// machine got between; `None` if one of them was not answered with success.
+fn prepared(site: &Site, route: &str, id: &str, before: &[&str]) -> Option<Session> {
+    let mut session = Session::open(site, route)?;
+    let fine = |(end, _): (String, String)| end.starts_with("own") || end.starts_with("done");
+    before.iter().all(|text| fine(session.ask(id, text))).then_some(session)
+}
+
+#[test]
+fn no_statement_is_run_twice_that_may_be_kept_and_no_answer_is_anothers() {
+    let databases = StandIn::start("ledger", 3).expect("databases");
+    let site = start_stile(&databases);
+    let all = [Silence, Late(60), ResetBefore, ResetAfter, ResetWithin, Doubled];
+    // What goes before, the statement, and for each mishap in turn how it must end.
+    let unknown = "UNKNOWN I";
+    let cases: [(&[&str], &str, [&str; 6]); 6] = [
+        // Nothing is kept and nothing was shown: run again, silently.
+        (&[], "FETCH a", ["own I"; 6]),
+        (&["BEGIN"], "FETCH a", ["own T"; 6]),
+        (&["BEGIN"], "STORE a a", ["own T"; 6]),
+        // It may be kept: sent once, and its outcome is open.
+        (&[], "STORE a a", [unknown, "own I", unknown, unknown, unknown, unknown]),
+        (&["BEGIN", "STORE a a"], "COMMIT", [unknown, "own I", unknown, unknown, unknown, unknown]),
+        // Its transaction was shown, and is gone.
+        (
+            &["BEGIN", "FETCH a"],
+            "FETCH a",
+            [
+                "ROLLEDBACK I",
+                "own T",
+                "ROLLEDBACK I",
+                "ROLLEDBACK I",
+                "ROLLEDBACK I",
+                "ROLLEDBACK I",
+            ],
+        ),
+    ];
+    for (before, text, ends) in cases {
+        let last = !(text == "FETCH a" && before.len() < 2) && before != ["BEGIN"];
+        for (mishap, end) in all.into_iter().zip(ends) {
+            let what = format!("{before:?} {text} {mishap:?}");
+            let (got, row, reached) = (0..20)
+                .find_map(|_| {
+                    let (early, id) = (fresh_id(), fresh_id());
+                    let mut session = prepared(&site, "short", &early, before)?;
+                    databases.will(&id, &[mishap]);
+                    let (got, row) = session.ask(&id, text);
+                    // Not sent at all, as the primary was just doubted.
+                    let sent = databases.reached(&id) > 0;
+                    sent.then(|| (got, row, databases.reached(&id)))
+                })
+                .unwrap_or_else(|| panic!("never sent: {what}"));
+            assert_eq!(got, end, "{what}");
+            assert!(!last || reached == 1, "{what}: reached databases {reached} times");
+            assert!(
+                !end.starts_with("own") || !text.starts_with("FETCH") || row == "a",
+                "{what}: {row}"
+            );
+        }
+    }
+}
+
+/// One statement on a session of its own, tried anew where the machine was too busy to serve it.
+fn served(site: &Site, route: &str, text: &str) -> (String, (String, String)) {
+    for _ in 0..20 {
+        let id = fresh_id();
+        if let Some(mut session) = Session::open(site, route) {
+            let got = session.ask(&id, text);
+            if !got.0.starts_with("THROTTLED") {
+                return (id, got);
+            }
+        }
+    }
+    panic!("never served: {text}");
+}
+
+#[test]
+fn what_comes_late_on_a_connection_is_nobodys_answer() {
+    let databases = StandIn::start("ledger", 2).expect("databases");
+    let site = start_stile(&databases);
+    let stored = |thing: &str| {
+        let text = format!("STORE {thing} {thing}");
+        assert_eq!(served(&site, "strict", &text).1.0, "own I", "{text}");
+    };
+    stored("b");
+    let own = |thing: &str| ("own I".to_owned(), thing.to_owned());
+    // A second answer that lies on the resting connection when another session borrows it.
+    for route in ["strict", "loose"] {
+        for _ in 0..4 {
+            let id = fresh_id();
+            databases.will(&id, &[DoubledLate(20)]);
+            let mut first = Session::open(&site, route).expect("session");
+            assert_eq!(first.ask(&id, "FETCH a"), own("a"), "{route}");
+            std::thread::sleep(Duration::from_millis(60));
+            assert_eq!(served(&site, route, "FETCH b").1, own("b"), "{route}");
+        }
+    }
+    // The same inside a transaction: the client's next statement gets no earlier one's answer.
+    let (early, id) = (fresh_id(), fresh_id());
+    databases.will(&early, &[Fine, DoubledLate(20)]);
+    let mut session =
+        prepared(&site, "strict", &early, &["BEGIN", "FETCH a", "FETCH a"]).expect("open");
+    std::thread::sleep(Duration::from_millis(60));
+    assert_eq!(session.ask(&id, "FETCH b").0, "ROLLEDBACK I");
+    assert_eq!(databases.reached(&id), 0, "the connection was used no more");
+    // The set-up that goes ahead: an answer too many to it is no answer to the statement behind.
+    for (word, before, ends) in [
+        ("BEGIN", &["BEGIN"][..], "own T"),
+        ("CONFIGURE", &["CONFIGURE tenant x"][..], "own I"),
+        ("PREPARE", &["PREPARE p FETCH shape"][..], "own I"),
+    ] {
+        let text = if word == "PREPARE" { "EXECUTE p b" } else { "FETCH b" };
+        for mishap in [Doubled, DoubledLate(30), ResetBefore, ResetWithin, Silence] {
+            let (early, id) = (fresh_id(), fresh_id());
+            let mut session = prepared(&site, "strict", &early, before).expect("open");
+            databases.will(word, &[mishap]);
+            let got = session.ask(&id, text);
+            assert_eq!(got, (ends.to_owned(), "b".to_owned()), "{word} {mishap:?}");
+            databases.will(word, &[]);
+        }
+    }
+    // A connection that was reset while it rested: nothing was sent, so a write goes on another.
+    for _ in 0..3 {
+        let id = fresh_id();
+        databases.will(&id, &[ResetThen]);
+        let mut first = Session::open(&site, "strict").expect("session");
+        assert_eq!(first.ask(&id, "FETCH a"), own("a"));
+        std::thread::sleep(Duration::from_millis(120));
+        let (id, (end, _)) = served(&site, "strict", "STORE a a");
+        assert_eq!((end.as_str(), databases.reached(&id)), ("own I", 1));
+    }
+    // Also where many were reset at once, more than a statement is run again.
+    let mut open = Vec::new();
+    // Who waits is given a larger share.
+    eventually("seven connections", || {
+        open.extend(prepared(&site, "strict", &fresh_id(), &["BEGIN", "FETCH a"]));
+        open.len() == 7
+    });
+    for session in &mut open {
+        let id = fresh_id();
+        databases.will(&id, &[ResetThen]);
+        assert_eq!(session.ask(&id, "COMMIT").0, "own I");
+    }
+    std::thread::sleep(Duration::from_millis(150));
+    let id = fresh_id();
+    assert_eq!(open[0].ask(&id, "STORE a a").0, "own I");
+    assert_eq!(databases.reached(&id), 1);
+    // A client that is gone before its answer came: it goes to nobody else.
+    for _ in 0..3 {
+        let id = fresh_id();
+        databases.will(&id, &[Late(100)]);
+        let mut gone = Session::open(&site, "strict").expect("session");
+        gone.send(&id, "FETCH a");
+        drop(gone);
+        let others: Vec<_> = (0..3).map(|_| served(&site, "strict", "FETCH b").1).collect();
+        assert_eq!(others, [own("b"), own("b"), own("b")]);
+    }
+    // Two statements at once on one connection are answered in their order.
+    let (one, two) = (fresh_id(), fresh_id());
+    databases.will(&one, &[Late(30)]);
+    let mut both = Session::open(&site, "strict").expect("session");
+    both.send(&one, "FETCH a");
+    both.send(&two, "FETCH b");
+    assert_eq!((both.answer(&one), both.answer(&two)), (own("a"), own("b")));
+}
+
+#[test]
+fn in_a_crowd_each_session_hears_its_own_answers() {
+    let databases = StandIn::start("ledger", 3).expect("databases");
+    let site = start_stile(&databases);
+    std::thread::scope(|threads| {
+        for place in 0..8 {
+            let (site, databases) = (&site, &databases);
+            threads.spawn(move || {
+                let (mut served, mut writes) = (0, Vec::new());
+                let thing = format!("t{place}");
+                for round in 0..60 {
+                    let route = if round % 3 == 0 { "strict" } else { "loose" };
+                    let Some(mut session) = Session::open(site, route) else { continue };
+                    // Each is answered in order, or the session ends: see `answer`.
+                    for step in 0..4 {
+                        let id = fresh_id();
+                        match (place + round + step) % 9 {
+                            0 => databases.will(&id, &[Doubled]),
+                            1 => databases.will(&id, &[ResetWithin]),
+                            2 => databases.will(&id, &[Late(15)]),
+                            3 => databases.will(&id, &[ResetAfter]),
+                            _ => {}
+                        }
+                        let write = step == 0;
+                        let text = if write {
+                            format!("STORE {thing} {thing}")
+                        } else {
+                            format!("FETCH {thing}")
+                        };
+                        let (end, row) = session.ask(&id, &text);
+                        assert!(!end.starts_with("another's"), "{text}: {end}");
+                        if end == "own I" {
+                            served += 1;
+                            assert!(write || row == thing || row.is_empty(), "{text}: {row}");
+                        }
+                        if write {
+                            writes.push((id, end));
+                        }
+                        if round % 5 == 4 && step == 2 {
+                            // It goes away with a statement under way.
+                            session.send(&fresh_id(), &text);
+                            break;
+                        }
+                    }
+                }
+                assert!(served > 60, "{served} were served");
+                for (id, end) in writes {
+                    let reached = databases.reached(&id);
+                    assert!(reached <= 1, "{id} ended {end}, reached databases {reached} times");
+                    assert!(end != "own I" || reached == 1, "{id}: {end}");
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn what_was_laid_on_in_a_transaction_that_is_gone_is_laid_on_anew() {
+    let databases = StandIn::start("ledger", 2).expect("databases");
+    let site = start_stile(&databases);
+    for round in 0..3 {
+        let id = fresh_id();
+        let one = format!("CONFIGURE tenant one{round}");
+        let two = format!("two{round}");
+        let texts = [&one, "FETCH =tenant", "BEGIN", "FETCH a", &format!("CONFIGURE tenant {two}")];
+        let mut session = prepared(&site, "strict", &id, &texts).expect("open");
+        assert_eq!(session.ask(&id, "FETCH =tenant"), ("own T".to_owned(), two.clone()));
+        let end = fresh_id();
+        databases.will(&end, &[RolledBack]);
+        assert_eq!(session.ask(&end, "COMMIT").0, "ROLLEDBACK I");
+        // It was acknowledged to the client, so it holds.
+        assert_eq!(session.ask(&id, "FETCH =tenant"), ("own I".to_owned(), two));
+    }
+}
+
+#[test]
+fn an_answer_that_comes_after_the_lease_is_not_passed_on() {
+    let databases = StandIn::start("ledger", 2).expect("databases");
+    let mut site = start_stile(&databases);
+    // The first write, the last of a transaction, a read at the primary only.
+    let cases: [(&[&str], &str, &str); 3] = [
+        (&[], "STORE a a", "UNKNOWN I"),
+        (&["BEGIN", "STORE a a"], "COMMIT", "UNKNOWN I"),
+        (&[], "FETCH a", "THROTTLED I"),
+    ];
+    let mut sessions: Vec<_> = cases
+        .iter()
+        .map(|(before, text, end)| {
+            let id = fresh_id();
+            databases.will(&id, &[Late(3_000); 8]);
+            (prepared(&site, "strict", &fresh_id(), before).expect("open"), id, *text, *end)
+        })
+        .collect();
+    site.steward = None;
+    for (session, id, text, _) in &mut sessions {
+        session.send(id, text);
+    }
+    for (mut session, id, text, end) in sessions {
+        assert_eq!(session.answer(&id).0, end, "{text}");
+        assert!(text == "FETCH a" || databases.reached(&id) == 1, "{text}");
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// The wicket
+
+fn start_wicket(databases: &Arc<Shed>) -> Site {
+    let route = |prefix: &str, kind: &str| {
+        serde_json::json!({
+            "name": prefix, "hostname": "shop.example", "path_prefix": prefix, "route_type": kind,
+            "timeout_ms": 1500, "target_latency_ms": 600, "priority": 1, "target_service": "query",
+            "max_attempts": 2,
+        })
+    };
+    let configuration = serde_json::json!({
+        "revision": 1,
+        "route_rules": [route("/once/", "non_idempotent"), route("/many/", "idempotent")],
+        "services": [{ "name": "query", "max_connections": 64 }],
+    })
+    .to_string();
+    let all = databases.addresses.len();
+    let site = start("wicket", "rollout = \"api\"", &configuration, |admin| {
+        eventually("databases", || databases.beat_all(admin, 1));
+    });
+    eventually("all databases known", || {
+        let (_, body) = http(site.readiness, "GET", "/status", &[], "").expect("status");
+        let status: serde_json::Value = serde_json::from_str(&body).expect("json");
+        status["databases"].as_array().is_some_and(|d| d.len() == all)
+    });
+    site
+}
+
+/// One request on a connection of its own: the status, the head and the body.
+fn request(site: &Site, method: &str, path: &str, id: Option<&str>) -> (u16, String, Vec<u8>) {
+    let mut client = TcpStream::connect(site.frontend).expect("frontend");
+    client.set_read_timeout(Some(Duration::from_secs(10))).expect("timeout");
+    let id = id.map_or(String::new(), |id| format!("Request-Id: {id}\r\n"));
+    let head =
+        format!("{method} {path} HTTP/1.1\r\nHost: shop.example\r\n{id}Connection: close\r\n\r\n");
+    client.write_all(head.as_bytes()).expect("sent");
+    let mut bytes = Vec::new();
+    client.read_to_end(&mut bytes).expect("an answer");
+    let (told, size) =
+        silvertack::wicket::read_answer(&bytes, method).expect("read").expect("whole");
+    let head = String::from_utf8_lossy(&bytes[..size]).into_owned();
+    (told.status, head, bytes.split_off(size))
+}
+
+#[test]
+fn a_request_reaches_a_database_as_often_as_it_may_and_its_answer_is_its_own() {
+    use How::*;
+    let databases = Shed::start("query", 4).expect("databases");
+    let site = start_wicket(&databases);
+    // What the databases do in turn; the status and how often it ran, where it may be repeated and where
+    // not.
+    let cases: [(&[How], u16, usize, u16, usize); 16] = [
+        (&[Serve], 200, 1, 200, 1),
+        (&[Continue], 200, 1, 200, 1),
+        (&[Late(150)], 200, 1, 200, 1),
+        (&[ServeThenReset], 200, 1, 200, 1),
+        (&[Extra], 200, 1, 200, 1),
+        (&[DoubledLate(20)], 200, 1, 200, 1),
+        (&[Reset, Serve], 200, 2, 502, 1),
+        (&[CutHead, Serve], 200, 2, 502, 1),
+        (&[CutAfterHead, Serve], 200, 2, 502, 1),
+        (&[Cut, Serve], 200, 2, 502, 1),
+        (&[Hang, Serve], 200, 2, 504, 1),
+        // The slower one's answer comes when the other has won, and to nobody.
+        (&[Late(700), Serve], 200, 2, 200, 1),
+        (&[Serve], 200, 1, 200, 1),
+        // Not run, as the database says; true only while no other may have run it.
+        (&[Full, Full], 503, 2, 503, 2),
+        (&[FullLarge(100_000), FullLarge(100_000)], 503, 2, 503, 2),
+        (&[CutAfterHead, Full], 502, 2, 502, 1),
+    ];
+    for (next, many, many_ran, once, once_ran) in cases {
+        for (path, status, runs) in [("/many/x", many, many_ran), ("/once/x", once, once_ran)] {
+            for method in ["GET", "HEAD"] {
+                if method == "HEAD" && matches!(next[0], Cut | CutAfterHead | Extra | Hang) {
+                    continue;
+                }
+                eventually("fresh databases", || databases.beat_all(site.admin, 2));
+                databases.will(next);
+                let id = fresh_id();
+                let (got, head, body) = request(&site, method, path, Some(&id));
+                databases.will(&[]);
+                // What follows behind an answer has come by then.
+                std::thread::sleep(Duration::from_millis(50));
+                let ran = databases.ran(&id).len();
+                let what = format!("{next:?} {method} {path}");
+                assert_eq!(got, status, "{what}");
+                // A busy machine may make one late, so that it gets company.
+                let most = if path == "/many/x" { runs.max(3) } else { runs };
+                assert!((runs..=most).contains(&ran), "{what}: ran {ran} times");
+                if got == 200 {
+                    assert!(head.contains(&format!("Request-Id: {id}\r\n")), "{what}: {head}");
+                    let rows: &[u8] = if method == "HEAD" { b"" } else { b"the rows" };
+                    assert_eq!(body, rows, "{what}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_promise_is_passed_on_only_while_it_is_true_of_the_whole_request() {
+    use How::*;
+    let databases = Shed::start("query", 1).expect("databases");
+    let site = start_wicket(&databases);
+    // A rested connection is reset after the request ran, and the second send of it is refused.
+    for second in [FullLarge(100_000), Full] {
+        let rested = fresh_id();
+        eventually("a connection that rests", || {
+            request(&site, "GET", "/many/x", Some(&rested)).0 == 200
+        });
+        databases.will(&[Reset, second]);
+        let id = fresh_id();
+        let (status, head, _) = request(&site, "GET", "/many/x", Some(&id));
+        databases.will(&[]);
+        let ran = databases.ran(&id).len();
+        assert_eq!((status, ran), (502, 2), "{second:?}: {head}");
+        eventually("fresh databases", || databases.beat_all(site.admin, 3));
+    }
+    let two = Shed::start("query", 2).expect("databases");
+    let site = start_wicket(&two);
+    two.will(&[Reset, FullLarge(100_000)]);
+    let id = fresh_id();
+    let (status, head, _) = request(&site, "GET", "/many/x", Some(&id));
+    assert_eq!((status, two.ran(&id).len()), (502, 2), "{head}");
+}
+
+#[test]
+fn an_answer_too_many_is_no_later_requests_with_or_without_an_id() {
+    let databases = Shed::start("query", 1).expect("databases");
+    let site = start_wicket(&databases);
+    for kind in ["many", "once"] {
+        for round in 0..6 {
+            for id in [Some(fresh_id()), None] {
+                databases.will(&[How::DoubledLate(if round % 2 == 0 { 0 } else { 15 })]);
+                let first = format!("/{kind}/first{round}");
+                assert_eq!(request(&site, "GET", &first, id.as_deref()).0, 200, "{first}");
+                databases.will(&[]);
+                let next = id.as_ref().map(|_| fresh_id());
+                let second = format!("/{kind}/second{round}");
+                let (status, head, _) = request(&site, "GET", &second, next.as_deref());
+                assert!(
+                    status == 200 && head.contains(&format!("X-For: {second}\r\n")),
+                    "{id:?}: {head}"
+                );
+            }
+        }
+    }
+}
+
+/// Takes so many bytes, then fails.
+struct Breaks(usize);
+impl Write for Breaks {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let taken = bytes.len().min(self.0).min(4);
+        self.0 -= taken;
+        if taken == 0 { Err(std::io::ErrorKind::ConnectionReset.into()) } else { Ok(taken) }
+    }
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn once_a_byte_has_left_a_request_may_have_run() {
+    use silvertack::wicket::{Ended, send_whole};
+    let cases = [
+        (0, Err(Ended::NotSent)),
+        (1, Err(Ended::MayHaveRun)),
+        (9, Err(Ended::MayHaveRun)),
+        (10, Err(Ended::MayHaveRun)),
+        (11, Ok(())),
+    ];
+    for (takes, ended) in cases {
+        assert_eq!(send_whole(&mut Breaks(takes), &[b"the head", b"row"]), ended, "{takes} bytes");
+    }
+}
+
+#[test]
+fn an_answer_with_two_ids_is_nobodys() {
+    use silvertack::wicket::{Garbled, read_answer};
+    let cases = [("a", true), ("b", false), ("", false)];
+    for (second, same) in cases {
+        let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nRequest-Id: {second}\r\n\r\n");
+        let got = read_answer(head.as_bytes(), "GET").map(|found| found.is_some());
+        assert_eq!(got, if same { Ok(true) } else { Err(Garbled) }, "{second:?}");
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Calls between own processes, and the system's own questions to databases
+
+#[test]
+fn a_call_gets_its_own_answer_or_none() {
+    use silvertack::common::http::{Response, call, serve};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("listener");
+    let at = listener.local_addr().expect("address");
+    serve(listener, "echo", 8, |request| {
+        if request.path.starts_with("/slow") {
+            std::thread::sleep(Duration::from_millis(300));
+        }
+        Response::json(200, request.path.into_bytes())
+    })
+    .expect("served");
+    let ask = |path: &str, ms| call(at, "GET", path, &[], b"", Duration::from_millis(ms)).ok();
+    // One that gave up is followed by another: each call has a connection of its own.
+    assert_eq!(ask("/slow/1", 60), None);
+    assert_eq!(ask("/quick/1", 5_000).expect("an answer").2, b"/quick/1");
+    assert_eq!(ask("/slow/2", 5_000).expect("an answer").2, b"/slow/2");
+    // On a kept connection answers come in the order of the calls, the late one first.
+    let mut kept = TcpStream::connect(at).expect("connection");
+    kept.set_read_timeout(Some(Duration::from_secs(5))).expect("timeout");
+    kept.write_all(
+        b"GET /slow/3 HTTP/1.1\r\n\r\nGET /quick/3 HTTP/1.1\r\nConnection: close\r\n\r\n",
+    )
+    .expect("sent");
+    let mut all = String::new();
+    kept.read_to_string(&mut all).expect("answers");
+    let (slow, quick) = (all.find("/slow/3"), all.find("/quick/3"));
+    assert!(slow.is_some() && slow < quick, "{all}");
+}
+
+#[test]
+fn what_is_no_whole_answer_is_none_to_a_call() {
+    use silvertack::common::http::call;
+    let good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    let cases: [(String, Option<u16>); 7] = [
+        (good.to_owned(), Some(200)),
+        (good.repeat(2), Some(200)),
+        (format!("HTTP/1.1 100 Continue\r\n\r\n{good}"), Some(200)),
+        ("HTTP/1.1 100 Continue\r\n\r\n".to_owned(), None),
+        (good[..good.len() - 1].to_owned(), None),
+        (good[..12].to_owned(), None),
+        (String::new(), None),
+    ];
+    for (answer, status) in cases {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("listener");
+        let at = listener.local_addr().expect("address");
+        let answers = answer.clone();
+        std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a caller");
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(answers.as_bytes());
+        });
+        let got = call(at, "POST", "/failovers", &[], b"{}", Duration::from_secs(5));
+        assert_eq!(got.ok().map(|(status, ..)| status), status, "{answer:?}");
+    }
+}
+
+#[test]
+fn a_row_counts_only_with_its_success() {
+    use silvertack::common::wire::reply;
+    let row = "ROW replica 3 3.1209 0 12 2 17\r\n";
+    let cases = [
+        (format!("{row}COMPLETE -\r\nREADY I -\r\n"), true),
+        // It began to answer PAUSE, and failed.
+        (format!("{row}ERROR FAILED oh\r\nREADY I -\r\n"), false),
+        ("ERROR THROTTLED no\r\nREADY I -\r\n".to_owned(), false),
+        ("READY I -\r\n".to_owned(), false),
+        ("ROW primary 3\r\nCOMPLETE -\r\nREADY I -\r\n".to_owned(), false),
+    ];
+    for (answer, counts) in cases {
+        let got = reply(answer.as_bytes()).expect("well formed").expect("whole");
+        assert_eq!(got.described(answer.as_bytes()).is_some(), counts, "{answer:?}");
+    }
+}
