--- a/src/steward.rs
+++ b/src/steward.rs
@@ -5142,7 +5142,7 @@
                 return;
             }
             // It may have left while this leader was not sure yet; nothing would end its seat.
-            if !self.conns.contains_key(&conn) {
+            if self.effects.waiting(conn).is_none() {
                 return;
             }
             info!(target: "stiles", "{node} is here");
