An intent that comes into force after a leader began is finished by it

Cause: a restarted leader applies its log entry by entry, and a succession was begun in the middle of that: from a state in which the last leader's intent did not stand yet. It then doubted and fenced while its own log named a target, proposed another that could not come into force, or asked one that led the newer term already to be paused.

Now nothing is begun while committed entries wait to be applied; an intent found at any stage is taken up as at the beginning; a database that answers as primary of a newer term has been promoted.

Red before: `an_intent_that_comes_into_force_late_is_finished_by_whoever_leads` is new; with the arm in `agreed` taken out it gets no deeds where it expects the call.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1627,13 +1627,7 @@
         };
         let mut deeds = Vec::new();
         match facts.lead.as_ref().and_then(|l| l.intent.clone().map(|target| (l.term, target))) {
-            Some((term, target)) => {
-                this.revoking = true;
-                deeds.push(Deed::Revoke(term));
-                deeds.extend(this.pause_newcomers(facts, &target, now));
-                this.paused.insert(target.clone());
-                this.post(target, now, &mut deeds);
-            }
+            Some((term, target)) => deeds = this.take_up(facts, term, target, now),
             None if facts.lead.is_some() => {
                 this.paused = facts.replicas().map(|(id, _)| id.clone()).collect();
                 deeds.extend(this.let_go(now));
@@ -1643,6 +1637,31 @@
         (this, deeds)
     }
 
+    /// Finishes an intent that an earlier leader left.
+    fn take_up(&mut self, facts: &Facts, term: DbTerm, target: InstanceId, now: Tick) -> Vec<Deed> {
+        self.revoking = true;
+        let mut deeds = vec![Deed::Revoke(term)];
+        deeds.extend(self.pause_newcomers(facts, &target, now));
+        self.paused.insert(target.clone());
+        self.post(target, now, &mut deeds);
+        deeds
+    }
+
+    /// The target leads a newer term than is written down.
+    fn taking(&mut self, facts: &Facts, target: InstanceId, term: DbTerm, now: Tick) -> Vec<Deed> {
+        self.stage = Stage::Taking { target, term, recorded: false };
+        let mut deeds = Vec::new();
+        if let Some(lead) = &facts.lead {
+            if !self.revoking {
+                self.revoking = true;
+                deeds.push(Deed::Revoke(lead.term));
+            }
+            deeds.push(Deed::Ask(lead.primary.clone(), Ask::StepDown(term)));
+        }
+        deeds.extend(self.tick(facts, now));
+        deeds
+    }
+
     /// What stiles are to know: whether leases are being taken back, and what is sealed.
     pub fn standing(&self) -> (bool, Option<Position>) {
         (self.revoking, self.sealed)
@@ -2007,6 +2026,10 @@
                     Some(Lead { term, .. }) if row.term == term => {
                         vec![Deed::Propose(Change::Returned { service, term, primary })]
                     }
+                    // An earlier leader's call has taken effect.
+                    Some(Lead { term, .. }) if row.term > term => {
+                        self.taking(facts, primary, row.term, now)
+                    }
                     Some(Lead { term, .. }) => vec![Deed::Ask(primary, Ask::StepDown(term))],
                     None => Vec::new(),
                 }
@@ -2032,18 +2055,7 @@
                     && row.primary
                     && lead.as_ref().is_some_and(|l| l.term < row.term) =>
             {
-                let (target, term) = (target.clone(), row.term);
-                self.stage = Stage::Taking { target, term, recorded: false };
-                let mut deeds = Vec::new();
-                if let Some(lead) = lead {
-                    if !self.revoking {
-                        self.revoking = true;
-                        deeds.push(Deed::Revoke(lead.term));
-                    }
-                    deeds.push(Deed::Ask(lead.primary, Ask::StepDown(term)));
-                }
-                deeds.extend(self.tick(facts, now));
-                deeds
+                self.taking(facts, of.clone(), row.term, now)
             }
             _ => Vec::new(),
         }
@@ -2157,6 +2169,16 @@
                 self.post(target.clone(), now, &mut deeds);
                 Some(deeds)
             }
+            // Another leader's, which came into force after this one began.
+            Stage::Steady
+            | Stage::Doubting { .. }
+            | Stage::Fencing { .. }
+            | Stage::Intending { .. }
+                if lead.intent.is_some() =>
+            {
+                let target = lead.intent.clone()?;
+                Some(self.take_up(facts, lead.term, target, now))
+            }
             Stage::Posting { target, .. } if lead.intent.as_ref() != Some(target) => {
                 Some(self.fence(facts, now))
             }
@@ -3939,9 +3961,14 @@
             return;
         }
         let facts = self.facts(service, now);
+        let behind = self.applied < self.hedge.commit;
         let Some(office) = &mut self.office else {
             return;
         };
+        // What an earlier leader decided may stand in the next entry.
+        if behind && !office.successions.contains_key(service) {
+            return;
+        }
         let mut deeds = Vec::new();
         let known = office.successions.get(service).map(Succession::standing);
         let succession = office.successions.entry(service.clone()).or_insert_with(|| {
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -287,6 +287,39 @@
     assert_eq!(deeds[1..4], paused, "another leader can't know who was");
 }
 
+#[test]
+fn an_intent_that_comes_into_force_late_is_finished_by_whoever_leads() {
+    let now = Tick(50_000);
+    let target = |facts: &Facts, id: &str| {
+        let lead = facts.lead.clone().map(|lead| Lead { intent: Some(id.into()), ..lead });
+        Facts { lead, ..facts.clone() }
+    };
+    let facts = facts();
+    let steady = begun(&facts, now);
+    let mut doubting = steady.clone();
+    doubting.suspect(&facts, &"n1".into(), &"a".into(), Doubt::Broken, now);
+    let mut fencing = steady.clone();
+    lost(&mut fencing, &facts, now);
+    let mut intending = fencing.clone();
+    tell(&mut intending, &facts, "b", PAUSE, 7, now);
+    assert_eq!(tell(&mut intending, &facts, "c", PAUSE, 9, now), [intend("c")]);
+    // The stage that this leader had come to, and whether it had paused `c` itself.
+    for (mut s, paused) in
+        [(steady, false), (doubting, false), (fencing.clone(), true), (intending, true)]
+    {
+        let deeds = s.tick(&target(&facts, "b"), now.plus(100));
+        let pause = (!paused).then(|| ask("c", PAUSE));
+        let expected = [Deed::Revoke(DbTerm(1))].into_iter().chain(pause);
+        let expected: Vec<_> = expected.chain([Deed::Post("b".into())]).collect();
+        assert_eq!(deeds, expected, "{paused}");
+    }
+    // Its call has taken effect already.
+    let newer = Told::Row(Described { primary: true, term: DbTerm(2), received: at(9) });
+    let deeds = fencing.told(&facts, fencing.attempt, &"b".into(), PAUSE, &newer, now);
+    assert_eq!(deeds, [ask("a", Ask::StepDown(DbTerm(2)))]);
+    assert!(matches!(fencing.stage, Stage::Taking { .. }));
+}
+
 /// The state with a lead, and how a database comes and goes.
 fn almanac() -> Almanac {
     let mut almanac = Almanac::default();
