--- a/src/steward.rs
+++ b/src/steward.rs
@@ -607,10 +607,17 @@
         if progress.next <= base.1 {
             // Of an older program it is not known what it would do with a state that it can't read:
             // it gets what is in the log, and this once it is exchanged.
-            let needed = self.kept.snapshot.state.first().copied().filter(|b| *b < 0x80);
-            if layout.is_none_or(|l| needed.is_some_and(|needed| l < needed)) {
+            let newer = self.kept.snapshot.state.first() == Some(&STATE_LAYOUT);
+            match layout {
                 // Its answer says first how it can be sent.
-                return self.say(id, only_heartbeat);
+                None => return self.say(id, only_heartbeat),
+                Some(layout) if newer && layout < STATE_LAYOUT => {
+                    if heartbeat {
+                        self.say(id, only_heartbeat);
+                    }
+                    return;
+                }
+                Some(_) => {}
             }
             progress.go_on(Index(base.1.0 + 1));
             let snapshot = self.kept.snapshot.clone();
