A removed steward answers the leader that told it so, though its own list lacks that leader

Cause: after the merge of state a leader asks a newcomer by a heartbeat how it can be sent a state. One that was removed keeps its list; a leader that came after its removal is not in it, so the answer had no address. Noted and Listed already tell where answers go; Removed is said by a certain leader too. Found by reading while merging; no test of its own yet. tests/members.rs green (6) with it.

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -4851,7 +4851,9 @@
             }
         }
         let Some(answer) = answer else { return };
-        if matches!(answer, Joined::Noted | Joined::Listed) && self.taken_in != Some(at) {
+        if matches!(answer, Joined::Noted | Joined::Listed | Joined::Removed)
+            && self.taken_in != Some(at)
+        {
             self.taken_in = Some(at);
             self.effects.keep_links(self.hedge.members());
         }
