--- a/src/steward.rs
+++ b/src/steward.rs
@@ -1613,7 +1613,7 @@
     gone_by_id: BTreeMap<InstanceId, u64>,
     /// Databases that left and took a log along that may hold what no listed one has, each with
     /// its last sequence. They count like such that don't answer, until others have it all.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     departed: BTreeMap<ServiceName, BTreeMap<InstanceId, u64>>,
 }
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
