--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -433,6 +433,26 @@
     }
 }
 
+#[test]
+fn a_client_is_served_after_four_fifths_of_the_idle_time_and_let_go_after_all_of_it() {
+    let system = start(1);
+    let mut fresh = Client::open(&system);
+    let mut client = Client::open(&system);
+    // The first rest is behind an answer, the second behind one that came after a rest.
+    for pause_ms in [0, 2_400, 2_400] {
+        std::thread::sleep(Duration::from_millis(pause_ms));
+        client.send(&request("GET", "/many/x", &fresh_id(), "", ""));
+        let got = client.answer("GET").unwrap_or_else(|| panic!("let go after {pause_ms} ms"));
+        assert_eq!(got.status, 200);
+    }
+    let rests = std::time::Instant::now();
+    assert!(client.closed(), "nothing more comes");
+    // One that never asked was let go by then; else this takes 10 s.
+    assert!(fresh.closed(), "nothing comes");
+    let rested = rests.elapsed().as_millis();
+    assert!((2_900..6_000).contains(&rested), "let go after {rested} ms");
+}
+
 #[test]
 fn at_sigterm_what_was_read_is_answered() {
     let mut system = start(2);
