--- a/tests/model.rs
+++ b/tests/model.rs
@@ -104,3 +104,11 @@
         assert!(report.acknowledged > 5 && report.reads > 5 && report.passed_on > 50, "{report:?}");
     }
 }
+
+#[test]
+fn a_replica_that_counts_before_the_stewards_know_it_keeps_its_commits() {
+    // Schedules in which a new replica is the only one that has a commit before its first beat is
+    // taken, while a planned change is under way.
+    let played = [10_588, 10_856, 11_529].map(|seed| play(&Schedule::drawn(seed)).map(drop));
+    assert_eq!(played, [Ok(()), Ok(()), Ok(())]);
+}
