--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in leaving_replica new_replica pooler_goodbye paused_restart stale_promotion client_gone; do
+for name in leaving_replica new_replica pooler_goodbye late_order paused_restart stale_promotion client_gone; do
     rustc --edition 2024 -O "review/stand-ins/$name.rs" -o "target/review/$name"
 done
--- a/review/stand-ins/support.rs
+++ b/review/stand-ins/support.rs
@@ -366,6 +366,17 @@
     Some(rest.split('"').next()?.to_owned())
 }
 
+unsafe extern "C" {
+    /// Sets how many connections may wait to be accepted, also on a socket that listens already.
+    fn listen(socket: i32, backlog: i32) -> i32;
+}
+
+/// Sets how many connections may wait to be accepted.
+pub fn set_backlog(listener: &TcpListener, backlog: i32) {
+    use std::os::fd::AsRawFd;
+    unsafe { listen(listener.as_raw_fd(), backlog) };
+}
+
 // -- databases -----------------------------------------------------------------------------------
 
 #[derive(Clone, Debug, PartialEq)]
@@ -389,6 +400,8 @@
     pub said_goodbye: bool,
     /// It receives nothing.
     pub deaf: bool,
+    /// Its queue of new connections is full: it accepts none.
+    pub jammed: bool,
     pub primary: bool,
     pub term: u64,
     pub paused: u64,
@@ -442,6 +455,7 @@
                 draining: false,
                 said_goodbye: false,
                 deaf: false,
+                jammed: false,
                 primary: i == 0,
                 term: 1,
                 paused: 0,
@@ -474,11 +488,22 @@
     fn listen(self: Arc<Self>, at: usize, first: TcpListener) {
         let address = lock(&self.state)[at].address;
         let mut listener = Some(first);
+        let mut was_jammed = false;
         loop {
-            let (up, life) = {
+            let (up, life, jammed) = {
                 let state = lock(&self.state);
-                (state[at].up, state[at].life)
+                (state[at].up, state[at].life, state[at].jammed)
             };
+            if let Some(open) = &listener
+                && jammed != was_jammed
+            {
+                set_backlog(open, if jammed { 0 } else { 128 });
+                was_jammed = jammed;
+            }
+            if jammed {
+                sleep_ms(1);
+                continue;
+            }
             if !up {
                 listener = None;
             } else if listener.is_none() {
