--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -55,6 +55,8 @@
     pub(super) route_table_frames: HashMap<Revision, Arc<[u8]>>,
     /// The frame with the whole directory, until that changes.
     pub(super) directory_frame: Option<Arc<[u8]>>,
+    /// The newest frame layout that a node reads, by connection.
+    pub(super) node_layouts: HashMap<u64, u8>,
     /// The nodes that follow this leader, by connection.
     pub(super) poolers: BTreeMap<u64, Subscriber>,
     /// Greetings that came before this leader had applied all that was committed.
@@ -117,6 +119,7 @@
             services: BTreeMap::new(),
             route_table_frames: HashMap::new(),
             directory_frame: None,
+            node_layouts: HashMap::new(),
             poolers: BTreeMap::new(),
             deferred_greetings: Vec::new(),
             directory_updates: DirectoryUpdates::default(),
@@ -259,6 +262,7 @@
         match input {
             Input::Frame(conn, frame) => self.handle_frame(conn, frame, now),
             Input::PeerLayout(member, layout) => self.raft.record_peer_layout(member, layout),
+            Input::NodeLayout(conn, layout) => drop(self.node_layouts.insert(conn, layout)),
             Input::Closed(conn) => self.handle_closed_connection(conn, now),
             Input::Http(request, reply) => self.handle_admin_request(request, reply, now),
             Input::DatabaseResponse { service, instance, request, attempt, response } => {
--- a/src/controller/effects.rs
+++ b/src/controller/effects.rs
@@ -19,6 +19,8 @@
     Frame(u64, Frame),
     /// The newest frame layout that a controller can read, ahead of each frame that names it.
     PeerLayout(MemberId, u8),
+    /// The newest frame layout that the node on this connection can read, ahead of its greeting.
+    NodeLayout(u64, u8),
     /// A connection on the peer port has ended.
     Closed(u64),
     /// A call on the admin address, and where its answer goes.
--- a/src/controller/failover_driver.rs
+++ b/src/controller/failover_driver.rs
@@ -1,6 +1,6 @@
 //! Runs the failover of each service on the leader: hands `Failover` what happened with a snapshot
 //! of the service, and carries out the actions that it returns.
-use crate::base::ids::{InstanceId, ServiceName};
+use crate::base::ids::{DbTerm, InstanceId, ServiceName};
 use crate::base::time::Tick;
 use crate::config::settings::Rollout;
 use crate::controller::core::Controller;
@@ -10,11 +10,13 @@
     LeaseStatus, PromotionResponse, ServiceSnapshot,
 };
 use crate::leases::lease_table::CoverageRule;
-use crate::net::rpc::pooler_messages::ToPooler;
-use crate::net::rpc::{Frame, LAYOUT, encode};
+use crate::leases::passed_on::PassedOn;
+use crate::net::rpc::pooler_messages::{Handover, ToPooler};
+use crate::net::rpc::{Frame, PARTS_LAYOUT, encode};
 use crate::state_machine::Command;
 use log::{debug, info, warn};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 /// Requests to databases in flight at once. Each occupies a thread, and unreachable databases take
 /// long to answer.
@@ -73,7 +75,8 @@
             alive: BTreeSet::new(),
             sync_replicas: self.services.get(service).map_or(0, |s| s.sync_replicas),
             leases_expired: false,
-            released_up_to: None,
+            all_confirm: false,
+            passed_on: PassedOn::default(),
             primary_record: self.state_machine.primaries().get(service).cloned(),
         };
         // Without synchronous replicas no commit relies on a departed replica.
@@ -94,14 +97,17 @@
         if let Some(record) = &snapshot.primary_record
             && !leader_state.failovers.get(service).is_some_and(steady)
         {
-            snapshot.leases_expired = leader_state.leases.all_released(service, record.term, now);
+            let (leases, term) = (&leader_state.leases, record.term);
+            let failover = leader_state.failovers.get(service);
+            let handover = failover.and_then(|f| f.handover.as_ref()).map(|h| h.number);
+            snapshot.leases_expired = leases.all_released(service, term, now);
+            snapshot.all_confirm = leases.all_confirm(service, term, handover, now);
             let newest = leader_state.watermarks.latest(service);
             let rule = match snapshot.sync_replicas {
                 0 => CoverageRule::WatermarkOrTimeout,
                 _ => CoverageRule::Watermark,
             };
-            snapshot.released_up_to =
-                leader_state.leases.released_up_to(service, record.term, newest, rule, now);
+            snapshot.passed_on = leases.passed_on(service, term, handover, newest, rule, now);
         }
         snapshot
     }
@@ -142,15 +148,19 @@
         if state_before != std::mem::discriminant(&failover.state) {
             info!(target: "failover", "{service}: now {}", failover.state.status_text());
         }
-        if status_before != Some(lease_status) {
+        if status_before.as_ref() != Some(&lease_status) {
             leader_state.pending_updates.mark_changed(service);
             // A sealed position holds only for the moment it is sent in, so it is in each answer.
             match lease_status {
-                LeaseStatus { revoking: true, sealed: Some(_) } => {
+                LeaseStatus { revoking: true, sealed: Some(_), .. } => {
                     leader_state.sealed.insert(service.clone())
                 }
                 _ => leader_state.sealed.remove(service),
             };
+            // A handover that was called off costs each commit a question to its target.
+            let handed_over = status_before.is_some_and(|status| status.handover.is_some());
+            self.directory_updates.renewal_due |=
+                handed_over && !lease_status.revoking && lease_status.handover.is_none();
         }
         match active {
             true => leader_state.active_services.insert(service.clone()),
@@ -176,20 +186,20 @@
         match action {
             FailoverAction::Propose(
                 Command::ForgetDeparted { .. } | Command::PrimaryReturned { .. },
-            ) if !self.raft.all_peers_read_layout(LAYOUT) => {
+            ) if !self.raft.all_peers_read_layout(PARTS_LAYOUT) => {
                 debug!(target: "failover", "{service}: waits until all controllers run the new version");
             }
             FailoverAction::Propose(command) => {
                 self.propose(&command, now);
             }
             FailoverAction::RevokeLeases(term) => {
-                let message = ToPooler::Revoke { service: service.clone(), term };
-                let frame = encode(&Frame::Controller(message));
+                let frame = revocation(service, term);
                 for conn in self.poolers.keys() {
                     self.effects.send_first(*conn, frame.clone());
                 }
                 self.flush_connections(now);
             }
+            FailoverAction::HandOver(handover) => self.announce_handover(service, handover, now),
             FailoverAction::SendRequest(instance, request) => {
                 let service = service.clone();
                 let request = QueuedRequest { service, instance, request, attempt };
@@ -207,6 +217,25 @@
         }
     }
 
+    /// Tells all poolers that the service is handed over. One of an older version, which doesn't know
+    /// handovers, has its lease revoked for as long as that lasts.
+    fn announce_handover(&mut self, service: &ServiceName, handover: Handover, now: Tick) {
+        let Some(leader_state) = &mut self.leader_state else { return };
+        let revoke = revocation(service, handover.term);
+        let message = ToPooler::HandOver { service: service.clone(), handover: handover.clone() };
+        let hand_over = encode(&Frame::Controller(message));
+        for (conn, subscriber) in &self.poolers {
+            if subscriber.knows_handovers() {
+                leader_state.leases.hand_over(&subscriber.node, service, &handover);
+                // Behind the grants that are queued, so that none of them ends it.
+                self.effects.send(*conn, hand_over.clone());
+            } else {
+                self.effects.send_first(*conn, revoke.clone());
+            }
+        }
+        self.flush_connections(now);
+    }
+
     /// Sends queued requests up to the bound of those in flight.
     fn send_database_requests(&mut self) {
         while self.database_requests.in_flight < MAX_REQUESTS_IN_FLIGHT
@@ -260,3 +289,8 @@
         });
     }
 }
+
+/// The frame that revokes the leases on this term of a service.
+fn revocation(service: &ServiceName, term: DbTerm) -> Arc<[u8]> {
+    encode(&Frame::Controller(ToPooler::Revoke { service: service.clone(), term }))
+}
--- a/src/controller/lease_renewals.rs
+++ b/src/controller/lease_renewals.rs
@@ -102,7 +102,7 @@
         for service in due.into_iter().filter_map(|name| self.services.get(name)) {
             let record = self.state_machine.primaries().get(&service.name);
             let failover = leader_state.failovers.get(&service.name);
-            let status = primary_status(record, failover);
+            let status = primary_status(record, failover, subscriber.knows_handovers());
             let limit = service.max_connections;
             let quota = leader_state.leases.quota(node, &service.name, limit, now);
             let grant = LeaseGrant { service: service.name.clone(), status, quota };
@@ -132,16 +132,25 @@
     }
 }
 
-/// What nodes may know of a service's primary: it is absent while its leases are revoked, and
-/// before this leader has checked the service.
-fn primary_status(record: Option<&PrimaryRecord>, failover: Option<&Failover>) -> PrimaryStatus {
-    match (record, failover) {
-        (Some(_), Some(failover)) if failover.revoking => {
-            failover.sealed.map_or(PrimaryStatus::Absent, PrimaryStatus::Sealed)
-        }
-        (Some(record), Some(_)) => {
-            PrimaryStatus::Active { term: record.term, primary: record.primary.clone() }
+/// What a node may know of a service's primary: it is absent while its leases are revoked, before
+/// this leader has checked the service, and during a handover to a node that knows none.
+fn primary_status(
+    record: Option<&PrimaryRecord>,
+    failover: Option<&Failover>,
+    knows_handovers: bool,
+) -> PrimaryStatus {
+    let (Some(record), Some(failover)) = (record, failover) else {
+        return PrimaryStatus::Absent;
+    };
+    if failover.revoking {
+        return failover.sealed.map_or(PrimaryStatus::Absent, PrimaryStatus::Sealed);
+    }
+    let primary = record.primary.clone();
+    match &failover.handover {
+        None => PrimaryStatus::Active { term: record.term, primary },
+        Some(handover) if knows_handovers => {
+            PrimaryStatus::HandingOver { primary, handover: handover.clone() }
         }
-        _ => PrimaryStatus::Absent,
+        Some(_) => PrimaryStatus::Absent,
     }
 }
--- a/src/controller/peer_listener.rs
+++ b/src/controller/peer_listener.rs
@@ -3,10 +3,10 @@
 //! Each connection has a thread that reads, on the worker pool, and tells the controller's event
 //! queue of its beginning, its frames and its end. Writing is `peer_connections`' part.
 use crate::base::errors::Fatal;
-use crate::base::ids::MemberId;
 use crate::base::worker_pool::{must_start, start_thread};
 use crate::controller::effects::Input;
 use crate::controller::transport::Event;
+use crate::net::rpc::pooler_messages::ToController;
 use crate::net::rpc::{Frame, ReceivedFrame, receive_with_layout};
 use crate::net::sockets::{configure_stream, enable_keep_alive, listen};
 use log::warn;
@@ -105,18 +105,14 @@
     events: &Sender<Event>,
 ) -> Result<(), ControllerEnded> {
     let ReceivedFrame { frame, sender_layout } = received;
-    if let Some(controller) = sending_controller(&frame) {
-        // The next send finds out if nobody receives any more.
-        drop(events.send(Event::Input(Input::PeerLayout(controller, sender_layout))));
-    }
-    events.send(Event::Input(Input::Frame(id, frame))).map_err(|_| ControllerEnded)
-}
-
-/// The controller that a frame says it comes from, if it is a controller's.
-fn sending_controller(frame: &Frame) -> Option<MemberId> {
-    match frame {
-        Frame::Raft { message, .. } => Some(message.from),
-        Frame::Join { member, .. } => Some(member.id),
+    let layout = match &frame {
+        Frame::Raft { message, .. } => Some(Input::PeerLayout(message.from, sender_layout)),
+        Frame::Join { member, .. } => Some(Input::PeerLayout(member.id, sender_layout)),
+        Frame::Pooler(ToController::Hello { .. }) => Some(Input::NodeLayout(id, sender_layout)),
         _ => None,
+    };
+    if let Some(layout) = layout {
+        events.send(Event::Input(layout)).map_err(|_| ControllerEnded)?;
     }
+    events.send(Event::Input(Input::Frame(id, frame))).map_err(|_| ControllerEnded)
 }
--- a/src/controller/pooler_subscriptions.rs
+++ b/src/controller/pooler_subscriptions.rs
@@ -9,7 +9,7 @@
 use crate::controller::core::Controller;
 use crate::controller::effects::Effects;
 use crate::net::rpc::pooler_messages::{ToController, ToPooler};
-use crate::net::rpc::{Frame, encode};
+use crate::net::rpc::{FIRST_LAYOUT, Frame, HANDOVER_LAYOUT, encode};
 use log::{debug, info};
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -50,6 +50,8 @@
 pub(super) struct Subscriber {
     pub(super) node: NodeName,
     pub(super) zone: String,
+    /// The newest layout of frames that it reads.
+    layout: u8,
     /// The revision it has, or will have once what is queued has arrived.
     revision: Revision,
     /// Whether the whole directory is due, instead of the changes that did not fit.
@@ -64,6 +66,13 @@
     pub(super) answers: VecDeque<SentAnswer>,
 }
 
+impl Subscriber {
+    /// Whether it can be told of a handover.
+    pub(super) fn knows_handovers(&self) -> bool {
+        self.layout >= HANDOVER_LAYOUT
+    }
+}
+
 /// What all nodes are to be sent once it has been collected for a moment.
 #[derive(Default)]
 pub(super) struct DirectoryUpdates {
@@ -242,6 +251,11 @@
                     subscriber.released.insert(service);
                 }
             }
+            ToController::HandOverAck { service, handover, highest } => {
+                if let Some(leader_state) = &mut self.leader_state {
+                    leader_state.leases.acknowledge_handover(&node, &service, handover, highest);
+                }
+            }
             ToController::Goodbye => {
                 if let Some(leader_state) = &mut self.leader_state {
                     leader_state.leases.release_all(&node);
@@ -286,6 +300,7 @@
         let subscriber = Subscriber {
             node,
             zone,
+            layout: self.node_layouts.get(&conn).copied().unwrap_or(FIRST_LAYOUT),
             revision,
             directory_due: true,
             renewal: None,
@@ -302,6 +317,7 @@
     /// Ends the subscription of a node whose connection has closed; its leases run on until they
     /// expire.
     pub(super) fn handle_closed_connection(&mut self, conn: u64, now: Tick) {
+        self.node_layouts.remove(&conn);
         if let Some(Subscriber { node, .. }) = self.poolers.remove(&conn)
             && let Some(leader_state) = &mut self.leader_state
             && leader_state.leases.disconnect(conn, now).is_some()
--- a/src/failover/actions.rs
+++ b/src/failover/actions.rs
@@ -1,6 +1,7 @@
 //! What a failover asks the controller to do, and what comes back.
 
 use crate::base::ids::{DbTerm, InstanceId, Term};
+use crate::net::rpc::pooler_messages::Handover;
 use crate::net::statement_protocol::ServerDescription;
 use crate::state_machine::Command;
 
@@ -80,4 +81,6 @@
     Propose(Command),
     /// Revokes all leases on this term of the service.
     RevokeLeases(DbTerm),
+    /// Tells the poolers that the service is handed over.
+    HandOver(Handover),
 }
--- a/src/failover/fencing.rs
+++ b/src/failover/fencing.rs
@@ -1,59 +1,40 @@
-//! Fencing: pausing replicas so that the old primary can acknowledge no more commits than the
-//! leader gets to know of. This is done when the primary was lost, and for a planned change.
+//! Fencing a lost primary: its leases are revoked and the replicas paused, so that from then on
+//! nothing is passed on to clients that the next primary lacks.
 
 use super::actions::{DatabaseRequest, DatabaseResponse, FailoverAction};
-use super::selection::planned_target;
+use super::selection::answers_cover_commits;
 use super::state::{FailoverState, PrimaryAnswer};
-use super::timing::{
-    PAUSE_TIMEOUT_MS, PLANNED_CHANGE_TIMEOUT_MS, PRIMARY_RECHECK_AFTER_MS, REQUEST_RETRY_MS,
-    TARGET_POLL_MS,
-};
+use super::timing::{PRIMARY_RECHECK_AFTER_MS, REQUEST_RETRY_MS};
 use super::{Failover, ServiceSnapshot};
 use crate::base::ids::{DbTerm, InstanceId, Position};
 use crate::base::time::Tick;
+use crate::leases::passed_on::UnreportedCommits;
 use crate::net::statement_protocol::ServerDescription;
 use crate::state_machine::{Command, PrimaryRecord};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// Why a change of primary is planned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PlannedCause {
-    /// The primary is draining.
-    Draining,
-    /// The primary is slow or breaks connections. The change is called off at the first obstacle,
-    /// as the primary still serves.
-    Slow,
-}
-
-/// A change away from a primary that still serves.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PlannedChange {
-    /// The replica that is to become the primary. It isn't paused.
-    pub target: InstanceId,
-    /// Why the primary is to change.
-    pub cause: PlannedCause,
-}
-
-/// The progress of pausing the replicas.
+/// The progress of fencing a lost primary.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fencing {
-    /// The planned change; none when the primary was lost.
-    pub planned: Option<PlannedChange>,
     pub(super) since: Tick,
-    pub(super) requested_at: Tick,
-    /// What the replicas answered in this attempt. Answers of earlier attempts don't count: a
-    /// replica may have received more after it was resumed.
-    pub(super) descriptions: BTreeMap<InstanceId, ServerDescription>,
+    requested_at: Tick,
+    /// What the replicas answered since the primary was found lost.
+    descriptions: BTreeMap<InstanceId, ServerDescription>,
+    /// The replicas are asked again since every lease has ended.
+    asks_after_leases: bool,
+    /// Those that have answered since then: they had by then all that was passed on because of them.
+    answered_after_leases: BTreeSet<InstanceId>,
 }
 
 impl Fencing {
-    fn new(planned: Option<PlannedChange>, now: Tick) -> Self {
-        Self { planned, since: now, requested_at: now, descriptions: BTreeMap::new() }
-    }
-
-    /// The target of a planned change.
-    pub(super) fn target(&self) -> Option<&InstanceId> {
-        self.planned.as_ref().map(|change| &change.target)
+    fn new(leases_expired: bool, now: Tick) -> Self {
+        Self {
+            since: now,
+            requested_at: now,
+            descriptions: BTreeMap::new(),
+            asks_after_leases: leases_expired,
+            answered_after_leases: BTreeSet::new(),
+        }
     }
 
     /// The highest position of all that answered.
@@ -61,15 +42,51 @@
         self.descriptions.values().map(|d| d.received).max()
     }
 
-    /// Whether this replica has to be paused and hasn't answered that it is.
+    /// How far a replica was when it answered.
+    pub(super) fn position_of(&self, id: &InstanceId) -> Option<Position> {
+        self.descriptions.get(id).map(|description| description.received)
+    }
+
+    /// How many of the possible holders have answered. One that did and left since is counted: what
+    /// it had is known.
+    pub(super) fn answers(&self, snapshot: &ServiceSnapshot) -> usize {
+        snapshot.possible_holders().filter(|id| self.descriptions.contains_key(*id)).count()
+    }
+
+    /// How many of the possible holders have answered since every lease had ended.
+    pub(super) fn answers_after_leases(&self, snapshot: &ServiceSnapshot) -> usize {
+        let answered = &self.answered_after_leases;
+        snapshot.possible_holders().filter(|id| answered.contains(*id)).count()
+    }
+
+    fn record_answer(&mut self, id: &InstanceId, description: &ServerDescription) {
+        self.descriptions.insert(id.clone(), description.clone());
+        if self.asks_after_leases {
+            self.answered_after_leases.insert(id.clone());
+        }
+    }
+
+    /// Whether an answer of this replica is waited for.
     pub(super) fn needs_answer_of(&self, id: &InstanceId) -> bool {
-        self.target() != Some(id) && !self.descriptions.contains_key(id)
+        match self.asks_after_leases {
+            true => !self.answered_after_leases.contains(id),
+            false => !self.descriptions.contains_key(id),
+        }
     }
 
-    /// The listed replicas that have to be paused and haven't answered that they are.
+    /// The listed replicas whose answers are waited for.
     fn unanswered(&self, snapshot: &ServiceSnapshot) -> Vec<InstanceId> {
         snapshot.replica_ids().filter(|id| self.needs_answer_of(id)).cloned().collect()
     }
+
+    /// Whether the replicas have to be asked again now that every lease has ended: what the poolers
+    /// reported leaves something open, or is more than the replicas had before.
+    fn must_ask_again(&self, snapshot: &ServiceSnapshot) -> bool {
+        snapshot.leases_expired
+            && !self.asks_after_leases
+            && (snapshot.passed_on.unreported == UnreportedCommits::Unknown
+                || answers_cover_commits(self.answers(snapshot), snapshot))
+    }
 }
 
 impl Failover {
@@ -83,44 +100,17 @@
             self.begin_attempt();
         }
         self.revoking = true;
+        self.handover = None;
         self.suspicion.clear_reporters();
-        self.state = FailoverState::Fencing(Fencing::new(None, now));
+        self.state = FailoverState::Fencing(Fencing::new(snapshot.leases_expired, now));
         let mut actions = vec![FailoverAction::RevokeLeases(record.term)];
         let replicas = snapshot.replica_ids().cloned().collect();
         actions.extend(self.replicas.pause(replicas, record.term, now));
         actions
     }
 
-    /// Begins a planned change: all replicas but the target are paused, so that from then on every
-    /// acknowledged commit is on the target. The primary serves until the target is promoted.
-    pub(super) fn plan_change(
-        &mut self,
-        snapshot: &ServiceSnapshot,
-        term: DbTerm,
-        cause: PlannedCause,
-        now: Tick,
-    ) -> Vec<FailoverAction> {
-        // A departed replica may hold the only copy of a commit, and no pause tells how far it
-        // was. The target could lack that commit, so the others must have it first.
-        if !snapshot.departed.is_empty() {
-            return Vec::new();
-        }
-        let Some(target) = planned_target(snapshot) else { return Vec::new() };
-        let others: Vec<_> = snapshot.replica_ids().filter(|id| **id != target).cloned().collect();
-        self.begin_attempt();
-        let mut actions = Vec::new();
-        if others.is_empty() {
-            let describe = DatabaseRequest::Describe;
-            actions.push(FailoverAction::SendRequest(target.clone(), describe));
-        }
-        actions.extend(self.replicas.pause(others, term, now));
-        self.state =
-            FailoverState::Fencing(Fencing::new(Some(PlannedChange { target, cause }), now));
-        actions
-    }
-
-    /// Pauses replicas that were listed after the others were paused. A commit that only they and
-    /// the old primary receive would be acknowledged, and be missing at the target.
+    /// Pauses replicas that were listed after the others were paused, so that the old primary commits
+    /// little that the target lacks.
     pub(super) fn pause_new_replicas(
         &mut self,
         snapshot: &ServiceSnapshot,
@@ -147,56 +137,33 @@
         response: &DatabaseResponse,
         now: Tick,
     ) -> Vec<FailoverAction> {
-        let (FailoverState::Fencing(fencing), Some(record)) =
-            (&self.state, &snapshot.primary_record)
-        else {
-            return Vec::new();
-        };
-        match (&fencing.planned, PrimaryAnswer::of(response, record)) {
+        let Some(record) = &snapshot.primary_record else { return Vec::new() };
+        match PrimaryAnswer::of(response, record) {
             // Nothing was promoted yet, and the alarm was false.
-            (None, PrimaryAnswer::Leads) => self.call_off(now),
-            (Some(_), PrimaryAnswer::DoesNotLead) => self.fence(snapshot, now),
-            (None, PrimaryAnswer::DoesNotLead) | (Some(_), PrimaryAnswer::Leads) => Vec::new(),
+            PrimaryAnswer::Leads => self.call_off(now),
+            PrimaryAnswer::DoesNotLead => Vec::new(),
         }
     }
 
-    /// A database answered a pause or described itself while the replicas are being paused.
+    /// A replica answered a pause while a lost primary is fenced.
     pub(super) fn handle_fenced_replica(
         &mut self,
         snapshot: &ServiceSnapshot,
         database: &InstanceId,
-        response: &DatabaseResponse,
+        description: &ServerDescription,
         now: Tick,
     ) -> Vec<FailoverAction> {
-        let DatabaseResponse::Description(description) = response else { return Vec::new() };
         // A pause has no effect on a primary, so its answer says nothing about a paused replica.
         if description.primary {
             return self.handle_unexpected_primary(snapshot, database, description.term, now);
         }
         let FailoverState::Fencing(fencing) = &mut self.state else { return Vec::new() };
-        fencing.descriptions.insert(database.clone(), description.clone());
-        let actions = self.choose_successor(snapshot, now);
-        if !actions.is_empty() {
-            return actions;
-        }
-        // Once the others are paused, the target is asked how far it is.
-        match &self.state {
-            FailoverState::Fencing(fencing) => match fencing.target() {
-                Some(target)
-                    if !fencing.descriptions.contains_key(target)
-                        && fencing.unanswered(snapshot).is_empty() =>
-                {
-                    let describe = DatabaseRequest::Describe;
-                    vec![FailoverAction::SendRequest(target.clone(), describe)]
-                }
-                _ => Vec::new(),
-            },
-            _ => Vec::new(),
-        }
+        fencing.record_answer(database, description);
+        self.choose_successor(snapshot, now)
     }
 
     /// A database that was to be paused says that it is a primary of this term.
-    fn handle_unexpected_primary(
+    pub(super) fn handle_unexpected_primary(
         &mut self,
         snapshot: &ServiceSnapshot,
         database: &InstanceId,
@@ -221,41 +188,6 @@
         vec![FailoverAction::SendRequest(primary, DatabaseRequest::StepDown(recorded))]
     }
 
-    /// The tick of a planned change.
-    pub(super) fn tick_planned_change(
-        &mut self,
-        snapshot: &ServiceSnapshot,
-        record: &PrimaryRecord,
-        now: Tick,
-    ) -> Vec<FailoverAction> {
-        let FailoverState::Fencing(fencing) = &mut self.state else { return Vec::new() };
-        let Some(change) = &fencing.planned else { return Vec::new() };
-        let waited = now.since(fencing.since);
-        let timeout = match change.cause {
-            PlannedCause::Slow => PAUSE_TIMEOUT_MS,
-            PlannedCause::Draining => PLANNED_CHANGE_TIMEOUT_MS,
-        };
-        if waited > timeout {
-            return self.call_off(now);
-        }
-        let all_paused = fencing.unanswered(snapshot).is_empty();
-        if (all_paused || snapshot.released_up_to.is_some())
-            && now.since(fencing.requested_at) >= TARGET_POLL_MS
-        {
-            let target = change.target.clone();
-            fencing.requested_at = now;
-            return vec![FailoverAction::SendRequest(target, DatabaseRequest::Describe)];
-        }
-        // A replica that doesn't answer its pause may be acknowledged for. With the leases
-        // released, no pooler uses the primary, and the change can go on without that replica.
-        let blocked = !all_paused && waited > PAUSE_TIMEOUT_MS;
-        if blocked && change.cause == PlannedCause::Draining && !self.revoking {
-            self.revoking = true;
-            return vec![FailoverAction::RevokeLeases(record.term)];
-        }
-        Vec::new()
-    }
-
     /// The tick while a lost primary is fenced.
     pub(super) fn tick_fencing(
         &mut self,
@@ -263,19 +195,30 @@
         record: &PrimaryRecord,
         now: Tick,
     ) -> Vec<FailoverAction> {
+        let chosen = self.choose_successor(snapshot, now);
+        if !chosen.is_empty() {
+            return chosen;
+        }
         let FailoverState::Fencing(fencing) = &mut self.state else { return Vec::new() };
-        let mut actions = Vec::new();
-        if now.since(fencing.requested_at) > REQUEST_RETRY_MS {
+        if fencing.must_ask_again(snapshot) {
+            fencing.asks_after_leases = true;
             fencing.requested_at = now;
-            let recheck = now.since(fencing.since) > PRIMARY_RECHECK_AFTER_MS;
-            let unanswered = fencing.unanswered(snapshot);
-            actions = self.replicas.pause(unanswered, record.term, now);
-            if recheck && snapshot.database(&record.primary).is_some() {
-                let primary = record.primary.clone();
-                actions.push(FailoverAction::SendRequest(primary, DatabaseRequest::Describe));
-            }
+            // Answers that are still under way may be from before the leases ended.
+            self.begin_attempt();
+            let replicas = snapshot.replica_ids().cloned().collect();
+            return self.replicas.pause(replicas, record.term, now);
+        }
+        if now.since(fencing.requested_at) <= REQUEST_RETRY_MS {
+            return Vec::new();
+        }
+        fencing.requested_at = now;
+        let recheck = now.since(fencing.since) > PRIMARY_RECHECK_AFTER_MS;
+        let unanswered = fencing.unanswered(snapshot);
+        let mut actions = self.replicas.pause(unanswered, record.term, now);
+        if recheck && snapshot.database(&record.primary).is_some() {
+            let primary = record.primary.clone();
+            actions.push(FailoverAction::SendRequest(primary, DatabaseRequest::Describe));
         }
-        actions.extend(self.choose_successor(snapshot, now));
         actions
     }
 }
--- a/src/failover/mod.rs
+++ b/src/failover/mod.rs
@@ -7,16 +7,22 @@
 //! the tests drive it the same way.
 //!
 //! It promises that whatever was acknowledged to a client is on the replica that is promoted, as
-//! long as `sync_replicas` is at least one, and that all leaders promote the same target, since
+//! long as `sync_replicas` is at least one; and that all leaders promote the same target, since
 //! the intent is committed to the replicated log first.
 //!
 //! A change goes through the states of [`FailoverState`]: the primary is suspected (`suspicion`),
-//! the replicas are paused (`fencing`, `resume`), one is chosen (`selection`), promoted and
-//! recorded (`promotion`). `departed` takes care of replicas that left with a part of the log.
+//! its leases are revoked and the replicas paused (`fencing`, `resume`), one is chosen
+//! (`selection`), promoted and recorded (`promotion`). A primary that still serves hands its service
+//! over instead (`handover`). `departed` takes care of replicas that left with a part of the log.
+//!
+//! Before a replica is chosen, the poolers must have stopped to pass on commits of the old term that
+//! this replica lacks, and it must have what they passed on until then. What a database or a
+//! controller was found to do a moment ago is never enough for that.
 
 mod actions;
 mod departed;
 mod fencing;
+mod handover;
 mod promotion;
 mod resume;
 mod selection;
@@ -26,7 +32,8 @@
 mod timing;
 
 pub use actions::{Attempt, DatabaseRequest, DatabaseResponse, FailoverAction, PromotionResponse};
-pub use fencing::{Fencing, PlannedCause, PlannedChange};
+pub use fencing::Fencing;
+pub use handover::{HandoverProgress, PlannedCause};
 pub use promotion::Promotion;
 pub use snapshot::ServiceSnapshot;
 pub use state::{Failover, FailoverState, LeaseStatus};
--- a/src/failover/promotion.rs
+++ b/src/failover/promotion.rs
@@ -1,9 +1,7 @@
 //! From the intent to the new primary: the intent is committed, the platform is called to promote
 //! the target, and once the target leads and the old leases have ended, it becomes the primary.
 
-use super::actions::{
-    Attempt, DatabaseRequest, DatabaseResponse, FailoverAction, PromotionResponse,
-};
+use super::actions::{Attempt, DatabaseRequest, FailoverAction, PromotionResponse};
 use super::state::FailoverState;
 use super::timing::{
     INTENT_RETRY_MS, PROMOTED_TARGET_POLL_MS, PROMOTION_CALL_TIMEOUT_MS, PROMOTION_EFFECT_MS,
@@ -12,6 +10,7 @@
 use super::{Failover, ServiceSnapshot};
 use crate::base::ids::{DbTerm, InstanceId};
 use crate::base::time::Tick;
+use crate::net::statement_protocol::ServerDescription;
 use crate::state_machine::{Command, PrimaryRecord};
 
 /// The calls that promote the target of a committed intent.
@@ -144,14 +143,10 @@
         &mut self,
         snapshot: &ServiceSnapshot,
         database: &InstanceId,
-        response: &DatabaseResponse,
+        description: &ServerDescription,
         now: Tick,
     ) -> Vec<FailoverAction> {
-        let (FailoverState::Promoting(promotion), DatabaseResponse::Description(description)) =
-            (&self.state, response)
-        else {
-            return Vec::new();
-        };
+        let FailoverState::Promoting(promotion) = &self.state else { return Vec::new() };
         let newer =
             snapshot.primary_record.as_ref().is_some_and(|record| record.term < description.term);
         if promotion.target == *database && description.primary && newer {
@@ -205,6 +200,7 @@
             FailoverState::Steady
             | FailoverState::Suspected { .. }
             | FailoverState::Fencing(_)
+            | FailoverState::HandingOver(_)
             | FailoverState::RecordingIntent { .. } => {
                 let target = record.intent.clone()?;
                 Some(self.take_over_intent(snapshot, record.term, target, now))
--- a/src/failover/snapshot.rs
+++ b/src/failover/snapshot.rs
@@ -1,7 +1,8 @@
 //! The input of a failover step: its service as the leader sees it.
 
-use crate::base::ids::{InstanceId, Position, ServiceName, Term};
+use crate::base::ids::{InstanceId, ServiceName, Term};
 use crate::config::directory::Instance;
+use crate::leases::passed_on::PassedOn;
 use crate::state_machine::PrimaryRecord;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,10 +27,12 @@
     pub sync_replicas: u32,
     /// No lease on the present term can be in use any more.
     pub leases_expired: bool,
-    /// Set once every pooler that could have used the present term has released its lease and
-    /// reported how far it saw the primary, or is covered by what was seen later. The inner value
-    /// is the highest position that was passed on to a client, none if there was none.
-    pub released_up_to: Option<Option<Position>>,
+    /// No pooler passes on a commit that the target of the handover under way lacks. True without a
+    /// handover if `leases_expired` is.
+    pub all_confirm: bool,
+    /// How far commits of the present term may have been passed on to clients; those left out that
+    /// the target of the handover under way is known to have.
+    pub passed_on: PassedOn,
 }
 
 impl ServiceSnapshot {
--- a/src/failover/state.rs
+++ b/src/failover/state.rs
@@ -3,7 +3,8 @@
 
 use super::actions::{Attempt, DatabaseRequest, DatabaseResponse, FailoverAction};
 use super::departed::DepartedReplicas;
-use super::fencing::{Fencing, PlannedCause};
+use super::fencing::Fencing;
+use super::handover::{HandoverProgress, PlannedCause};
 use super::promotion::Promotion;
 use super::resume::PausedReplicas;
 use super::snapshot::ServiceSnapshot;
@@ -12,6 +13,7 @@
 use crate::base::ids::{DbTerm, InstanceId, Position};
 use crate::base::time::Tick;
 use crate::config::directory::{Lifecycle, Role};
+use crate::net::rpc::pooler_messages::Handover;
 use crate::state_machine::{Command, PrimaryRecord};
 
 /// How far the change of a service's primary is.
@@ -32,9 +34,11 @@
         /// Its machine accepted the connection, so it is reachable, if perhaps slow.
         connected: bool,
     },
-    /// Replicas are being paused, so that the old primary can acknowledge no further commit that
-    /// the next one lacks.
+    /// The primary was lost: its leases are being revoked and the replicas paused.
     Fencing(Fencing),
+    /// The primary still serves, and is to be replaced: the poolers are told, and the target has to
+    /// catch up.
+    HandingOver(HandoverProgress),
     /// The intent to promote this replica was proposed, and isn't seen committed yet.
     RecordingIntent {
         /// The replica that was chosen.
@@ -63,8 +67,8 @@
             Self::Steady => "steady",
             Self::DiscoveringFirstPrimary { .. } => "asking the first primary",
             Self::Suspected { .. } => "doubting the primary",
-            Self::Fencing(fencing) if fencing.planned.is_some() => "fencing for a planned change",
             Self::Fencing(_) => "fencing a lost primary",
+            Self::HandingOver(_) => "fencing for a planned change",
             Self::RecordingIntent { .. } => "writing down the intent",
             Self::Promoting(_) => "promoting",
             Self::AwaitingLeaseExpiry { .. } => "waiting for old leases",
@@ -75,12 +79,13 @@
     /// that are listed only now.
     fn promotion_target(&self) -> Option<&InstanceId> {
         match self {
-            Self::Fencing(fencing) => fencing.target(),
+            Self::HandingOver(progress) => Some(&progress.target),
             Self::RecordingIntent { target, .. } => Some(target),
             Self::Promoting(promotion) => Some(&promotion.target),
             Self::Steady
             | Self::DiscoveringFirstPrimary { .. }
             | Self::Suspected { .. }
+            | Self::Fencing(_)
             | Self::AwaitingLeaseExpiry { .. } => None,
         }
     }
@@ -109,12 +114,14 @@
 }
 
 /// What the controller reports to poolers about the leases of a service while its primary changes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LeaseStatus {
     /// Leases on the present term are being revoked, and none is granted.
     pub revoking: bool,
     /// With the replicas fenced, every acknowledged commit lies at or before this position.
     pub sealed: Option<Position>,
+    /// The handover under way: leases are granted with it.
+    pub handover: Option<Handover>,
 }
 
 /// Brings one service from primary to primary. Every step is safe to take again.
@@ -128,6 +135,9 @@
     pub revoking: bool,
     /// With the replicas fenced, every acknowledged commit lies at or before this position.
     pub sealed: Option<Position>,
+    /// The handover under way. Poolers were told of it and pass on only commits that its target has,
+    /// until they are granted another lease.
+    pub handover: Option<Handover>,
     pub(super) replicas: PausedReplicas,
     pub(super) departed: DepartedReplicas,
     pub(super) suspicion: Suspicion,
@@ -146,6 +156,7 @@
             attempt: Attempt { raft_term: snapshot.raft_term, number: 0 },
             revoking: false,
             sealed: None,
+            handover: None,
             replicas: PausedReplicas::new(now),
             departed: DepartedReplicas::new(now),
             suspicion: Suspicion::default(),
@@ -168,7 +179,8 @@
 
     /// What the controller reports to poolers about the leases of the service.
     pub fn lease_status(&self) -> LeaseStatus {
-        LeaseStatus { revoking: self.revoking, sealed: self.sealed }
+        let handover = self.handover.clone();
+        LeaseStatus { revoking: self.revoking, sealed: self.sealed, handover }
     }
 
     /// From here on, answers to earlier requests don't count.
@@ -181,6 +193,7 @@
         self.state = FailoverState::Steady;
         self.revoking = false;
         self.sealed = None;
+        self.handover = None;
         self.suspicion.record_verified(now);
     }
 
@@ -227,11 +240,36 @@
             {
                 self.handle_fenced_primary(snapshot, response, now)
             }
-            (FailoverState::Fencing(_), DatabaseRequest::Pause(_) | DatabaseRequest::Describe) => {
-                self.handle_fenced_replica(snapshot, database, response, now)
+            (FailoverState::HandingOver(_), DatabaseRequest::Describe)
+                if snapshot.is_primary(database) =>
+            {
+                self.handle_handover_primary(snapshot, response, now)
+            }
+            (_, DatabaseRequest::Pause(_) | DatabaseRequest::Describe) => {
+                self.handle_replica_response(snapshot, database, response, now)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// A replica answered a pause, or described itself.
+    fn handle_replica_response(
+        &mut self,
+        snapshot: &ServiceSnapshot,
+        database: &InstanceId,
+        response: &DatabaseResponse,
+        now: Tick,
+    ) -> Vec<FailoverAction> {
+        let DatabaseResponse::Description(description) = response else { return Vec::new() };
+        match &self.state {
+            FailoverState::Fencing(_) => {
+                self.handle_fenced_replica(snapshot, database, description, now)
+            }
+            FailoverState::HandingOver(_) => {
+                self.handle_handover_replica(snapshot, database, description, now)
             }
-            (FailoverState::Promoting(_), DatabaseRequest::Describe) => {
-                self.handle_target_response(snapshot, database, response, now)
+            FailoverState::Promoting(_) => {
+                self.handle_target_response(snapshot, database, description, now)
             }
             _ => Vec::new(),
         }
@@ -334,9 +372,7 @@
                 Vec::new()
             }
             FailoverState::Suspected { .. } => self.tick_suspected(snapshot, record, now),
-            FailoverState::Fencing(fencing) if fencing.planned.is_some() => {
-                self.tick_planned_change(snapshot, record, now)
-            }
+            FailoverState::HandingOver(_) => self.tick_handover(snapshot, now),
             FailoverState::Fencing(_) => self.tick_fencing(snapshot, record, now),
             FailoverState::RecordingIntent { .. } => {
                 self.tick_recording_intent(snapshot, record, now)
--- a/src/failover/suspicion.rs
+++ b/src/failover/suspicion.rs
@@ -4,7 +4,7 @@
 //! itself, and its answer decides: it is lost, slow, unsteady or well.
 
 use super::actions::{DatabaseRequest, DatabaseResponse, FailoverAction};
-use super::fencing::PlannedCause;
+use super::handover::PlannedCause;
 use super::state::{FailoverState, PrimaryAnswer};
 use super::timing::{
     BROKEN_CONNECTION_REPORTERS_NEEDED, BROKEN_CONNECTIONS_NEEDED, BROKEN_CONNECTIONS_STORED,
@@ -122,7 +122,7 @@
         match &self.state {
             FailoverState::Suspected { .. } => self.tick(snapshot, now),
             FailoverState::Steady => self.suspect_primary(database, now),
-            FailoverState::Fencing(fencing) if fencing.planned.is_some() => {
+            FailoverState::HandingOver(_) => {
                 vec![FailoverAction::SendRequest(database.clone(), DatabaseRequest::Describe)]
             }
             _ => Vec::new(),
--- a/src/failover/timing.rs
+++ b/src/failover/timing.rs
@@ -81,9 +81,8 @@
 /// A planned change away from a draining primary is called off after this time.
 pub(super) const PLANNED_CHANGE_TIMEOUT_MS: u64 = 3_000;
 
-/// Replicas that take longer than this to pause hold up a planned change: one that was planned
-/// only because the primary is slow is called off, any other revokes the leases.
-pub(super) const PAUSE_TIMEOUT_MS: u64 = 600;
+/// A planned change away from a primary that is only slow is called off after this time.
+pub(super) const SLOW_PRIMARY_HANDOVER_TIMEOUT_MS: u64 = 600;
 
 /// For this long the replicas' own answers are waited for before what the poolers report is
 /// relied on instead.
--- a/src/gateway/leader_messages.rs
+++ b/src/gateway/leader_messages.rs
@@ -118,7 +118,10 @@
 
     fn on_message(&self, message: ToPooler) {
         match message {
-            ToPooler::NotLeader(_) | ToPooler::Welcome { .. } | ToPooler::Revoke { .. } => {}
+            ToPooler::NotLeader(_)
+            | ToPooler::Welcome { .. }
+            | ToPooler::Revoke { .. }
+            | ToPooler::HandOver { .. } => {}
             ToPooler::RouteTable(route_table) => self.apply_route_table(*route_table),
             // Nothing changes, so no request that waits for an endpoint has to be woken.
             ToPooler::RouteTableDelta(delta) if self.has_revision(delta.revision) => return,
--- a/src/leases/lease_table.rs
+++ b/src/leases/lease_table.rs
@@ -3,11 +3,12 @@
 //! A pooler may use a primary only under a lease. The controller asks this table when every lease on
 //! a term has expired or was given up, and how far commits can have been acknowledged under them,
 //! before it lets a failover go on.
+use super::passed_on::{PassedOn, UnreportedCommits};
 use super::quotas::{LOST_QUOTA_MS, PoolerQuotas, QuotaTotals};
 use super::watermarks::Watermark;
 use crate::base::ids::{DbTerm, NodeName, Position, ServiceName};
 use crate::base::time::Tick;
-use crate::net::rpc::pooler_messages::{LeaseGrant, PrimaryStatus};
+use crate::net::rpc::pooler_messages::{Handover, LeaseGrant, PrimaryStatus};
 use std::collections::BTreeMap;
 
 /// How long a pooler may use what it was last granted, in milliseconds from when it asked.
@@ -39,7 +40,10 @@
     pub(crate) granted_at: Tick,
     /// Leases that are no longer renewed and expire by themselves.
     ended: BTreeMap<ServiceName, LeasePeriod>,
-    revocations: BTreeMap<ServiceName, AcknowledgedRevocation>,
+    /// The newest term of each service that it has stopped to use.
+    revoked: BTreeMap<ServiceName, DbTerm>,
+    /// The handover of each service that it acknowledged.
+    handed_over: BTreeMap<ServiceName, u64>,
     pub(super) quotas: PoolerQuotas,
     /// When its last message came.
     pub(crate) last_contact: Tick,
@@ -52,23 +56,11 @@
     granted_at: Tick,
 }
 
-/// A pooler has stopped to use its lease on a term.
-#[derive(Clone, Copy, Debug)]
-struct AcknowledgedRevocation {
-    term: DbTerm,
-    /// The highest position that the pooler saw acknowledged.
-    highest: Option<Position>,
-}
-
 impl PoolerLeases {
     /// The current lease on a service.
     fn active_lease(&self, service: &ServiceName) -> Option<LeasePeriod> {
-        match self.grants.get(service)?.status {
-            PrimaryStatus::Active { term, .. } => {
-                Some(LeasePeriod { term, granted_at: self.granted_at })
-            }
-            PrimaryStatus::Sealed(_) | PrimaryStatus::Absent => None,
-        }
+        let term = self.grants.get(service)?.status.leased_term()?;
+        Some(LeasePeriod { term, granted_at: self.granted_at })
     }
 
     /// When this leader last granted it a lease on the service.
@@ -77,6 +69,20 @@
         active.max(self.ended.get(service).map(|lease| lease.granted_at))
     }
 
+    /// Nothing is granted on this service any more, and its lease expires by itself.
+    fn withdraw_grant(&mut self, service: &ServiceName) {
+        self.end_lease(service);
+        if let Some(grant) = self.grants.get_mut(service) {
+            grant.status = PrimaryStatus::Absent;
+        }
+    }
+
+    /// The newest term of the service that this leader granted it a lease on.
+    fn last_term(&self, service: &ServiceName) -> Option<DbTerm> {
+        let active = self.active_lease(service).map(|lease| lease.term);
+        active.max(self.ended.get(service).map(|lease| lease.term))
+    }
+
     /// The lease on this service is no longer renewed; it expires by itself.
     fn end_lease(&mut self, service: &ServiceName) {
         if let Some(lease) = self.active_lease(service) {
@@ -84,9 +90,19 @@
         }
     }
 
+    /// Whether it said that it uses no lease on `term` or an earlier one.
+    fn has_revoked(&self, service: &ServiceName, term: DbTerm) -> bool {
+        self.revoked.get(service).is_some_and(|revoked| *revoked >= term)
+    }
+
+    /// Whether it said that it confirms each commit at the target of this handover.
+    fn confirms(&self, service: &ServiceName, handover: Option<u64>) -> bool {
+        handover.is_some() && self.handed_over.get(service).copied() == handover
+    }
+
     /// Whether it can no longer use a lease on `term` or an earlier one.
     fn is_released(&self, service: &ServiceName, term: DbTerm, now: Tick) -> bool {
-        if self.revocations.get(service).is_some_and(|revocation| revocation.term >= term) {
+        if self.has_revoked(service, term) {
             return true;
         }
         let mut leases =
@@ -134,6 +150,8 @@
     /// For each service, when the leases of poolers that were forgotten, or started anew, without
     /// giving up their lease have expired.
     unacknowledged_until: BTreeMap<ServiceName, Tick>,
+    /// For each service, the furthest commit that a pooler reported to have passed on.
+    reported: BTreeMap<ServiceName, Position>,
 }
 
 impl LeaseTable {
@@ -167,6 +185,7 @@
             pooler.quotas.reported.insert(service, quota);
         }
         pooler.grants.clear();
+        pooler.handed_over.clear();
         pooler.connection = Some(connection);
         pooler.lost_at = None;
         pooler.quota_released = false;
@@ -219,9 +238,14 @@
         freed
     }
 
-    /// This pooler will not report up to which commit it acknowledged under its leases.
+    /// This pooler will not report up to which commit it acknowledged under its leases, those left
+    /// out that it has reported on already.
     fn forget_leases(&mut self, pooler: &PoolerLeases) {
         for service in pooler.grants.keys().chain(pooler.ended.keys()) {
+            let last_term = pooler.last_term(service);
+            if last_term.is_some_and(|term| pooler.has_revoked(service, term)) {
+                continue;
+            }
             if let Some(granted_at) = pooler.last_granted(service) {
                 let until = self.unacknowledged_until.entry(service.clone()).or_default();
                 *until = lease_end(granted_at).max(*until);
@@ -229,8 +253,8 @@
         }
     }
 
-    /// A pooler has stopped to use its lease on `term`; `highest` is the highest position that it
-    /// saw acknowledged.
+    /// A pooler has stopped to use its lease on `term`; `highest` is the furthest commit that it
+    /// passed on.
     pub fn acknowledge_revocation(
         &mut self,
         node: &NodeName,
@@ -238,14 +262,46 @@
         term: DbTerm,
         highest: Option<Position>,
     ) {
+        self.record_report(service, highest);
         if let Some(pooler) = self.poolers.get_mut(node) {
-            let revocation = AcknowledgedRevocation { term, highest };
-            pooler.revocations.insert(service.clone(), revocation);
+            pooler.revoked.insert(service.clone(), term);
             // The pooler has dropped its grant of this service.
-            pooler.end_lease(service);
-            if let Some(grant) = pooler.grants.get_mut(service) {
-                grant.status = PrimaryStatus::Absent;
-            }
+            pooler.withdraw_grant(service);
+        }
+    }
+
+    /// A pooler passes on commits of the service only once the target of this handover has them;
+    /// `highest` is the furthest commit that it passed on before.
+    pub fn acknowledge_handover(
+        &mut self,
+        node: &NodeName,
+        service: &ServiceName,
+        handover: u64,
+        highest: Option<Position>,
+    ) {
+        self.record_report(service, highest);
+        if let Some(pooler) = self.poolers.get_mut(node) {
+            pooler.handed_over.insert(service.clone(), handover);
+        }
+    }
+
+    fn record_report(&mut self, service: &ServiceName, highest: Option<Position>) {
+        if let Some(position) = highest {
+            let reported = self.reported.entry(service.clone()).or_insert(position);
+            *reported = position.max(*reported);
+        }
+    }
+
+    /// A pooler is told that the service is handed over: its grant on that term, if it has one, is
+    /// changed to that.
+    pub fn hand_over(&mut self, node: &NodeName, service: &ServiceName, handover: &Handover) {
+        let Some(pooler) = self.poolers.get_mut(node) else { return };
+        if let Some(grant) = pooler.grants.get_mut(service)
+            && let PrimaryStatus::Active { term, primary } = &grant.status
+            && *term == handover.term
+        {
+            let (primary, handover) = (primary.clone(), handover.clone());
+            grant.status = PrimaryStatus::HandingOver { primary, handover };
         }
     }
 
@@ -265,10 +321,10 @@
         if status_changed {
             pooler.end_lease(&service);
         }
-        if matches!(grant.status, PrimaryStatus::Active { .. }) {
+        if grant.status.leased_term().is_some() {
             // After a false alarm the same term is granted again; what was acknowledged before it
             // is out of date.
-            pooler.revocations.remove(&service);
+            pooler.revoked.remove(&service);
         }
         pooler.grants.insert(service.clone(), grant.clone());
         let after = pooler.quota_in_use(&service);
@@ -290,21 +346,37 @@
             && self.poolers.values().all(|pooler| pooler.is_released(service, term, now))
     }
 
-    /// The highest position that may have been acknowledged under leases on `term`, once it is
-    /// certain; the inner value is none if nothing was.
+    /// Whether no pooler passes on a commit of `term` or an earlier one that the target of this
+    /// handover lacks: each has acknowledged the handover, or can't use a lease any more.
+    pub fn all_confirm(
+        &self,
+        service: &ServiceName,
+        term: DbTerm,
+        handover: Option<u64>,
+        now: Tick,
+    ) -> bool {
+        let confirms = |pooler: &PoolerLeases| {
+            pooler.confirms(service, handover) || pooler.is_released(service, term, now)
+        };
+        has_expired(self.elected_at, now) && self.poolers.values().all(confirms)
+    }
+
+    /// How far commits may have been passed on under leases on `term`, those left out that the
+    /// target of `handover` is known to have.
     ///
-    /// Every pooler must have reported its highest position, or be covered: the `watermark` covers
-    /// every commit acknowledged before its time, so a pooler whose lease had ended by then has
-    /// acknowledged nothing beyond it. The same holds for poolers that were forgotten, and for
+    /// Every pooler must have reported how far it passed on commits, or be covered: the `watermark`
+    /// covers every commit acknowledged before its time, so a pooler whose lease had ended by then
+    /// has passed on nothing beyond it. The same holds for poolers that were forgotten, and for
     /// those that had a lease of an earlier leader, of which this one may not even know.
-    pub fn released_up_to(
+    pub fn passed_on(
         &self,
         service: &ServiceName,
         term: DbTerm,
+        handover: Option<u64>,
         watermark: Option<Watermark>,
         rule: CoverageRule,
         now: Tick,
-    ) -> Option<Option<Position>> {
+    ) -> PassedOn {
         let is_covered = |end: Tick| {
             let timed_out = rule == CoverageRule::WatermarkOrTimeout
                 && now.since(end) >= LOST_POOLER_MS - LEASE_MS;
@@ -312,20 +384,19 @@
         };
         let earlier_leaders = lease_end(self.elected_at);
         let forgotten = self.unacknowledged_until.get(service).copied().unwrap_or_default();
-        if !is_covered(forgotten.max(earlier_leaders)) {
-            return None;
-        }
-        let highest_of = |pooler: &PoolerLeases| match pooler.revocations.get(service) {
-            Some(revocation) if revocation.term >= term => Some(revocation.highest),
-            _ => {
-                let end = pooler.last_granted(service).map_or(earlier_leaders, lease_end);
-                is_covered(end).then_some(None)
-            }
+        let is_known = |pooler: &PoolerLeases| {
+            let end = pooler.last_granted(service).map_or(earlier_leaders, lease_end);
+            pooler.has_revoked(service, term)
+                || pooler.confirms(service, handover)
+                || is_covered(end)
+        };
+        let all_known =
+            is_covered(forgotten.max(earlier_leaders)) && self.poolers.values().all(is_known);
+        let unreported = match watermark {
+            _ if !all_known => UnreportedCommits::Unknown,
+            None => UnreportedCommits::Nothing,
+            Some(watermark) => UnreportedCommits::UpTo(watermark.position),
         };
-        let covered = watermark.map(|watermark| watermark.position);
-        self.poolers
-            .values()
-            .map(highest_of)
-            .try_fold(covered, |highest, of_pooler| Some(highest.max(of_pooler?)))
+        PassedOn { reported: self.reported.get(service).copied(), unreported }
     }
 }
--- a/src/leases/mod.rs
+++ b/src/leases/mod.rs
@@ -4,6 +4,7 @@
 //! The controller keeps these values while it leads and drops them when it no longer does; nothing
 //! here is replicated or stored. Time is handed in; nothing here knows a socket, a clock or a file.
 pub mod lease_table;
+pub mod passed_on;
 mod quotas;
 pub mod subset_assignments;
 pub mod watermarks;
--- a/src/net/rpc/frame.rs
+++ b/src/net/rpc/frame.rs
@@ -5,8 +5,10 @@
 //! of the first layout stops reading behind the value and does not see that byte.
 use crate::base::ids::MemberId;
 use crate::net::rpc::error::RpcError;
-use crate::net::rpc::layout::{ANY_READER, FIRST_LAYOUT, LAYOUT, LAYOUT_LIMIT, PARTS_LAYOUT};
-use crate::net::rpc::pooler_messages::{ToController, ToPooler};
+use crate::net::rpc::layout::{
+    ANY_READER, FIRST_LAYOUT, HANDOVER_LAYOUT, LAYOUT, LAYOUT_LIMIT, PARTS_LAYOUT,
+};
+use crate::net::rpc::pooler_messages::{LeaseGrant, PrimaryStatus, ToController, ToPooler};
 use crate::net::rpc::raft_messages::{JoinResponse, Member, RaftMessage, RaftMessageKind};
 use serde::{Deserialize, Serialize};
 use std::io::{self, Read, Write};
@@ -59,6 +61,13 @@
                 }
                 _ => ANY_READER,
             },
+            Frame::Controller(ToPooler::HandOver { .. })
+            | Frame::Pooler(ToController::HandOverAck { .. }) => HANDOVER_LAYOUT,
+            Frame::Controller(ToPooler::LeaseGrants { grants, .. }) => {
+                let handed_over =
+                    |grant: &LeaseGrant| matches!(grant.status, PrimaryStatus::HandingOver { .. });
+                if grants.iter().any(handed_over) { HANDOVER_LAYOUT } else { ANY_READER }
+            }
             _ => ANY_READER,
         }
     }
--- a/src/net/rpc/pooler_messages.rs
+++ b/src/net/rpc/pooler_messages.rs
@@ -74,7 +74,17 @@
         service: ServiceName,
         /// The revoked term.
         term: DbTerm,
-        /// The furthest position that this pooler saw acknowledged; none if it saw none.
+        /// The furthest commit that this pooler passed on to a client; none if it passed on none.
+        highest: Option<Position>,
+    },
+    /// Acknowledges a handover, told by [`ToPooler::HandOver`] or [`PrimaryStatus::HandingOver`]:
+    /// from now on the pooler passes on a commit of the term only once the target has it.
+    HandOverAck {
+        /// The service that is handed over.
+        service: ServiceName,
+        /// The number of the handover.
+        handover: u64,
+        /// The furthest commit that this pooler passed on to a client; none if it passed on none.
         highest: Option<Position>,
     },
     /// A [`ToPooler::RouteTableDelta`] arrived for a revision that this node does not have: asks for
@@ -138,6 +148,14 @@
         /// This term and all earlier ones must not be used any more.
         term: DbTerm,
     },
+    /// Tells that a primary which still serves is about to be replaced; answered with
+    /// [`ToController::HandOverAck`]. The lease on the term goes on.
+    HandOver {
+        /// The service that is handed over.
+        service: ServiceName,
+        /// What is handed over to whom.
+        handover: Handover,
+    },
     /// Something changed that the next renewal would bring: the node is to renew now.
     #[serde(rename = "Renew")]
     RenewNow,
@@ -191,6 +209,17 @@
     pub quota: u32,
 }
 
+/// A planned change of a primary that still serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// Identifies the handover; a later one has a higher number.
+    pub number: u64,
+    /// The term of the primary that is replaced.
+    pub term: DbTerm,
+    /// The replica that is to become the primary.
+    pub target: InstanceId,
+}
+
 /// Whether a service has a primary.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PrimaryStatus {
@@ -202,9 +231,28 @@
         /// The primary.
         primary: InstanceId,
     },
+    /// As `Active`, but a commit may be passed on only once the target of the handover has it;
+    /// answered with [`ToController::HandOverAck`].
+    HandingOver {
+        /// The primary that is replaced.
+        primary: InstanceId,
+        /// What is handed over to whom.
+        handover: Handover,
+    },
     /// Nobody can commit; every acknowledged commit is at or before this position.
     Sealed(Position),
     /// No primary may be used.
     #[serde(rename = "Unled")]
     Absent,
 }
+
+impl PrimaryStatus {
+    /// The term that a lease is granted on, if one is.
+    pub fn leased_term(&self) -> Option<DbTerm> {
+        match self {
+            PrimaryStatus::Active { term, .. } => Some(*term),
+            PrimaryStatus::HandingOver { handover, .. } => Some(handover.term),
+            PrimaryStatus::Sealed(_) | PrimaryStatus::Absent => None,
+        }
+    }
+}
--- a/src/pooler/cluster_view.rs
+++ b/src/pooler/cluster_view.rs
@@ -7,6 +7,7 @@
 use crate::base::time::Tick;
 use crate::config::directory::DirectoryEntry;
 use crate::config::route_table::RouteTable;
+use crate::pooler::handover::CommitConfirmation;
 use crate::pooler::leases::{ConnectionQuota, PrimaryLease, Revocation};
 use crate::pooler::pool::ConnectionPool;
 use crate::pooler::replica_reads::{RECENT_READ_MS, ReadWatermarks, WATERMARK_AHEAD_MS};
@@ -42,8 +43,10 @@
     pub(crate) lease: PrimaryLease,
     pub(crate) revocation: Option<Revocation>,
     pub(crate) watermarks: ReadWatermarks,
-    /// The highest position passed on to a client or seen at the primary.
-    pub(crate) highest_position: Option<Position>,
+    /// The furthest commit that was passed on to a client.
+    pub(crate) highest_commit: Option<Position>,
+    /// The handover that the leader told of, until it grants a lease without one.
+    pub(crate) confirmation: Option<CommitConfirmation>,
     pub(crate) quota: ConnectionQuota,
     /// When the lease on the primary was lost; none while one is granted.
     pub(crate) lease_lost_at: Option<Tick>,
@@ -96,7 +99,6 @@
     /// Takes in a position that the primary gave.
     pub(crate) fn record_position(&mut self, observed: PrimaryPosition) {
         self.watermarks.observe(observed.sent_at, observed.position);
-        self.highest_position = self.highest_position.max(Some(observed.position));
         if self.unreported.is_none_or(|earlier| observed.sent_at > earlier.sent_at) {
             self.unreported = Some(observed);
         }
--- a/src/pooler/exchange.rs
+++ b/src/pooler/exchange.rs
@@ -8,6 +8,7 @@
 use crate::net::rpc::pooler_messages::SuspicionReason;
 use crate::net::statement_protocol::{Outcome, Reply, State, Statement};
 use crate::pooler::client_session::ClientStatement;
+use crate::pooler::handover::Commit;
 use crate::pooler::pool::ConnectionPool;
 use crate::pooler::server::Pooler;
 use crate::pooler::server_connection::{
@@ -47,6 +48,8 @@
     pub(super) term: Option<DbTerm>,
     /// The deadline of the statement.
     pub(super) deadline: Tick,
+    /// Success of the statement means that something is committed.
+    pub(super) commits: bool,
     /// The statement only reads, and no database has answered in its transaction yet.
     pub(super) first_read: bool,
     /// The time in ms after which a reply counts as lost; none: it is waited for until `deadline`.
@@ -107,6 +110,11 @@
         let Some(term) = self.term else {
             return Ok(reply);
         };
+        if self.commits && reply.outcome == Outcome::Complete {
+            let commit = Commit { term, sent_at, position: reply.position };
+            let confirmed = self.pooler.await_confirmation(self.service, commit, self.deadline);
+            return confirmed.map_err(ExchangeError::sent).map(|()| reply);
+        }
         if self.lost_lease(now) {
             // Another primary may have been promoted: a success of the old one is not passed on.
             if reply.outcome == Outcome::Complete {
--- a/src/pooler/leader_messages.rs
+++ b/src/pooler/leader_messages.rs
@@ -1,6 +1,6 @@
 //! What the pooler and the leading controller tell each other: renewals of leases, revocations,
 //! updates of routes and of the directory, and suspicions of databases.
-use crate::base::ids::{DbTerm, Revision, ServiceName};
+use crate::base::ids::{DbTerm, InstanceId, Revision, ServiceName};
 use crate::base::sync::lock;
 use crate::base::time::Tick;
 use crate::config::route_table::{RouteTable, RouteTableDelta};
@@ -131,6 +131,7 @@
                 });
             }
             ToPooler::Revoke { service, term } => self.revoke(service, term),
+            ToPooler::HandOver { service, handover } => self.hand_over(&service, handover),
             ToPooler::RenewNow => self.renew(),
         }
     }
@@ -230,7 +231,7 @@
 
     // -- from the leader -------------------------------------------------------------------------
 
-    /// The leader takes a term back: nothing is sent or passed on under it from here on.
+    /// A term is given back: nothing is sent or passed on under it from here on.
     fn revoke(&self, service: ServiceName, term: DbTerm) {
         let mut leader = self.leader.lock();
         let highest = {
@@ -242,9 +243,9 @@
                 service.lease = PrimaryLease::None;
                 service.lease_lost_at = Some(Tick::now());
             }
-            service.highest_position
+            service.highest_commit
         };
-        info!(target: "lease", "{service}: term {term} was taken back");
+        info!(target: "lease", "{service}: term {term} is given back");
         let ack = ToController::RevokeAck { service, term, highest };
         LeaderConnection::send_locked(&mut leader, ack);
         drop(leader);
@@ -274,13 +275,22 @@
     /// since the leader won't repeat it; its leases are then long over.
     fn apply_grants(&self, answer: RenewalAnswer) {
         let requested_at = self.renewals.answered(answer.number);
-        let changed = lock(&self.view).apply_grants(answer, requested_at);
-        if changed {
+        let applied = lock(&self.view).apply_grants(answer, requested_at);
+        if applied.changed {
             self.view_changed.notify_all();
         }
+        applied.acknowledgements.into_iter().for_each(|message| self.send_to_leader(message));
     }
 }
 
+/// What came of the leader's answer to a renewal.
+struct AppliedGrants {
+    /// It brought something that sessions may wait for.
+    changed: bool,
+    /// What has to be acknowledged.
+    acknowledgements: Vec<ToController>,
+}
+
 /// The position to report for a service, if there is a new one and it was observed after the last
 /// answer of the leader, from which the leader counts the time.
 fn take_observed_position(
@@ -295,9 +305,8 @@
 }
 
 impl ClusterView {
-    /// Puts the answer to a renewal sent at `requested_at` in force. True if it brings anything
-    /// that sessions may wait for.
-    fn apply_grants(&mut self, answer: RenewalAnswer, requested_at: Tick) -> bool {
+    /// Puts the answer to a renewal sent at `requested_at` in force.
+    fn apply_grants(&mut self, answer: RenewalAnswer, requested_at: Tick) -> AppliedGrants {
         let RenewalAnswer { number, lease_ms, complete, grants, position_bounds } = answer;
         if complete {
             self.drop_leases_except(&grants);
@@ -310,9 +319,10 @@
                 service.watermarks.observe(Tick(sent_at), position);
             }
         }
+        let mut acknowledgements = Vec::new();
         for grant in grants {
             let service = self.services.entry(grant.service.clone()).or_default();
-            service.apply_grant(grant, number, requested_at);
+            acknowledgements.extend(service.apply_grant(grant, number, requested_at));
         }
         // The answer renews all that was granted on this connection.
         for service in self.services.values_mut() {
@@ -320,7 +330,7 @@
             service.quota.renew(requested_at.plus(QUOTA_VALID_MS));
             changed |= service.apply_quota(Tick::now());
         }
-        changed
+        AppliedGrants { changed, acknowledgements }
     }
 
     fn drop_leases_except(&mut self, grants: &[LeaseGrant]) {
@@ -335,18 +345,26 @@
 
 impl ServiceView {
     /// Puts a grant in the answer to a renewal in force; the lease in it still has to be renewed.
-    fn apply_grant(&mut self, grant: LeaseGrant, renewal: u64, requested_at: Tick) {
+    /// Returns the acknowledgement of a handover.
+    fn apply_grant(
+        &mut self,
+        grant: LeaseGrant,
+        renewal: u64,
+        requested_at: Tick,
+    ) -> Option<ToController> {
         let had_lease = self.lease.term().is_some();
-        let name = &grant.service;
-        match grant.status {
+        let LeaseGrant { service, status, quota } = grant;
+        self.quota.size = quota;
+        let mut acknowledgement = None;
+        match status {
             PrimaryStatus::Active { term, primary } => {
-                if !self.revocation.is_some_and(|revocation| revocation.covers(term, renewal)) {
-                    if self.lease.term() != Some(term) {
-                        info!(target: "lease", "{name}: {primary} leads term {term}");
-                    }
-                    self.lease = PrimaryLease::Granted { term, primary, expires_at: requested_at };
-                    self.lease_lost_at = None;
-                }
+                self.confirmation = None;
+                self.accept_lease(&service, term, primary, renewal, requested_at);
+            }
+            PrimaryStatus::HandingOver { primary, handover } => {
+                let term = handover.term;
+                acknowledgement = Some(self.begin_handover(&service, handover));
+                self.accept_lease(&service, term, primary, renewal, requested_at);
             }
             PrimaryStatus::Sealed(position) => {
                 self.lease = PrimaryLease::None;
@@ -356,8 +374,27 @@
         }
         if had_lease && self.lease.term().is_none() {
             self.lease_lost_at = Some(Tick::now());
-            info!(target: "lease", "{name}: none is granted");
+            info!(target: "lease", "{service}: none is granted");
+        }
+        acknowledgement
+    }
+
+    /// Takes a lease, unless it was granted before its revocation.
+    fn accept_lease(
+        &mut self,
+        service: &ServiceName,
+        term: DbTerm,
+        primary: InstanceId,
+        renewal: u64,
+        requested_at: Tick,
+    ) {
+        if self.revocation.is_some_and(|revocation| revocation.covers(term, renewal)) {
+            return;
+        }
+        if self.lease.term() != Some(term) {
+            info!(target: "lease", "{service}: {primary} leads term {term}");
         }
-        self.quota.size = grant.quota;
+        self.lease = PrimaryLease::Granted { term, primary, expires_at: requested_at };
+        self.lease_lost_at = None;
     }
 }
--- a/src/pooler/mod.rs
+++ b/src/pooler/mod.rs
@@ -10,6 +10,7 @@
 mod client_session;
 mod cluster_view;
 mod exchange;
+pub mod handover;
 pub mod latency;
 mod leader_messages;
 pub mod leases;
--- a/src/pooler/statement_execution.rs
+++ b/src/pooler/statement_execution.rs
@@ -255,6 +255,7 @@
             pool,
             term: *term,
             deadline,
+            commits: commits(plan),
             first_read,
             reply_timeout_ms: reply_timeout_ms(plan, &self.route, pool, first_read, patient),
         };
--- a/src/pooler/status.rs
+++ b/src/pooler/status.rs
@@ -42,7 +42,7 @@
         "primary": lease.as_ref().map(|lease| lease.primary),
         "lease_left_ms": service.lease.remaining_ms(now),
         "connections_allowed": service.quota.applied(),
-        "highest": service.highest_position.map(|position| position.to_string()),
+        "highest": service.highest_commit.map(|position| position.to_string()),
     })
 }
 
--- a/src/simulation/databases.rs
+++ b/src/simulation/databases.rs
@@ -9,6 +9,7 @@
 use crate::simulation::checker::AcknowledgedCommit;
 use crate::simulation::events::Event;
 use crate::simulation::network::Party;
+use crate::simulation::nodes::Commit;
 use crate::simulation::schedule::{chance, draw_below};
 use crate::simulation::world::World;
 use std::collections::BTreeMap;
@@ -66,11 +67,12 @@
                 }
             }
         }
-        DatabaseResponse::Description(ServerDescription {
-            primary: self.primary,
-            term: self.term,
-            received: self.position(),
-        })
+        DatabaseResponse::Description(self.description())
+    }
+
+    /// How it describes itself.
+    pub(super) fn description(&self) -> ServerDescription {
+        ServerDescription { primary: self.primary, term: self.term, received: self.position() }
     }
 
     /// The role that its heartbeats tell.
@@ -280,7 +282,9 @@
             .into_iter()
             .map(|PendingCommit { node, incarnation, length, id }| {
                 let position = Position { term: log[length - 1].term, number: length as u64 };
-                (node, Event::CommitAck(node, incarnation, service.clone(), term, id, position))
+                let commit =
+                    Commit { service: service.clone(), write: Write { term, id }, position };
+                (node, Event::CommitAck(node, incarnation, commit))
             })
             .collect();
         for (node, event) in acknowledgements {
--- a/src/simulation/events.rs
+++ b/src/simulation/events.rs
@@ -1,5 +1,5 @@
 //! Everything that can happen next, and who handles it.
-use crate::base::ids::{DbTerm, InstanceId, MemberId, Position, ServiceName};
+use crate::base::ids::{DbTerm, InstanceId, MemberId, ServiceName};
 use crate::base::time::Tick;
 use crate::controller::effects::Input;
 use crate::failover::{Attempt, DatabaseRequest};
@@ -10,6 +10,7 @@
 use crate::simulation::databases::Write;
 use crate::simulation::machines::DiskFault;
 use crate::simulation::network::{Party, RemoteEnd};
+use crate::simulation::nodes::{Commit, TargetQuestion};
 use crate::simulation::world::{World, machine_of};
 use std::io;
 use std::net::SocketAddr;
@@ -40,7 +41,12 @@
     Write(usize, usize, u64, DbTerm),
     Replicate(usize, usize, DbTerm, Arc<Vec<Write>>),
     ReplicaAck(usize, usize, DbTerm, usize),
-    CommitAck(usize, u64, ServiceName, DbTerm, u64, Position),
+    /// The primary acknowledges a commit, to a node and its incarnation.
+    CommitAck(usize, u64, Commit),
+    /// A node's question reaches the target of a handover, by number of the database.
+    TargetQuestion(usize, TargetQuestion),
+    /// The answer, or the time-out of the question, reaches the node.
+    TargetAnswer(TargetQuestion),
     ReplicationTurn(usize),
     InjectFault(usize),
     Start(usize),
@@ -87,9 +93,13 @@
             Event::ReplicaAck(number, by, term, has) => {
                 self.handle_replica_ack(number, by, term, has);
             }
-            Event::CommitAck(node, incarnation, service, term, id, position) => {
-                self.handle_commit_ack(node, incarnation, service, Write { term, id }, position);
+            Event::CommitAck(node, incarnation, commit) => {
+                self.handle_commit_ack(node, incarnation, commit);
             }
+            Event::TargetQuestion(number, question) => {
+                self.answer_target_question(number, question);
+            }
+            Event::TargetAnswer(question) => self.handle_target_answer(question),
             Event::ReplicationTurn(number) => self.replicate(number),
             Event::InjectFault(number) => self.inject(number),
             Event::Start(number) => self.start(number),
--- a/src/simulation/faults.rs
+++ b/src/simulation/faults.rs
@@ -192,6 +192,7 @@
         node.leases.clear();
         node.revoked.clear();
         node.highest.clear();
+        node.confirmations.clear();
         node.sent.clear();
         let incarnation = node.incarnation;
         let after = lasts_ms.min(LONGEST_NODE_RESTART_MS);
--- a/src/simulation/nodes.rs
+++ b/src/simulation/nodes.rs
@@ -1,19 +1,29 @@
 //! Nodes that follow the leader as a pooler does, and write at the primaries they are leased.
 use crate::base::ids::{DbTerm, InstanceId, NodeName, Position, Revision, ServiceName};
+use crate::base::time::Tick;
 use crate::config::route_table::RouteTable;
 use crate::controller::effects::Input;
 use crate::leases::lease_table::LEASE_MS;
-use crate::net::rpc::Frame;
-use crate::net::rpc::pooler_messages::{PrimaryStatus, ToController, ToPooler};
+use crate::net::rpc::pooler_messages::{
+    Handover, LeaseGrant, PrimaryStatus, ToController, ToPooler,
+};
+use crate::net::rpc::{Frame, LAYOUT};
+use crate::net::statement_protocol::ServerDescription;
+use crate::pooler::handover::{CommitConfirmation, CommitVerdict};
 use crate::simulation::checker::AcknowledgedCommit;
 use crate::simulation::databases::Write;
 use crate::simulation::events::Event;
 use crate::simulation::network::{Party, RemoteEnd};
-use crate::simulation::schedule::chance;
+use crate::simulation::schedule::{chance, draw_below};
 use crate::simulation::world::{SERVICES, World, machine_of};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// The pause in ms before a commit is judged again.
+const RETRY_MS: u64 = 10;
+/// A question to the target of a handover that gets no answer is given up after this time, in ms.
+const QUESTION_MS: u64 = 300;
+
 #[derive(Clone)]
 pub(super) struct Lease {
     pub(super) term: DbTerm,
@@ -37,6 +47,59 @@
     pub(super) leases: BTreeMap<ServiceName, Lease>,
     pub(super) revoked: BTreeMap<ServiceName, (DbTerm, u64)>,
     pub(super) highest: BTreeMap<ServiceName, Position>,
+    pub(super) confirmations: BTreeMap<ServiceName, CommitConfirmation>,
+}
+
+/// A commit that the primary acknowledged to a node.
+#[derive(Clone)]
+pub(super) struct Commit {
+    pub(super) service: ServiceName,
+    pub(super) write: Write,
+    pub(super) position: Position,
+}
+
+/// A node's question to the target of a handover, and the answer once there is one.
+pub(super) struct TargetQuestion {
+    node: usize,
+    incarnation: u64,
+    commit: Commit,
+    target: InstanceId,
+    answer: Option<ServerDescription>,
+}
+
+impl Node {
+    fn holds_lease(&self, commit: &Commit, now: u64) -> bool {
+        let lease = self.leases.get(&commit.service);
+        lease.is_some_and(|l| l.term == commit.write.term && now < l.asked + LEASE_MS)
+    }
+
+    fn begin_handover(&mut self, service: ServiceName, handover: Handover) -> ToController {
+        let highest = self.highest.get(&service).copied();
+        let number = handover.number;
+        self.confirmations.insert(service.clone(), CommitConfirmation::new(handover));
+        ToController::HandOverAck { service, handover: number, highest }
+    }
+
+    /// Puts a grant in force. Returns the acknowledgement of a handover.
+    fn apply_grant(&mut self, grant: LeaseGrant, seq: u64, asked: u64) -> Option<ToController> {
+        let service = grant.service;
+        let (term, primary, handover) = match grant.status {
+            PrimaryStatus::Active { term, primary } => (term, primary, None),
+            PrimaryStatus::HandingOver { primary, handover } => {
+                (handover.term, primary, Some(handover))
+            }
+            PrimaryStatus::Sealed(_) | PrimaryStatus::Absent => {
+                self.leases.remove(&service);
+                return None;
+            }
+        };
+        self.confirmations.remove(&service);
+        let last = self.revoked.get(&service);
+        if last.is_none_or(|(last, upto)| term > *last || seq > *upto) {
+            self.leases.insert(service.clone(), Lease { term, primary, asked });
+        }
+        handover.map(|handover| self.begin_handover(service, handover))
+    }
 }
 
 impl World {
@@ -89,6 +152,10 @@
                 let node = &mut self.nodes[number];
                 (node.conn, node.welcome, node.heard) = (Some((conn, at)), false, now);
                 let revision = node.config.as_ref().map_or(Revision(0), |c| c.revision);
+                let now = Tick(now + self.machines[at].clock_offset);
+                if let Some(controller) = &mut self.machines[at].controller {
+                    controller.handle_input(Input::NodeLayout(conn, LAYOUT), now);
+                }
                 let name = NodeName(format!("node{number}"));
                 let zone = "z".to_owned();
                 self.send_to_controller(
@@ -169,21 +236,20 @@
                 if complete {
                     node.leases.clear();
                 }
+                let mut acknowledgements = Vec::new();
                 for grant in grants {
-                    match grant.status {
-                        PrimaryStatus::Active { term, primary } => {
-                            let last = node.revoked.get(&grant.service);
-                            if last.is_none_or(|(last, upto)| term > *last || seq > *upto) {
-                                let lease = Lease { term, primary, asked };
-                                node.leases.insert(grant.service, lease);
-                            }
-                        }
-                        _ => drop(node.leases.remove(&grant.service)),
-                    }
+                    acknowledgements.extend(node.apply_grant(grant, seq, asked));
                 }
                 node.leases.values_mut().for_each(|l| l.asked = l.asked.max(asked));
+                for message in acknowledgements {
+                    self.send_to_controller(number, message);
+                }
                 self.check_one_leased_term();
             }
+            ToPooler::HandOver { service, handover } => {
+                let message = node.begin_handover(service, handover);
+                self.send_to_controller(number, message);
+            }
             ToPooler::Revoke { service, term } => {
                 node.revoked.insert(service.clone(), (term, node.seq));
                 if node.leases.get(&service).is_some_and(|l| l.term <= term) {
@@ -207,24 +273,81 @@
         }
     }
 
-    /// A node acknowledges a commit to its client if its lease still holds; no later primary may lack it.
-    pub(super) fn handle_commit_ack(
+    /// The primary acknowledged a commit of a node, which passes it on if its lease still holds. During
+    /// a handover it first asks the target whether that has the commit.
+    pub(super) fn handle_commit_ack(&mut self, number: usize, incarnation: u64, commit: Commit) {
+        let node = &mut self.nodes[number];
+        if node.incarnation != incarnation || !node.holds_lease(&commit, self.now) {
+            return;
+        }
+        let verdict = match node.confirmations.get_mut(&commit.service) {
+            Some(confirmation) => confirmation.judge(commit.write.term, Some(commit.position)),
+            None => CommitVerdict::PassOn,
+        };
+        match verdict {
+            CommitVerdict::PassOn => self.pass_on_commit(number, commit),
+            CommitVerdict::AskTarget(target) => {
+                self.ask_handover_target(number, incarnation, target, commit);
+            }
+            CommitVerdict::AwaitAnswer => {
+                self.schedule_after(RETRY_MS, Event::CommitAck(number, incarnation, commit));
+            }
+        }
+    }
+
+    fn ask_handover_target(
         &mut self,
         number: usize,
         incarnation: u64,
-        service: ServiceName,
-        write: Write,
-        position: Position,
+        target: InstanceId,
+        commit: Commit,
     ) {
-        let now = self.now;
+        let to = self.databases.iter().position(|database| database.id == target);
+        let question =
+            |answer| TargetQuestion { node: number, incarnation, commit, target, answer };
+        let arrival = to.and_then(|to| {
+            self.arrival_time(Party::Node(number), Party::Database(to), draw_below(5))
+        });
+        match (arrival, to) {
+            (Some(time), Some(to)) => {
+                self.schedule_at(time, Event::TargetQuestion(to, question(None)));
+            }
+            _ => self.schedule_after(QUESTION_MS, Event::TargetAnswer(question(None))),
+        }
+    }
+
+    /// The target of a handover is asked how far it is.
+    pub(super) fn answer_target_question(&mut self, number: usize, question: TargetQuestion) {
+        let database = &self.databases[number];
+        let description = database.up.then(|| database.description());
+        let back = self.arrival_time(Party::Database(number), Party::Node(question.node), 0);
+        match (back, description) {
+            (Some(time), Some(description)) => {
+                let answer = TargetQuestion { answer: Some(description), ..question };
+                self.schedule_at(time, Event::TargetAnswer(answer));
+            }
+            _ => self.schedule_after(QUESTION_MS, Event::TargetAnswer(question)),
+        }
+    }
+
+    /// A node takes the answer of a handover's target, or goes without, and judges its commit again.
+    pub(super) fn handle_target_answer(&mut self, question: TargetQuestion) {
+        let TargetQuestion { node: number, incarnation, commit, target, answer } = question;
         let node = &mut self.nodes[number];
-        let leased = node
-            .leases
-            .get(&service)
-            .is_some_and(|l| l.term == write.term && now < l.asked + LEASE_MS);
-        if node.incarnation != incarnation || !leased {
-            return;
+        if node.incarnation == incarnation
+            && let Some(confirmation) = node.confirmations.get_mut(&commit.service)
+            && *confirmation.target() == target
+        {
+            confirmation.record_answer(answer.as_ref());
         }
+        self.schedule_after(RETRY_MS, Event::CommitAck(number, incarnation, commit));
+    }
+
+    /// A node passes a commit on to its client; no later primary may lack it.
+    fn pass_on_commit(&mut self, number: usize, commit: Commit) {
+        let Commit { service, write, position } = commit;
+        let now = self.now;
+        let node = &mut self.nodes[number];
         let highest = node.highest.entry(service.clone()).or_insert(position);
         *highest = position.max(*highest);
         self.report.acknowledged_commits += 1;
--- a/src/simulation/world.rs
+++ b/src/simulation/world.rs
@@ -148,6 +148,7 @@
             leases: BTreeMap::new(),
             revoked: BTreeMap::new(),
             highest: BTreeMap::new(),
+            confirmations: BTreeMap::new(),
         });
         self.schedule_at(500 + number as u64, Event::NodeTurn(number, 1));
     }
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -1,9 +1,10 @@
 //! What programs of one version say to each other and keep on disk, pinned to the byte. Rust's names
 //! may change; what is in the two files of `tests/data` may not, nor the names listed here.
 //!
-//! Both files were written by the program of commit e679ba0: the frames by `encode` of `frames()`,
+//! Two files were written by the program of commit e679ba0: the frames by `encode` of `frames()`,
 //! one behind the other; the state by `RaftStorage::open_or_initialize` of `kept()`, put into SQL by
-//! `dump`.
+//! `dump`. What frame layout 3 added was written by the program that introduced it, by `encode` of
+//! `frames_of_layout_3()`.
 use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
 use serde_bytes::ByteBuf;
 use sha2::{Digest as _, Sha256};
@@ -14,14 +15,16 @@
 use silvertack::config::directory::{DirectoryEntry, Instance, Lifecycle, Role};
 use silvertack::config::route_table::{DeltaRun, RouteTable};
 use silvertack::net::rpc::pooler_messages::{
-    LeaseGrant, ObservedPosition, PositionBound, PrimaryStatus, SubsetRange, SuspicionReason,
-    ToController, ToPooler,
+    Handover, LeaseGrant, ObservedPosition, PositionBound, PrimaryStatus, SubsetRange,
+    SuspicionReason, ToController, ToPooler,
 };
 use silvertack::net::rpc::raft_messages::{
     EntryPayload, JoinResponse, LogEntry, LogPosition, Member, RaftMessage, RaftMessageKind,
     Snapshot,
 };
-use silvertack::net::rpc::{Frame, ReceivedFrame, encode, pack, receive_with_layout, unpack};
+use silvertack::net::rpc::{
+    Frame, LAYOUT, ReceivedFrame, encode, pack, receive_with_layout, unpack,
+};
 use silvertack::raft::state::PersistentState;
 use silvertack::raft::storage::{InitializedStorage, OpenedStorage, RaftStorage};
 use silvertack::state_machine::{Command, CommandOutcome, StateMachine, read_persistent_state};
@@ -31,6 +34,7 @@
 use std::path::{Path, PathBuf};
 
 const FRAMES: &[u8] = include_bytes!("data/frames-e679ba0.bin");
+const FRAMES_OF_LAYOUT_3: &[u8] = include_bytes!("data/frames-layout-3.bin");
 const STATE: &str = include_str!("data/state-e679ba0.sql");
 
 fn at(text: &str) -> SocketAddr {
@@ -252,6 +256,30 @@
         .collect()
 }
 
+/// What layout 3 added: the handover of a service.
+fn frames_of_layout_3() -> Vec<Frame> {
+    let handover = Handover { number: 151 << 20, term: DbTerm(152), target: "i2".into() };
+    let status = PrimaryStatus::HandingOver { primary: "i1".into(), handover: handover.clone() };
+    let granted = ToPooler::LeaseGrants {
+        seq: 153,
+        lease_ms: 154,
+        complete: false,
+        grants: vec![grant("s", status, 155)],
+        position_bounds: Vec::new(),
+        subset_ranges: Vec::new(),
+    };
+    let acknowledged = |highest| {
+        let (service, handover) = ("s".into(), 156);
+        Frame::Pooler(ToController::HandOverAck { service, handover, highest })
+    };
+    vec![
+        Frame::Controller(ToPooler::HandOver { service: "s".into(), handover }),
+        Frame::Controller(granted),
+        acknowledged(None),
+        acknowledged(Some(position(157, 158))),
+    ]
+}
+
 /// Whether two frames hold the same, field by field. No `_` and no `..`: what is new has to be here.
 fn same(a: &Frame, b: &Frame) -> bool {
     match (a, b) {
@@ -348,12 +376,17 @@
         (RevokeAck { service, term, highest }, RevokeAck { service: s, term: t, highest: h }) => {
             (service, term, highest) == (s, t, h)
         }
+        (
+            HandOverAck { service, handover, highest },
+            HandOverAck { service: s, handover: n, highest: h },
+        ) => (service, handover, highest) == (s, n, h),
         (RequestFullTable, RequestFullTable) | (Goodbye, Goodbye) => true,
         (
             Hello { .. }
             | RenewLeases { .. }
             | Suspect { .. }
             | RevokeAck { .. }
+            | HandOverAck { .. }
             | RequestFullTable
             | Goodbye,
             _,
@@ -391,6 +424,10 @@
             },
         ) => (seq, lease_ms, whole, grants, fresh, subset_ranges) == (s, l, w, g, f, p),
         (Revoke { service, term }, Revoke { service: s, term: t }) => (service, term) == (s, t),
+        (
+            HandOver { service, handover: Handover { number, term, target } },
+            HandOver { service: s, handover: Handover { number: n, term: t, target: to } },
+        ) => (service, number, term, target) == (s, n, t, to),
         (RenewNow, RenewNow) => true,
         (
             NotLeader(_)
@@ -401,6 +438,7 @@
             | DirectoryDelta { .. }
             | LeaseGrants { .. }
             | Revoke { .. }
+            | HandOver { .. }
             | RenewNow,
             _,
         ) => false,
@@ -420,6 +458,7 @@
         },
         match standing {
             PrimaryStatus::Active { term: _, primary: _ } => "Led",
+            PrimaryStatus::HandingOver { primary: _, handover: _ } => "HandingOver",
             PrimaryStatus::Sealed(_) => "Sealed",
             PrimaryStatus::Absent => "Unled",
         },
@@ -503,27 +542,40 @@
     assert!(lacking.is_empty() && new.is_empty(), "lacking {lacking:?}, new {new:?}");
 }
 
+/// The frame as a program that reads this layout writes it: the last byte says so, and nothing else.
+fn encode_as_of(layout: u8, frame: &Frame) -> Vec<u8> {
+    let mut bytes = encode(frame).to_vec();
+    assert_eq!(bytes.last(), Some(&LAYOUT), "{frame:?}");
+    bytes.splice(bytes.len() - 1.., [layout]);
+    bytes
+}
+
 #[test]
 fn every_frame_is_read_and_written_as_ever() {
-    let mut rest = FRAMES;
-    let mut read = Vec::new();
-    while !rest.is_empty() {
-        let start = rest;
-        let ReceivedFrame { frame, sender_layout: layout } =
-            receive_with_layout(&mut rest).expect("a frame");
-        assert_eq!(layout, 2);
-        read.push((frame, &start[..start.len() - rest.len()]));
-    }
-    let made = frames();
-    assert_eq!(read.len(), made.len());
-    for ((frame, bytes), made) in read.iter().zip(&made) {
-        assert!(same(frame, made), "{frame:?} is not {made:?}");
-        assert_eq!(&encode(frame)[..], *bytes, "written again: {frame:?}");
-        assert_eq!(&encode(made)[..], *bytes, "made: {made:?}");
+    // (a file, the layout that its writer read, its frames, the layouts that some ask for). Only parts
+    // ask for more than the first layout, and what a handover brought.
+    let files = [
+        (FRAMES, 2, frames(), vec![2, 2]),
+        (FRAMES_OF_LAYOUT_3, 3, frames_of_layout_3(), vec![3, 3, 3, 3]),
+    ];
+    for (mut rest, layout, made, asked) in files {
+        let mut read = Vec::new();
+        while !rest.is_empty() {
+            let start = rest;
+            let ReceivedFrame { frame, sender_layout } =
+                receive_with_layout(&mut rest).expect("a frame");
+            assert_eq!(sender_layout, layout);
+            read.push((frame, &start[..start.len() - rest.len()]));
+        }
+        assert_eq!(read.len(), made.len());
+        for ((frame, bytes), made) in read.iter().zip(&made) {
+            assert!(same(frame, made), "{frame:?} is not {made:?}");
+            assert_eq!(encode_as_of(layout, frame), *bytes, "written again: {frame:?}");
+            assert_eq!(encode_as_of(layout, made), *bytes, "made: {made:?}");
+        }
+        let asking: Vec<u8> = read.iter().map(|(_, bytes)| bytes[0]).filter(|l| *l != 0).collect();
+        assert_eq!(asking, asked);
     }
-    // Only parts ask for more than the first layout.
-    let asking: Vec<u8> = read.iter().map(|(_, bytes)| bytes[0]).filter(|l| *l != 0).collect();
-    assert_eq!(asking, [2, 2]);
 }
 
 const FRAME_NAMES: &str = "Raft
@@ -570,10 +622,25 @@
     Steward Revoke
     Steward Renew";
 
+const FRAME_NAMES_OF_LAYOUT_3: &str = "Stile
+    Stile HandOverAck
+    Steward
+    Steward HandOver
+    Steward Granted
+    Steward Granted HandingOver";
+
 #[test]
 fn the_names_in_frames_are_these() {
-    let now: Vec<u8> = frames().iter().flat_map(|frame| encode(frame).to_vec()).collect();
-    for file in [FRAMES, &now] {
+    let written = |frames: Vec<Frame>| -> Vec<u8> {
+        frames.iter().flat_map(|frame| encode(frame).to_vec()).collect()
+    };
+    let (first, added) = (written(frames()), written(frames_of_layout_3()));
+    for (file, names) in [
+        (FRAMES, FRAME_NAMES),
+        (&first, FRAME_NAMES),
+        (FRAMES_OF_LAYOUT_3, FRAME_NAMES_OF_LAYOUT_3),
+        (&added, FRAME_NAMES_OF_LAYOUT_3),
+    ] {
         let (mut rest, mut found) = (file, BTreeSet::new());
         while !rest.is_empty() {
             let length = u32::from_be_bytes([0, rest[1], rest[2], rest[3]]) as usize;
@@ -581,7 +648,7 @@
             found.extend(Names::of(&rest[4..3 + length]));
             rest = &rest[4 + length..];
         }
-        assert_names(found, FRAME_NAMES);
+        assert_names(found, names);
     }
     let led = PrimaryStatus::Active { term: DbTerm(1), primary: "i".into() };
     let first = inner(
--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -9,10 +9,11 @@
     ServiceSnapshot,
 };
 use silvertack::leases::lease_table::{CoverageRule, LEASE_MS, LeaseTable};
+use silvertack::leases::passed_on::{PassedOn, UnreportedCommits};
 use silvertack::leases::watermarks::{ReplicationWatermarks, Watermark};
 use silvertack::net::rpc::pack;
 use silvertack::net::rpc::pooler_messages::{
-    LeaseGrant, ObservedPosition, PrimaryStatus, SuspicionReason,
+    Handover, LeaseGrant, ObservedPosition, PrimaryStatus, SuspicionReason,
 };
 use silvertack::net::statement_protocol::ServerDescription;
 use silvertack::state_machine::{Command, CommandOutcome, PrimaryRecord, StateMachine};
@@ -32,7 +33,15 @@
         database_role: role,
     }
 }
-/// A service with primary `a` in term 1 and replicas `b` and `c`.
+/// What poolers reported: nothing yet, or the furthest commit of all.
+fn passed_on(reported: Option<Option<Position>>) -> PassedOn {
+    reported.map_or_else(PassedOn::default, |reported| PassedOn {
+        reported,
+        unreported: UnreportedCommits::Nothing,
+    })
+}
+/// A service with primary `a` in term 1 and replicas `b` and `c`. No lease is in use; how far poolers
+/// passed on commits is not known.
 fn snapshot() -> ServiceSnapshot {
     let replica = database(Lifecycle::Available, Role::Replica, "v1");
     ServiceSnapshot {
@@ -47,8 +56,9 @@
         alive: BTreeSet::from(["a".into(), "b".into(), "c".into()]),
         departed: BTreeMap::new(),
         sync_replicas: 1,
-        leases_expired: false,
-        released_up_to: None,
+        leases_expired: true,
+        all_confirm: false,
+        passed_on: PassedOn::default(),
     }
 }
 fn row(primary: bool, term: u64, received: Position) -> DatabaseResponse {
@@ -182,6 +192,8 @@
         s.handle_heartbeat(&snapshot, &"c".into(), Role::Primary, now.plus(300)),
         [ask("c", DatabaseRequest::Describe)]
     );
+    // The primary is recorded only once no lease is in use, whatever held when it was chosen.
+    snapshot.leases_expired = false;
     let actions = s.handle_response(
         &snapshot,
         s.attempt,
@@ -327,7 +339,7 @@
         let actions = s.tick(&snapshot, now.plus(40));
         if reached {
             // Slow is not dark: the change is planned, and the primary serves meanwhile.
-            assert_eq!(actions, [ask("c", PAUSE)]);
+            assert_eq!(actions, [hand_over(&s, "b"), ask("c", PAUSE)]);
             assert!(!s.revoking);
             let actions = s.tick(&snapshot, now.plus(700));
             assert_eq!(
@@ -368,8 +380,9 @@
         )
         .len()
     };
-    // at, the answer took, deeds: quick, slow once, quick, slow once, slow again, slow once more
-    let table = [(0, 20, 0), (500, 400, 0), (1_500, 20, 0), (4_000, 400, 0), (5_000, 400, 1)];
+    // at, the answer took, deeds: quick, slow once, quick, slow once, slow again, when the poolers are
+    // told and the other replica is paused
+    let table = [(0, 20, 0), (500, 400, 0), (1_500, 20, 0), (4_000, 400, 0), (5_000, 400, 2)];
     for (at, took, actions) in table {
         assert_eq!(look(at, took), actions, "at {at}");
     }
@@ -418,7 +431,7 @@
             &fine,
             now.plus(at_ms + 410),
         );
-        let planned = matches!(&s.state, FailoverState::Fencing(f) if f.planned.is_some());
+        let planned = matches!(&s.state, FailoverState::HandingOver(_));
         assert_eq!(planned, left, "{poolers} {times} {apart}: {doubted:?} {actions:?}");
         assert!(!s.revoking);
     }
@@ -477,18 +490,18 @@
         (None, 0, false),
         (Some(Some(at(7))), 0, true),
     ];
-    for (released_up_to, sync_replicas, may) in table {
+    for (reported, sync_replicas, may) in table {
         let snapshot = ServiceSnapshot { sync_replicas, ..snapshot() };
         let mut s = fencing(&snapshot, now);
         let mut actions =
             s.handle_response(&snapshot, s.attempt, &"b".into(), PAUSE, &row(false, 1, at(7)), now);
-        let snapshot = ServiceSnapshot { released_up_to, ..snapshot };
+        let snapshot = ServiceSnapshot { passed_on: passed_on(reported), ..snapshot };
         if actions.is_empty() {
             assert!(s.tick(&snapshot, now.plus(20)).is_empty(), "the other may still answer");
             actions = s.tick(&snapshot, now.plus(320));
         }
         let expected = if may { vec![propose_intent("b")] } else { Vec::new() };
-        assert_eq!(actions, expected, "{released_up_to:?}, sync {sync_replicas}");
+        assert_eq!(actions, expected, "{reported:?}, sync {sync_replicas}");
         if !may {
             let again = s.tick(&snapshot, now.plus(500));
             assert!(again.contains(&ask("c", PAUSE)), "the missing one is asked again");
@@ -500,10 +513,10 @@
 fn one_that_is_about_to_end_takes_over_only_if_nobody_else_can() {
     let now = Tick(50_000);
     // what the available one has, what was passed on, who takes over
-    for (other, passed_on, target) in [(9, 9, "c"), (8, 8, "c"), (8, 9, "b"), (7, 8, "b")] {
+    for (other, reported, target) in [(9, 9, "c"), (8, 8, "c"), (8, 9, "b"), (7, 8, "b")] {
         let mut snapshot = snapshot();
         snapshot.databases[1].1.lifecycle_state = Lifecycle::Draining;
-        snapshot.released_up_to = Some(Some(at(passed_on)));
+        snapshot.passed_on = passed_on(Some(Some(at(reported))));
         let mut s = fencing(&snapshot, now);
         assert!(
             s.handle_response(&snapshot, s.attempt, &"b".into(), PAUSE, &row(false, 1, at(9)), now)
@@ -520,7 +533,7 @@
         if actions.is_empty() {
             actions = s.tick(&snapshot, now.plus(320));
         }
-        assert_eq!(actions, [propose_intent(target)], "{other} {passed_on}");
+        assert_eq!(actions, [propose_intent(target)], "{other} {reported}");
     }
     // A target that left is settled by the refusal, and the call is made again at once.
     let mut snapshot = snapshot();
@@ -649,17 +662,18 @@
     let actions = s.tick(&snapshot, now);
     assert_eq!(
         actions,
-        [ask("b", PAUSE), ask("c", PAUSE)],
+        [hand_over(&s, "d"), ask("b", PAUSE), ask("c", PAUSE)],
         "the newest revision is left to receive"
     );
     assert!(!s.revoking, "leases go on: every further commit is on the target");
-    assert!(
-        s.handle_response(&snapshot, s.attempt, &"b".into(), PAUSE, &row(false, 1, at(7)), now)
-            .is_empty()
-    );
-    let actions =
-        s.handle_response(&snapshot, s.attempt, &"c".into(), PAUSE, &row(false, 1, at(9)), now);
-    assert_eq!(actions, [ask("d", DatabaseRequest::Describe)]);
+    for (id, number) in [("b", 7), ("c", 9)] {
+        let answer = row(false, 1, at(number));
+        let actions = s.handle_response(&snapshot, s.attempt, &id.into(), PAUSE, &answer, now);
+        assert_eq!(actions, [], "{id}");
+    }
+    snapshot.all_confirm = true;
+    snapshot.passed_on = passed_on(Some(Some(at(9))));
+    assert_eq!(s.tick(&snapshot, now), [ask("d", DatabaseRequest::Describe)]);
     assert!(
         s.handle_response(
             &snapshot,
@@ -684,6 +698,7 @@
     assert_eq!(actions, [propose_intent("d")]);
     commit_intent(&mut snapshot, "d");
     s.tick(&snapshot, now.plus(140));
+    snapshot.leases_expired = false;
     let actions = s.handle_response(
         &snapshot,
         s.attempt,
@@ -696,7 +711,9 @@
         actions,
         [FailoverAction::RevokeLeases(DbTerm(1)), ask("a", DatabaseRequest::StepDown(DbTerm(2)))]
     );
+    assert_eq!(s.lease_status().handover, s.handover, "until they are revoked");
     // A target that never catches up: everything is let go.
+    snapshot.all_confirm = false;
     snapshot.primary_record =
         snapshot.primary_record.take().map(|lead| PrimaryRecord { intent: None, ..lead });
     let mut s = begin_steady(&snapshot, now);
@@ -745,6 +762,11 @@
     );
 }
 
+/// What the book knows of commits of term 1.
+fn told(book: &LeaseTable, seen: Option<Watermark>, rule: CoverageRule, now: Tick) -> PassedOn {
+    book.passed_on(&"s".into(), DbTerm(1), None, seen, rule, now)
+}
+
 #[test]
 fn leases_are_gone_only_when_no_pooler_can_use_one() {
     let (n1, n2, s) = (NodeName::from("n1"), NodeName::from("n2"), ServiceName::from("s"));
@@ -763,8 +785,8 @@
     book.acknowledge_revocation(&n1, &s, DbTerm(1), Some(at(5)));
     assert!(!book.all_released(&s, DbTerm(1), now.plus(10)));
     assert_eq!(
-        book.released_up_to(&s, DbTerm(1), None, CoverageRule::WatermarkOrTimeout, now),
-        None,
+        told(&book, None, CoverageRule::WatermarkOrTimeout, now),
+        PassedOn { reported: Some(at(5)), unreported: UnreportedCommits::Unknown },
         "one has not said"
     );
     // A pooler that is lost keeps its lease until it runs out, and what it passed on is not known.
@@ -772,19 +794,13 @@
     assert!(!book.all_released(&s, DbTerm(1), now.plus(LEASE_MS)));
     assert!(book.all_released(&s, DbTerm(1), now.plus(LEASE_MS + 100)));
     assert_eq!(
-        book.released_up_to(
-            &s,
-            DbTerm(1),
-            None,
-            CoverageRule::WatermarkOrTimeout,
-            now.plus(LEASE_MS + 100)
-        ),
-        None
+        told(&book, None, CoverageRule::WatermarkOrTimeout, now.plus(LEASE_MS + 100)),
+        PassedOn { reported: Some(at(5)), unreported: UnreportedCommits::Unknown }
     );
     book.acknowledge_revocation(&n2, &s, DbTerm(1), Some(at(8)));
     assert_eq!(
-        book.released_up_to(&s, DbTerm(1), None, CoverageRule::WatermarkOrTimeout, now),
-        Some(Some(at(8)))
+        told(&book, None, CoverageRule::WatermarkOrTimeout, now),
+        passed_on(Some(Some(at(8))))
     );
     assert!(book.all_released(&s, DbTerm(1), now.plus(30)), "given back is gone at once");
 }
@@ -796,7 +812,8 @@
     let late = now.plus(30_000);
     let end = LEASE_MS + 50;
     let watermark = |as_of, number| Some(Watermark { as_of, position: at(number) });
-    // (what became of the second pooler, what was seen when, the furthest position that is certain)
+    // (what became of the second pooler, what was seen when, the furthest position that is certain:
+    // the first one reported 5)
     let cases = [
         ("there", None, None),
         ("lost", None, None),
@@ -828,8 +845,15 @@
             "gave back" => book.acknowledge_revocation(&"n2".into(), &s, DbTerm(1), Some(at(8))),
             _ => {}
         }
-        let told = book.released_up_to(&s, DbTerm(1), seen, CoverageRule::Watermark, late);
-        assert_eq!(told, certain, "{what}, {seen:?}");
+        let told = told(&book, seen, CoverageRule::Watermark, late);
+        let known = match told.unreported {
+            UnreportedCommits::Unknown => None,
+            UnreportedCommits::Nothing => Some(told.reported),
+            UnreportedCommits::UpTo(position) => Some(told.reported.max(Some(position))),
+        };
+        assert_eq!(known, certain, "{what}, {seen:?}");
+        let reported = if what == "gave back" { 8 } else { 5 };
+        assert_eq!(told.reported, Some(at(reported)), "{what}, {seen:?}");
     }
 }
 
@@ -839,17 +863,17 @@
     let now = Tick(100_000);
     let mut book = LeaseTable::new(Tick(0));
     book.register(&node, 1, 10, now);
-    let told = grant(&s, Some(1), 8);
-    assert_eq!(granted(&mut book, &node, told.clone(), now), Some(told.clone()));
-    assert_eq!(granted(&mut book, &node, told.clone(), now), None, "nothing changed");
+    let full = grant(&s, Some(1), 8);
+    assert_eq!(granted(&mut book, &node, full.clone(), now), Some(full.clone()));
+    assert_eq!(granted(&mut book, &node, full.clone(), now), None, "nothing changed");
     book.acknowledge_revocation(&node, &s, DbTerm(1), None);
     assert!(book.all_released(&s, DbTerm(1), now.plus(10)));
     // The pooler dropped it, so it has to be told in full again.
-    assert_eq!(granted(&mut book, &node, told.clone(), now.plus(20)), Some(told));
+    assert_eq!(granted(&mut book, &node, full.clone(), now.plus(20)), Some(full));
     assert!(!book.all_released(&s, DbTerm(1), now.plus(30)));
     assert_eq!(
-        book.released_up_to(&s, DbTerm(1), None, CoverageRule::WatermarkOrTimeout, now.plus(30)),
-        None
+        told(&book, None, CoverageRule::WatermarkOrTimeout, now.plus(30)),
+        PassedOn::default()
     );
 }
 
@@ -1169,49 +1193,148 @@
 fn planned(snapshot: &mut ServiceSnapshot, now: Tick) -> Failover {
     snapshot.databases[0].1.lifecycle_state = Lifecycle::Draining;
     let mut s = begin_steady(snapshot, now);
-    assert_eq!(s.tick(snapshot, now), [ask("c", PAUSE)]);
+    assert_eq!(s.tick(snapshot, now), [hand_over(&s, "b"), ask("c", PAUSE)]);
     s
 }
+/// The poolers are told that the service goes to `target`.
+fn hand_over(s: &Failover, target: &str) -> FailoverAction {
+    let (number, target) = (s.attempt.fencing_token(), target.into());
+    FailoverAction::HandOver(Handover { number, term: DbTerm(1), target })
+}
+/// All poolers confirm their commits at `b`, which is asked how far it is; and the primary, if that is
+/// needed to know what was passed on before.
+fn all_confirm(s: &mut Failover, snapshot: &mut ServiceSnapshot, primary: bool, now: Tick) {
+    assert_eq!(s.tick(snapshot, now), [], "not before all confirm");
+    snapshot.all_confirm = true;
+    let asked: &[&str] = if primary { &["b", "a"] } else { &["b"] };
+    let asked: Vec<_> = asked.iter().map(|id| ask(id, DatabaseRequest::Describe)).collect();
+    assert_eq!(s.tick(snapshot, now), asked);
+}
 
 #[test]
 fn a_planned_change_goes_on_only_if_the_target_has_every_commit() {
     let now = Tick(50_000);
-    // (synchronous replicas, what poolers passed on if all said it, what the paused `c` has if it
-    // answered, what the target has, whether it takes over)
+    // (synchronous replicas, what poolers passed on if all said it, how far the primary is if it was
+    // asked since, what the target has, whether it takes over). Whether `c` is paused says nothing.
     let table = [
-        (1, None, Some(7), 9, true),
+        (1, None, None, 9, false),
         (1, None, Some(9), 9, true),
         (1, None, Some(9), 8, false),
-        (1, None, None, 9, false),
         (1, Some(Some(at(9))), None, 9, true),
         (1, Some(Some(at(9))), None, 8, false),
         (1, Some(None), None, 0, true),
-        (0, None, Some(7), 9, false),
-        (0, Some(Some(at(9))), Some(7), 9, true),
-        (0, Some(Some(at(9))), Some(7), 8, false),
-        (0, Some(Some(at(7))), Some(9), 8, false),
-        (0, Some(None), Some(7), 7, true),
+        (0, None, None, 9, false),
+        (0, None, Some(9), 9, true),
+        (0, None, Some(9), 8, false),
+        (0, Some(Some(at(9))), None, 9, true),
+        (0, Some(Some(at(9))), None, 8, false),
+        (0, Some(None), None, 7, true),
     ];
-    for (sync_replicas, released_up_to, paused, target, goes_on) in table {
-        let mut snapshot = ServiceSnapshot { sync_replicas, ..snapshot() };
-        let mut s = planned(&mut snapshot, now);
-        snapshot.released_up_to = released_up_to;
-        if let Some(number) = paused {
-            let answer = row(false, 1, at(number));
-            let actions = s.handle_response(&snapshot, s.attempt, &"c".into(), PAUSE, &answer, now);
-            assert_eq!(actions, [ask("b", DatabaseRequest::Describe)], "the target is asked last");
+    for (sync_replicas, reported, primary, target, goes_on) in table {
+        for paused in [None, Some(7), Some(9)] {
+            let mut snapshot = ServiceSnapshot { sync_replicas, ..snapshot() };
+            snapshot.passed_on = passed_on(reported);
+            let mut s = planned(&mut snapshot, now);
+            if let Some(number) = paused {
+                let answer = row(false, 1, at(number));
+                let actions =
+                    s.handle_response(&snapshot, s.attempt, &"c".into(), PAUSE, &answer, now);
+                assert_eq!(actions, []);
+            }
+            all_confirm(&mut s, &mut snapshot, reported.is_none(), now);
+            let describe = DatabaseRequest::Describe;
+            let mut actions = Vec::new();
+            if let Some(number) = primary {
+                let answer = row(true, 1, at(number));
+                actions =
+                    s.handle_response(&snapshot, s.attempt, &"a".into(), describe, &answer, now);
+            }
+            assert_eq!(actions, [], "the target has not answered");
+            let answer = row(false, 1, at(target));
+            let actions =
+                s.handle_response(&snapshot, s.attempt, &"b".into(), describe, &answer, now);
+            let expected = if goes_on { vec![propose_intent("b")] } else { Vec::new() };
+            assert_eq!(actions, expected, "{sync_replicas} {reported:?} {primary:?} {target}");
         }
-        let answer = row(false, 1, at(target));
-        let actions = s.handle_response(
-            &snapshot,
-            s.attempt,
-            &"b".into(),
-            DatabaseRequest::Describe,
-            &answer,
-            now,
-        );
-        let expected = if goes_on { vec![propose_intent("b")] } else { Vec::new() };
-        assert_eq!(actions, expected, "{sync_replicas} {released_up_to:?} {paused:?} {target}");
+    }
+}
+
+/// Guards against a promotion that rests on an answer from before the poolers confirmed: commits that
+/// were passed on since would be missing at the target.
+#[test]
+fn positions_from_before_all_poolers_confirm_choose_nobody() {
+    let (mut snapshot, now) = (snapshot(), Tick(50_000));
+    let describe = DatabaseRequest::Describe;
+    let mut s = planned(&mut snapshot, now);
+    let before = s.attempt;
+    // The primary was asked for another reason; it and the target answer before and after.
+    let doubt = SuspicionReason::ConnectionsBroken;
+    let asked = s.report_suspicion(&snapshot, &"n1".into(), &"a".into(), doubt, now);
+    assert_eq!(asked, [ask("a", describe)]);
+    for (id, leads) in [("a", true), ("b", false)] {
+        let answer = row(leads, 1, at(7));
+        assert_eq!(s.handle_response(&snapshot, before, &id.into(), describe, &answer, now), []);
+    }
+    all_confirm(&mut s, &mut snapshot, true, now);
+    let late = row(true, 1, at(7));
+    assert_eq!(s.handle_response(&snapshot, before, &"a".into(), describe, &late, now), []);
+    assert_eq!(s.tick(&snapshot, now.plus(10)), []);
+    // Until it has answered it is asked again.
+    assert_eq!(s.tick(&snapshot, now.plus(110)), [ask("b", describe), ask("a", describe)]);
+    for (id, leads, number, chosen) in
+        [("a", true, 9, false), ("b", false, 8, false), ("b", false, 9, true)]
+    {
+        let answer = row(leads, 1, at(number));
+        let actions =
+            s.handle_response(&snapshot, s.attempt, &id.into(), describe, &answer, now.plus(120));
+        assert_eq!(!actions.is_empty(), chosen, "{id} {number}");
+    }
+}
+
+/// Guards against a promotion while a pooler may still pass on a commit that no replica was asked for:
+/// with a lease in use, no answer of a replica is the last word.
+#[test]
+fn a_lost_primary_is_followed_only_once_every_lease_is_over() {
+    let now = Tick(50_000);
+    // (what poolers passed on if all said it, whether the replicas are asked again, who has what
+    // then, who takes over)
+    let table = [
+        (Some(Some(at(9))), false, [7, 9], Some("c")),
+        (Some(Some(at(7))), false, [7, 9], Some("c")),
+        // They say more than any replica had when it was asked: one may have received it since.
+        (Some(Some(at(10))), true, [7, 9], None),
+        (Some(Some(at(10))), true, [10, 9], Some("b")),
+        (None, true, [7, 9], Some("c")),
+        (None, true, [11, 9], Some("b")),
+    ];
+    for (reported, again, has, target) in table {
+        let mut snapshot = ServiceSnapshot { leases_expired: false, ..snapshot() };
+        let mut s = fencing(&snapshot, now);
+        let first = s.attempt;
+        let answer = |s: &mut Failover, snapshot: &ServiceSnapshot, attempt, id: &str, n| {
+            s.handle_response(snapshot, attempt, &id.into(), PAUSE, &row(false, 1, at(n)), now)
+        };
+        for (id, number) in [("b", 7), ("c", 9)] {
+            assert_eq!(answer(&mut s, &snapshot, first, id, number), [], "a lease is in use");
+        }
+        assert_eq!(s.tick(&snapshot, now.plus(350)), [], "a lease is in use");
+        snapshot.leases_expired = true;
+        snapshot.passed_on = passed_on(reported);
+        let mut actions = s.tick(&snapshot, now.plus(360));
+        if again {
+            assert_eq!(actions, [ask("b", PAUSE), ask("c", PAUSE)], "{reported:?}");
+            assert_eq!(answer(&mut s, &snapshot, first, "b", 9), [], "of before");
+            assert_eq!(answer(&mut s, &snapshot, first, "c", 9), [], "of before");
+            let now = s.attempt;
+            actions = answer(&mut s, &snapshot, now, "b", has[0]);
+            // Where the poolers can't tell, `c` is to answer too.
+            assert!(actions.is_empty() || reported.is_some(), "{actions:?}");
+            if actions.is_empty() {
+                actions = answer(&mut s, &snapshot, now, "c", has[1]);
+            }
+        }
+        let expected: Vec<_> = target.map(propose_intent).into_iter().collect();
+        assert_eq!(actions, expected, "{reported:?} {has:?}");
     }
 }
 
@@ -1239,8 +1362,12 @@
         }
         let mut s = begin_steady(&snapshot, now);
         let actions = s.tick(&snapshot, now);
-        let paused = target.map(|target| ask(if target == "b" { "c" } else { "b" }, PAUSE));
-        assert_eq!(actions, paused.into_iter().collect::<Vec<_>>(), "{b:?} {c:?}");
+        let planned = target.map(|target| {
+            let other = if target == "b" { "c" } else { "b" };
+            [hand_over(&s, target), ask(other, PAUSE)]
+        });
+        let expected: Vec<_> = planned.into_iter().flatten().collect();
+        assert_eq!(actions, expected, "{b:?} {c:?}");
     }
 }
 
@@ -1248,19 +1375,14 @@
 fn a_planned_change_that_is_called_off_resumes_all_and_backs_off() {
     let (mut snapshot, now) = (snapshot(), Tick(50_000));
     let mut s = planned(&mut snapshot, now);
-    // With a replica that does not answer its pause the leases are taken back: the poolers' word
-    // may do instead.
-    assert_eq!(s.tick(&snapshot, now.plus(550)), []);
-    assert_eq!(
-        s.tick(&snapshot, now.plus(650)),
-        [FailoverAction::RevokeLeases(DbTerm(1))],
-        "`c` does not answer"
-    );
-    assert!(s.revoking);
-    assert_eq!(s.tick(&snapshot, now.plus(3_000)), []);
+    // With a pooler that does not confirm the primary serves on.
+    for after in [550, 650, 3_000] {
+        assert_eq!(s.tick(&snapshot, now.plus(after)), [], "after {after}");
+        assert!(!s.revoking && s.handover.is_some(), "after {after}");
+    }
     let now = now.plus(3_010);
     assert_eq!(s.tick(&snapshot, now), [ask("c", DatabaseRequest::Continue)]);
-    assert!(s.state == FailoverState::Steady && !s.revoking);
+    assert!(s.state == FailoverState::Steady && !s.revoking && s.handover.is_none());
     confirm_resumption(&mut s, &snapshot, now);
     s.handle_response(
         &snapshot,
@@ -1271,8 +1393,9 @@
         now,
     );
     for (after, again) in [(10, false), (1_000, false), (1_010, true)] {
-        let expected = if again { vec![ask("c", PAUSE)] } else { Vec::new() };
-        assert_eq!(s.tick(&snapshot, now.plus(after)), expected, "after {after}");
+        let actions = s.tick(&snapshot, now.plus(after));
+        let expected = if again { vec![hand_over(&s, "b"), ask("c", PAUSE)] } else { Vec::new() };
+        assert_eq!(actions, expected, "after {after}");
     }
 }
 
@@ -1459,6 +1582,7 @@
     ] {
         let mut snapshot = snapshot();
         let mut s = promoting(&mut snapshot, now);
+        snapshot.leases_expired = false;
         let response = row(leads, term, at(9));
         let actions = s.handle_response(
             &snapshot,
@@ -1479,7 +1603,8 @@
     // In a planned change leases are granted until the target leads, and none from then on.
     let mut snapshot = snapshot();
     let mut s = planned(&mut snapshot, now);
-    s.handle_response(&snapshot, s.attempt, &"c".into(), PAUSE, &row(false, 1, at(7)), now);
+    snapshot.passed_on = passed_on(Some(Some(at(7))));
+    all_confirm(&mut s, &mut snapshot, false, now);
     s.handle_response(
         &snapshot,
         s.attempt,
@@ -1529,7 +1654,7 @@
 fn what_is_sealed_is_the_furthest_that_any_paused_replica_has() {
     let (mut snapshot, now) = (snapshot(), Tick(50_000));
     snapshot.databases[1].1.lifecycle_state = Lifecycle::Draining;
-    snapshot.released_up_to = Some(Some(at(8)));
+    snapshot.passed_on = passed_on(Some(Some(at(8))));
     let mut s = fencing(&snapshot, now);
     s.handle_response(&snapshot, s.attempt, &"b".into(), PAUSE, &row(false, 1, at(9)), now);
     let actions =
--- a/tests/failover_replicas.rs
+++ b/tests/failover_replicas.rs
@@ -5,10 +5,11 @@
 use silvertack::config::directory::{Instance, Lifecycle, Role};
 use silvertack::failover::{
     Attempt, DatabaseRequest, DatabaseResponse, Failover, FailoverAction, FailoverState,
-    PromotionResponse, ServiceSnapshot,
+    LeaseStatus, PromotionResponse, ServiceSnapshot,
 };
+use silvertack::leases::passed_on::{PassedOn, UnreportedCommits};
 use silvertack::net::rpc::pack;
-use silvertack::net::rpc::pooler_messages::SuspicionReason;
+use silvertack::net::rpc::pooler_messages::{Handover, SuspicionReason};
 use silvertack::net::statement_protocol::ServerDescription;
 use silvertack::state_machine::{Command, CommandOutcome, PrimaryRecord, StateMachine};
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,7 +28,8 @@
         database_role: role,
     }
 }
-/// A service with primary `a` in term 1 and replicas `b` and `c`.
+/// A service with primary `a` in term 1 and replicas `b` and `c`. No lease is in use; how far poolers
+/// passed on commits is not known.
 fn snapshot() -> ServiceSnapshot {
     ServiceSnapshot {
         service: "s".into(),
@@ -41,8 +43,9 @@
         alive: BTreeSet::from(["a".into(), "b".into(), "c".into()]),
         departed: BTreeMap::new(),
         sync_replicas: 1,
-        leases_expired: false,
-        released_up_to: None,
+        leases_expired: true,
+        all_confirm: false,
+        passed_on: PassedOn::default(),
     }
 }
 fn row(primary: bool, received: Position) -> DatabaseResponse {
@@ -260,9 +263,13 @@
         (Some(8), None, 1, false),
         (Some(8), Some(Some(at(7))), 1, true),
     ];
-    for (paused, released_up_to, sync_replicas, may) in table {
+    for (paused, reported, sync_replicas, may) in table {
         let listed = ServiceSnapshot { sync_replicas, ..snapshot() };
-        let left = ServiceSnapshot { released_up_to, ..without_c(&listed) };
+        let passed_on = reported.map_or_else(PassedOn::default, |reported| PassedOn {
+            reported,
+            unreported: UnreportedCommits::Nothing,
+        });
+        let left = ServiceSnapshot { passed_on, ..without_c(&listed) };
         let mut s = begin_steady(&listed, now);
         let fence = |asked: &[&str]| asked.iter().map(|id| ask(id, PAUSE)).collect::<Vec<_>>();
         match paused {
@@ -277,7 +284,7 @@
             actions = s.tick(&left, now.plus(320));
         }
         let expected = if may { vec![propose_intent("b")] } else { Vec::new() };
-        assert_eq!(actions, expected, "{paused:?} {released_up_to:?} {sync_replicas}");
+        assert_eq!(actions, expected, "{paused:?} {reported:?} {sync_replicas}");
     }
 }
 
@@ -348,14 +355,14 @@
     let mut s = begin_steady(&left, now);
     assert_eq!(s.tick(&left, now.plus(100)), [], "with `c` gone");
     let covered = ServiceSnapshot { departed: BTreeMap::new(), ..left };
-    assert_eq!(s.tick(&covered, now.plus(200)), [ask("b", DatabaseRequest::Describe)]);
-    // One that left in the meantime, and one that came.
-    assert_eq!(
-        tell(&mut s.clone(), &without_c(&all), "b", DatabaseRequest::Describe, 9, now.plus(210)),
-        []
-    );
+    let actions = s.tick(&covered, now.plus(200));
+    assert!(matches!(actions[..], [FailoverAction::HandOver(_)]), "{actions:?}");
+    // One that comes in the meantime.
     assert_eq!(s.tick(&all, now.plus(220)), [ask("c", PAUSE)]);
     tell(&mut s, &all, "c", PAUSE, 9, now.plus(230));
+    all.all_confirm = true;
+    all.passed_on = PassedOn { reported: Some(at(9)), unreported: UnreportedCommits::Nothing };
+    assert_eq!(s.tick(&all, now.plus(235)), [ask("b", DatabaseRequest::Describe)]);
     assert_eq!(
         tell(&mut s, &all, "b", DatabaseRequest::Describe, 9, now.plus(240)),
         [propose_intent("b")]
@@ -408,7 +415,8 @@
         let expected: Vec<_> = expected.chain([FailoverAction::Promote("b".into())]).collect();
         assert_eq!(actions, expected, "{paused}");
     }
-    // Its call has taken effect already.
+    // Its call has taken effect already, and a lease on the old term is in use.
+    let snapshot = ServiceSnapshot { leases_expired: false, ..snapshot };
     let newer = DatabaseResponse::Description(ServerDescription {
         primary: true,
         term: DbTerm(2),
@@ -619,9 +627,20 @@
     }
 }
 
+/// What the one pooler may do, by what it has heard of the leader.
+#[derive(Clone, Debug, PartialEq)]
+enum Lease {
+    InUse,
+    /// It passes on only commits that the target has.
+    HandingOver(Handover),
+    Revoked,
+}
+
 enum Due {
+    Lease(Lease),
     DatabaseRequest(InstanceId, DatabaseRequest, Attempt),
     DatabaseResponse(InstanceId, DatabaseRequest, Attempt, DatabaseResponse),
+    Heartbeat(InstanceId),
     Promotion(InstanceId, Attempt),
     PromotionResponse(InstanceId, Attempt, PromotionResponse),
 }
@@ -634,8 +653,13 @@
     primary: InstanceId,
     term: u64,
     sync: usize,
-    /// Acknowledged commits, as (position in the log, term).
+    /// Commits that the pooler passed on, as (position in the log, term).
     acknowledged: BTreeSet<(usize, u64)>,
+    lease: Lease,
+    /// What it was last sent.
+    lease_sent: Lease,
+    /// Whether the leader hears what the pooler passed on; if not, its lease ends by itself.
+    reports: bool,
     state_machine: StateMachine,
     failover: Failover,
     raft_term: u64,
@@ -659,6 +683,9 @@
             term: 1,
             sync,
             acknowledged: BTreeSet::new(),
+            lease: Lease::InUse,
+            lease_sent: Lease::InUse,
+            reports: !seed.is_multiple_of(3),
             state_machine: StateMachine::default(),
             failover: Failover::begin(&snapshot, Tick(50_000)).0,
             raft_term: 1,
@@ -693,7 +720,8 @@
             Node {
                 log: Vec::new(),
                 alive: true,
-                fetching: self.now.plus(1_200),
+                // Some receive, and count, before the leader knows them.
+                fetching: self.now.plus(self.dice.below(2) * 600),
                 deaf: false,
                 dark: false,
                 paused: false,
@@ -704,7 +732,12 @@
             },
         );
         self.record(format!("{id} joins"));
-        self.heartbeat(&id);
+        if self.now == Tick(50_000) {
+            self.heartbeat(&id);
+        } else {
+            let first_heartbeat = self.now.plus(self.dice.below(3_000));
+            self.due.push((first_heartbeat, Due::Heartbeat(id)));
+        }
     }
     fn heartbeat(&mut self, id: &InstanceId) {
         let leads = *id == self.primary;
@@ -736,10 +769,46 @@
             departed: self.state_machine.departed_replicas(&"s".into()),
             alive: self.state_machine.instances().keys().filter(there).cloned().collect(),
             sync_replicas: self.sync as u32,
-            leases_expired: true,
+            leases_expired: self.lease == Lease::Revoked,
+            all_confirm: self.confirms(),
+            passed_on: self.passed_on(),
             ..snapshot()
         }
     }
+    /// Whether the pooler passes on nothing that the target of the handover under way lacks.
+    fn confirms(&self) -> bool {
+        match &self.lease {
+            Lease::InUse => false,
+            Lease::HandingOver(handover) => self.failover.handover.as_ref() == Some(handover),
+            Lease::Revoked => true,
+        }
+    }
+    fn passed_on(&self) -> PassedOn {
+        if !self.reports || !self.confirms() {
+            return PassedOn::default();
+        }
+        let last = self.acknowledged.last();
+        let reported =
+            last.map(|(place, term)| Position { term: DbTerm(*term), number: *place as u64 + 1 });
+        PassedOn { reported, unreported: UnreportedCommits::Nothing }
+    }
+    /// Has the pooler told what the leader now grants; it hears of it some time later.
+    fn grant_leases(&mut self) {
+        let granted = match self.failover.lease_status() {
+            LeaseStatus { revoking: true, .. } => Lease::Revoked,
+            LeaseStatus { handover: Some(handover), .. } => Lease::HandingOver(handover),
+            LeaseStatus { .. } => Lease::InUse,
+        };
+        if granted != self.lease_sent {
+            self.lease_sent = granted.clone();
+            // One that reports nothing is out of touch, and its lease ends by itself. What is sent on a
+            // connection arrives in the order in which it was sent.
+            let after = if self.reports { 1 + self.dice.below(30) } else { 1_000 };
+            let earlier = self.due.iter().filter(|(_, due)| matches!(due, Due::Lease(_)));
+            let at = earlier.map(|(at, _)| at.plus(1)).max().unwrap_or(self.now);
+            self.due.push((at.max(self.now.plus(after)), Due::Lease(granted)));
+        }
+    }
     fn elect_leader(&mut self) {
         self.raft_term += 1;
         self.record("another controller leads".into());
@@ -771,13 +840,20 @@
                     self.covered += usize::from(matches!(change, Command::ForgetDeparted { .. }));
                     self.state_machine.apply(&change);
                 }
-                FailoverAction::RevokeLeases(_) => {}
+                // See `grant_leases`.
+                FailoverAction::RevokeLeases(_) | FailoverAction::HandOver(_) => {}
             }
         }
+        self.grant_leases();
     }
     fn dispatch(&mut self, due: Due) {
         let now = self.now;
         match due {
+            Due::Lease(lease) => {
+                self.record(format!("the pooler hears {lease:?}"));
+                self.lease = lease;
+            }
+            Due::Heartbeat(id) => self.heartbeat(&id),
             Due::DatabaseRequest(id, ask, attempt) => {
                 let (leads, term) = (id == self.primary, DbTerm(self.term));
                 let node = self.nodes.get_mut(&id).expect("known");
@@ -864,6 +940,15 @@
         }
         reached.sort_unstable_by(|a, b| b.cmp(a));
         let upto = reached.get(self.sync - 1).copied().unwrap_or(0);
+        let upto = match &self.lease {
+            Lease::InUse => upto,
+            Lease::HandingOver(handover) => {
+                let target = &self.nodes[&handover.target];
+                let answers = target.alive && !target.dark && handover.target != self.primary;
+                if answers { upto.min(target.log.len()) } else { 0 }
+            }
+            Lease::Revoked => 0,
+        };
         // What was acknowledged before is not walked through again.
         let known = self.acknowledged.last().map_or(0, |(place, _)| place + 1);
         self.acknowledged.extend((known..upto).map(|place| (place, log[place])));
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,333 @@
+//! A pooler as a process, led by the test and with stand-in databases: what it passes on to clients
+//! while a service is handed over, and what it tells the leader before it ends.
+#[path = "support/processes.rs"]
+mod processes;
+mod support;
+
+use processes::{Folder, Process, eventually};
+use silvertack::base::ids::{DbTerm, Position, ServiceName};
+use silvertack::config::configuration::Configuration;
+use silvertack::config::directory::DirectoryEntry;
+use silvertack::config::route_table::RouteTable;
+use silvertack::net::rpc::pooler_messages::{
+    Handover, LeaseGrant, PrimaryStatus, ToController, ToPooler,
+};
+use silvertack::net::rpc::{Frame, receive, send};
+use silvertack::net::statement_protocol::ServerDescription;
+use silvertack::pooler::handover::{CommitConfirmation, CommitVerdict};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use support::{InjectedFault, StandIn, free_port};
+
+/// How long something is waited for that must not come.
+const NOTHING_MS: u64 = 300;
+
+const TERM: DbTerm = DbTerm(1);
+
+fn at(number: u64) -> Position {
+    Position { term: TERM, number }
+}
+fn handover(number: u64, target: &str) -> Handover {
+    Handover { number, term: TERM, target: target.into() }
+}
+
+#[test]
+fn a_commit_may_be_passed_on_once_the_target_is_known_to_have_it() {
+    let describe = |primary, term, number| {
+        let received = Position { term: DbTerm(term), number };
+        Some(ServerDescription { primary, term: DbTerm(term), received })
+    };
+    // (how the target described itself, the position of a commit, whether it may be passed on)
+    let cases = [
+        (None, Some(at(1)), false),
+        (describe(false, 1, 6), Some(at(7)), false),
+        (describe(false, 1, 7), Some(at(7)), true),
+        (describe(false, 1, 9), Some(at(7)), true),
+        (describe(false, 0, 9), Some(at(7)), false),
+        // A commit without a position can't be compared.
+        (describe(false, 1, 9), None, false),
+        // It leads a newer term: its positions are later than all of this one.
+        (describe(true, 2, 1), Some(at(7)), false),
+        (describe(false, 2, 1), Some(at(7)), false),
+    ];
+    for (description, position, may) in cases {
+        let mut confirmation = CommitConfirmation::new(handover(4, "i1"));
+        assert_eq!(confirmation.judge(TERM, Some(at(3))), CommitVerdict::AskTarget("i1".into()));
+        assert_eq!(confirmation.judge(TERM, Some(at(3))), CommitVerdict::AwaitAnswer);
+        confirmation.record_answer(description.as_ref());
+        let expected =
+            if may { CommitVerdict::PassOn } else { CommitVerdict::AskTarget("i1".into()) };
+        assert_eq!(confirmation.judge(TERM, position), expected, "{description:?} {position:?}");
+    }
+    // It is of its term and of those before; a later one has a lease of its own.
+    let mut confirmation = CommitConfirmation::new(handover(4, "i1"));
+    assert_eq!(confirmation.judge(DbTerm(2), Some(at(3))), CommitVerdict::PassOn);
+    assert_ne!(confirmation.judge(DbTerm(0), Some(at(3))), CommitVerdict::PassOn);
+    // What was once known stays known.
+    confirmation.record_answer(describe(false, 1, 7).as_ref());
+    confirmation.record_answer(describe(false, 1, 5).as_ref());
+    confirmation.record_answer(None);
+    assert_eq!(confirmation.judge(TERM, Some(at(7))), CommitVerdict::PassOn);
+}
+
+/// The leader of one pooler: it renews the lease in the test's words, and hands on all else that the
+/// pooler says.
+struct Leader {
+    stream: TcpStream,
+    status: Arc<Mutex<PrimaryStatus>>,
+    heard: Receiver<ToController>,
+}
+
+fn service() -> ServiceName {
+    "ledger".into()
+}
+fn led() -> PrimaryStatus {
+    PrimaryStatus::Active { term: TERM, primary: "i-ledger-0".into() }
+}
+
+impl Leader {
+    fn accept(listener: &TcpListener, databases: &StandIn) -> Self {
+        let (mut stream, _) = listener.accept().expect("the pooler");
+        let Ok(Frame::Pooler(ToController::Hello { .. })) = receive(&mut stream) else {
+            panic!("no hello");
+        };
+        let status = Arc::new(Mutex::new(led()));
+        let (sender, heard) = channel();
+        let (mut reader, granted) = (stream.try_clone().expect("stream"), Arc::clone(&status));
+        let mut writer = stream.try_clone().expect("stream");
+        let mut leader = Self { stream, status, heard };
+        leader.tell(ToPooler::Welcome { controllers: Vec::new() });
+        let entry = |database: usize| DirectoryEntry {
+            id: databases.id(database).as_str().into(),
+            service: service(),
+            address: databases.addresses[database],
+            zone: "here".into(),
+            draining: false,
+            capacity: 7,
+        };
+        leader.tell(ToPooler::Directory((0..databases.addresses.len()).map(entry).collect()));
+        leader.tell(ToPooler::RouteTable(Box::new(route_table())));
+        std::thread::spawn(move || {
+            while let Ok(Frame::Pooler(message)) = receive(&mut reader) {
+                if let ToController::RenewLeases { seq, .. } = message {
+                    let status = granted.lock().expect("status").clone();
+                    let grants = vec![LeaseGrant { service: service(), status, quota: 8 }];
+                    let answer = ToPooler::LeaseGrants {
+                        seq,
+                        lease_ms: 1_800,
+                        complete: false,
+                        grants,
+                        position_bounds: Vec::new(),
+                        subset_ranges: Vec::new(),
+                    };
+                    if send(&mut writer, &Frame::Controller(answer)).is_err() {
+                        return;
+                    }
+                } else if sender.send(message).is_err() {
+                    return;
+                }
+            }
+        });
+        leader
+    }
+    fn tell(&mut self, message: ToPooler) {
+        send(&mut self.stream, &Frame::Controller(message)).expect("sent");
+    }
+    fn grant(&mut self, status: PrimaryStatus) {
+        *self.status.lock().expect("status") = status;
+        self.tell(ToPooler::RenewNow);
+    }
+    fn hears(&self) -> ToController {
+        self.heard.recv_timeout(Duration::from_secs(5)).expect("a message")
+    }
+    /// The pooler is told of a handover. Gives what it says to have passed on before.
+    fn hand_over(&mut self, handover: &Handover) -> Option<Position> {
+        let status =
+            PrimaryStatus::HandingOver { primary: "i-ledger-0".into(), handover: handover.clone() };
+        *self.status.lock().expect("status") = status;
+        self.tell(ToPooler::HandOver { service: service(), handover: handover.clone() });
+        self.acknowledged(handover.number)
+    }
+    /// The pooler acknowledges this handover; it does so with each renewal of this leader.
+    fn acknowledged(&mut self, wanted: u64) -> Option<Position> {
+        loop {
+            match self.hears() {
+                ToController::HandOverAck { handover, highest, .. } if handover == wanted => {
+                    return highest;
+                }
+                ToController::HandOverAck { handover, .. } if handover < wanted => {}
+                message => panic!("{message:?}"),
+            }
+        }
+    }
+    /// The pooler gives its lease back. Gives what it says to have passed on.
+    fn given_back(&mut self) -> Option<Position> {
+        loop {
+            match self.hears() {
+                ToController::RevokeAck { highest, .. } => return highest,
+                ToController::HandOverAck { .. } => {}
+                message => panic!("{message:?}"),
+            }
+        }
+    }
+}
+
+fn route_table() -> RouteTable {
+    let configuration = serde_json::json!({
+        "revision": 1,
+        "route_rules": [{
+            "name": "r", "hostname": "strict", "path_prefix": "/", "route_type": "primary",
+            "timeout_ms": 3000, "target_latency_ms": 250, "priority": 1, "target_service": "ledger",
+        }],
+        "services": [{ "name": "ledger", "max_connections": 16, "sync_replicas": 1 }],
+        "limits": { "txn_idle_ms": 3000 },
+    });
+    let bytes = configuration.to_string();
+    RouteTable::of(&Configuration::read(bytes.as_bytes()).expect("configuration"))
+}
+
+struct System {
+    databases: Arc<StandIn>,
+    frontend: SocketAddr,
+    leader: Leader,
+    _pooler: Process,
+    _folder: Folder,
+}
+
+fn start(name: &str) -> System {
+    let ports: Vec<u16> = (0..4).map(|_| free_port()).collect();
+    let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let listener = TcpListener::bind(at(ports[0])).expect("a port");
+    let folder = Folder::new(name, ports[0]);
+    let settings = format!(
+        "node_name = \"n\"\nip_address = \"127.0.0.1\"\nzone = \"here\"\nport_range = [{p}, {p}]\n\
+         seed_nodes = [\"{}\"]\n[timing_bounds]\ngrace_s = 2\n\
+         [listeners]\nreadiness = \"{}\"\nfrontend = \"{}\"\n",
+        at(ports[1]),
+        at(ports[2]),
+        at(ports[3]),
+        p = ports[0],
+    );
+    let databases = StandIn::start("ledger", 3).expect("databases");
+    let pooler = Process::run("pooler", &folder.write("node.toml", &settings));
+    let leader = Leader::accept(&listener, &databases);
+    let frontend = at(ports[3]);
+    eventually("the frontend", || TcpStream::connect(frontend).is_ok());
+    System { databases, frontend, leader, _pooler: pooler, _folder: folder }
+}
+
+/// A session whose answers a thread of its own reads.
+struct Client {
+    stream: TcpStream,
+    lines: Receiver<String>,
+}
+impl Client {
+    fn open(system: &System) -> Self {
+        let stream = TcpStream::connect(system.frontend).expect("frontend");
+        let (sender, lines) = channel();
+        let reader = BufReader::new(stream.try_clone().expect("stream"));
+        std::thread::spawn(move || {
+            for line in reader.lines().map_while(Result::ok) {
+                let _ = sender.send(line);
+            }
+        });
+        let mut client = Self { stream, lines };
+        client.send("CONNECT strict me");
+        assert_eq!(client.line(), "READY I -");
+        client
+    }
+    fn send(&mut self, text: &str) {
+        self.stream.write_all(format!("{text}\r\n").as_bytes()).expect("sent");
+    }
+    fn line(&mut self) -> String {
+        self.lines.recv_timeout(Duration::from_secs(5)).expect("a line").trim_end().to_owned()
+    }
+    /// The word that a statement is answered with, and the code of an error.
+    fn outcome(&mut self) -> String {
+        let line = self.line();
+        assert!(self.line().starts_with("READY I"));
+        match line.split_once(' ') {
+            Some(("ERROR", rest)) => rest.split(' ').next().unwrap_or_default().to_owned(),
+            _ => line.split(' ').next().unwrap_or_default().to_owned(),
+        }
+    }
+    fn store(&mut self, id: &str) -> String {
+        self.send(&format!("QUERY {id} STORE thing {id}"));
+        self.outcome()
+    }
+    fn hears_nothing(&self) -> bool {
+        self.lines.recv_timeout(Duration::from_millis(NOTHING_MS)).is_err()
+    }
+}
+
+/// Guards against commits that are missing at a promoted database: a new, an unpaused or a restarted
+/// replica may let the old primary acknowledge what the next one never receives.
+#[test]
+fn while_a_service_is_handed_over_only_what_the_target_has_is_passed_on() {
+    let mut system = start("handover");
+    let mut client = Client::open(&system);
+    assert_eq!(client.store("q1"), "COMPLETE");
+    assert_eq!(system.leader.hand_over(&handover(1, "i-ledger-1")), Some(at(1)), "told of q1");
+    assert_eq!(client.store("q2"), "COMPLETE", "the target has it");
+    // The target receives nothing: the primary acknowledges, because of some other replica.
+    system.databases.faults.replicas_lack.store(2, Ordering::SeqCst);
+    client.send("QUERY q3 STORE thing q3");
+    let mut transaction = Client::open(&system);
+    for (id, text) in [("t1", "BEGIN"), ("t2", "STORE thing t2")] {
+        transaction.send(&format!("QUERY {id} {text}"));
+        assert!(transaction.line().starts_with("COMPLETE"));
+        assert!(transaction.line().starts_with("READY T"));
+    }
+    transaction.send("QUERY t3 COMMIT");
+    assert!(client.hears_nothing() && transaction.hears_nothing());
+    assert_eq!(system.databases.reached("q3"), 1);
+    // Reads are not held up, nor are commits once the target has them.
+    let mut reader = Client::open(&system);
+    reader.send("QUERY r1 FETCH thing");
+    assert!(reader.line().starts_with("ROW"));
+    system.databases.faults.replicas_lack.store(0, Ordering::SeqCst);
+    assert_eq!((client.outcome(), transaction.outcome()), ("COMPLETE".into(), "COMPLETE".into()));
+    // A commit that the target never has is not passed on, nor is it one that was not run.
+    system.databases.faults.replicas_lack.store(9, Ordering::SeqCst);
+    client.send("QUERY q4 STORE thing q4");
+    assert!(client.hears_nothing());
+    system.leader.tell(ToPooler::Revoke { service: service(), term: TERM });
+    *system.leader.status.lock().expect("status") = PrimaryStatus::Absent;
+    assert_eq!(system.leader.given_back(), Some(at(4)), "q3 and the transaction, not q4");
+    assert_eq!(client.outcome(), "UNKNOWN");
+    assert_eq!(system.databases.reached("q4"), 1);
+}
+
+#[test]
+fn a_handover_that_was_called_off_ends_with_the_next_lease() {
+    let mut system = start("called-off");
+    let mut client = Client::open(&system);
+    assert_eq!(system.leader.hand_over(&handover(1, "i-ledger-1")), None);
+    system.databases.faults.replicas_lack.store(1, Ordering::SeqCst);
+    client.send("QUERY q1 STORE thing q1");
+    assert!(client.hears_nothing());
+    // A database that the pooler does not know, or that does not answer, confirms nothing.
+    assert_eq!(system.leader.hand_over(&handover(2, "i-unknown")), None);
+    assert!(client.hears_nothing());
+    system.databases.faults.replicas_lack.store(0, Ordering::SeqCst);
+    system.databases.inject("DESCRIBE", &[InjectedFault::NoAnswer; 4]);
+    assert_eq!(system.leader.hand_over(&handover(3, "i-ledger-2")), None);
+    assert!(client.hears_nothing());
+    system.leader.grant(led());
+    assert_eq!(client.outcome(), "COMPLETE");
+    // One that connects during a handover learns of it with its lease.
+    let status = PrimaryStatus::HandingOver {
+        primary: "i-ledger-0".into(),
+        handover: handover(4, "i-unknown"),
+    };
+    system.leader.grant(status);
+    assert_eq!(system.leader.acknowledged(4), Some(at(1)));
+    client.send("QUERY q2 STORE thing q2");
+    assert!(client.hears_nothing());
+    system.leader.grant(led());
+    assert_eq!(client.outcome(), "COMPLETE");
+}
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -8,17 +8,18 @@
 use silvertack::controller::effects::{Effects, Input};
 use silvertack::failover::{Attempt, DatabaseRequest, DatabaseResponse, PromotionResponse};
 use silvertack::leases::lease_table::{CoverageRule, LEASE_MS, LeaseTable};
+use silvertack::leases::passed_on::UnreportedCommits;
 use silvertack::leases::subset_assignments::SubsetAssignments;
 use silvertack::leases::watermarks::Watermark;
 use silvertack::net::http::Request;
 use silvertack::net::rpc::pooler_messages::{
-    LeaseGrant, ObservedPosition, PositionBound, PrimaryStatus, SuspicionReason, ToController,
-    ToPooler,
+    Handover, LeaseGrant, ObservedPosition, PositionBound, PrimaryStatus, SuspicionReason,
+    ToController, ToPooler,
 };
 use silvertack::net::rpc::raft_messages::{
     LogPosition, Member, RaftMessage, RaftMessageKind, Snapshot,
 };
-use silvertack::net::rpc::{Frame, receive};
+use silvertack::net::rpc::{Frame, LAYOUT, PARTS_LAYOUT, receive};
 use silvertack::net::statement_protocol::ServerDescription;
 use silvertack::raft::node::RaftNode;
 use silvertack::raft::state::{PersistentState, UnsavedChanges};
@@ -128,6 +129,16 @@
     }
 }
 
+/// How far commits of term 2 were passed on at most; none if that is not certain.
+fn known(book: &LeaseTable, seen: Option<Watermark>, now: Tick) -> Option<Option<Position>> {
+    let told = book.passed_on(&service(), TERM, None, seen, CoverageRule::Watermark, now);
+    match told.unreported {
+        UnreportedCommits::Unknown => None,
+        UnreportedCommits::Nothing => Some(told.reported),
+        UnreportedCommits::UpTo(position) => Some(told.reported.max(Some(position))),
+    }
+}
+
 /// The watermark of a revoked term is certain once every pooler has said it or is covered.
 #[test]
 fn the_watermark_needs_a_word_on_this_term_or_a_sight_after_the_lease() {
@@ -140,6 +151,7 @@
         ("gave an older term back", watermark(Tick(LEASE_ENDS_MS), 3), None),
         ("gave an older term back", seen(LEASE_ENDS_MS - 1), None),
         ("gave an older term back", seen(LEASE_ENDS_MS), Some(Some(at(9)))),
+        ("started anew", watermark(Tick(LEASE_ENDS_MS), 3), Some(Some(at(5)))),
         ("revoked", watermark(Tick(LEASE_ENDS_MS), 3), None),
         ("revoked", seen(LEASE_ENDS_MS - 1), None),
         ("revoked", seen(LEASE_ENDS_MS), Some(Some(at(9)))),
@@ -158,19 +170,18 @@
             "gave an older term back" => {
                 book.acknowledge_revocation(&node(0), &service(), DbTerm(1), Some(at(5)));
             }
+            "started anew" => {
+                book.acknowledge_revocation(&node(0), &service(), TERM, Some(at(5)));
+                book.register(&node(0), 2, 1, now);
+                book.acknowledge_revocation(&node(0), &service(), TERM, None);
+            }
             "another process" => {
                 book.register(&node(0), 2, 1, now);
                 book.acknowledge_revocation(&node(0), &service(), TERM, None);
             }
             _ => granted(&mut book, 0, PrimaryStatus::Absent, 8, now),
         }
-        let told = book.released_up_to(
-            &service(),
-            TERM,
-            seen,
-            CoverageRule::Watermark,
-            START.plus(30_000),
-        );
+        let told = known(&book, seen, START.plus(30_000));
         assert_eq!(told, certain, "{what}, {seen:?}");
     }
 }
@@ -189,7 +200,7 @@
         for (after, certain) in [(0, false), (1_999, false), (2_000, true)] {
             let as_of = START.plus(LEASE_ENDS_MS + after);
             let seen = Some(Watermark { as_of, position: at(9) });
-            let told = book.released_up_to(&service(), TERM, seen, CoverageRule::Watermark, now);
+            let told = known(&book, seen, now);
             assert_eq!(told, certain.then_some(Some(at(9))), "{first} {second}, {after}");
         }
     }
@@ -537,7 +548,12 @@
         self.turn();
     }
     fn hello(&mut self, conn: u64, name: &str) {
+        self.hello_of(conn, name, LAYOUT);
+    }
+    /// The greeting of a pooler that reads this layout.
+    fn hello_of(&mut self, conn: u64, name: &str, layout: u8) {
         let (node, zone, revision) = (name.into(), "z".into(), Revision(1));
+        self.controller.handle_input(Input::NodeLayout(conn, layout), self.now);
         self.hear(conn, ToController::Hello { node, incarnation: 1, revision, zone });
     }
     fn close(&mut self, conn: u64) {
@@ -620,6 +636,17 @@
         );
         self.turn();
     }
+    /// A database answers all questions of this kind in the same way.
+    fn answer_all(
+        &mut self,
+        id: &str,
+        kind: fn(&DatabaseRequest) -> bool,
+        told: &DatabaseResponse,
+    ) {
+        while self.asked(id, kind) {
+            self.answer(id, kind, told.clone());
+        }
+    }
     fn asked(&self, id: &str, kind: fn(&DatabaseRequest) -> bool) -> bool {
         self.controller.effects.asks.iter().any(|(of, ask, _)| *of == id.into() && kind(ask))
     }
@@ -660,7 +687,7 @@
 fn a_renewal_grants_no_lease_that_is_revoked_and_the_next_term_waits_for_the_old() {
     let revoked =
         |highest| ToController::RevokeAck { service: service(), term: DbTerm(1), highest };
-    // (what the pooler does, ms after its last lease at which the next term may begin)
+    // (what the pooler does, ms after its last lease at which the next primary may be chosen)
     for (what, until) in
         [("nothing", LEASE_ENDS_MS), ("closes", LEASE_ENDS_MS), ("gives back", 0), ("goodbye", 0)]
     {
@@ -678,8 +705,15 @@
             "goodbye" => leader.hear(1, ToController::Goodbye),
             _ => assert_eq!(leader.standing(1), Some(PrimaryStatus::Absent)),
         }
-        leader.answer("b", pauses, row(false, 1, 7));
-        leader.answer("c", pauses, row(false, 1, 9));
+        leader.answer_all("b", pauses, &row(false, 1, 7));
+        leader.answer_all("c", pauses, &row(false, 1, 9));
+        while leader.lead().intent.is_none() {
+            assert!(leader.now.since(leased) < until + 200, "{what}: nobody is chosen");
+            leader.run(50);
+            leader.answer_all("b", pauses, &row(false, 1, 7));
+            leader.answer_all("c", pauses, &row(false, 1, 9));
+        }
+        assert!(leader.now.since(leased) >= until, "{what}: chosen while a lease is in use");
         assert_eq!(leader.lead().intent, Some("c".into()), "{what}");
         for _ in 0..2 {
             assert_eq!(leader.standing(2), Some(PrimaryStatus::Sealed(at(9))), "{what}: each time");
@@ -694,12 +728,6 @@
         leader.controller.handle_input(posted, leader.now);
         leader.run(600);
         leader.answer("c", |ask| *ask == DatabaseRequest::Describe, row(true, 2, 9));
-        leader.run(100);
-        while leader.now.since(leased) < until {
-            assert_eq!(leader.lead().term, DbTerm(1), "{what}: {}", leader.now.since(leased));
-            assert_eq!(leader.standing(2), Some(PrimaryStatus::Sealed(at(9))), "{what}");
-            leader.run(50);
-        }
         leader.run(150);
         assert_eq!((&leader.lead().primary, leader.lead().term), (&"c".into(), TERM), "{what}");
         let next = PrimaryStatus::Active { term: TERM, primary: "c".into() };
@@ -707,6 +735,118 @@
     }
 }
 
+/// The primary drains, and `b` is to follow it, with `n1` and `n2` as poolers. Gives the handover.
+fn handing_over(layout_of_n2: u8) -> (Leader, Handover) {
+    let mut leader = Leader::new(1, &[]);
+    leader.settle(&["b", "c"]);
+    leader.hello(1, "n1");
+    leader.hello_of(2, "n2", layout_of_n2);
+    for conn in [1, 2] {
+        assert_eq!(leader.standing(conn), Some(led(1)), "{conn}");
+    }
+    leader.controller.effects.sent.clear();
+    let body = serde_json::json!({
+        "target_service": "s", "address": "10.0.0.9:1", "zone": "z", "revision": "v1", "capacity": 7,
+        "lifecycle_state": "draining", "warmup_left_ms": 0, "database_role": "primary",
+        "sequence": 2,
+    });
+    let (path, body) = ("/instances/a".to_owned(), body.to_string().into_bytes());
+    let request = Request { method: "PUT".to_owned(), path, if_match: None, body };
+    let (sender, _answer) = sync_channel(1);
+    leader.controller.handle_input(Input::Http(request, sender), leader.now);
+    leader.run(50);
+    let told = leader.controller.effects.sent.iter().find_map(|(to, message)| match message {
+        ToPooler::HandOver { handover, .. } if *to == 1 => Some(handover.clone()),
+        _ => None,
+    });
+    let handover = told.expect("`n1` is told");
+    assert_eq!((&handover.target, handover.term), (&"b".into(), DbTerm(1)));
+    (leader, handover)
+}
+
+/// After how many ms `b` is chosen, if it is while the change is planned. The databases answer all that
+/// they are asked, and `n2` may go on to renew its lease.
+fn chosen_after(leader: &mut Leader, n2_renews: bool) -> Option<u64> {
+    let describes = |ask: &DatabaseRequest| *ask == DatabaseRequest::Describe;
+    let began = leader.now;
+    while leader.now.since(began) < 2_500 {
+        leader.answer_all("a", describes, &row(true, 1, 9));
+        leader.answer_all("b", describes, &row(false, 1, 9));
+        if n2_renews {
+            assert_ne!(leader.standing(2), Some(led(1)), "its lease goes on, handed over");
+        }
+        if leader.lead().intent.is_some() {
+            return Some(leader.now.since(began));
+        }
+        leader.run(10);
+    }
+    None
+}
+
+/// Guards against a planned change that trusts an answer of a replica while some pooler still passes
+/// on whatever the old primary acknowledges.
+#[test]
+fn a_planned_change_waits_until_no_pooler_passes_on_what_the_target_lacks() {
+    // (what becomes of `n2`, ms until `b` may be chosen, if it may at all while the change is planned)
+    for (what, until) in [
+        ("confirms", Some(0)),
+        ("confirms another handover", Some(LEASE_ENDS_MS)),
+        ("gives its lease back", Some(0)),
+        ("closes", Some(LEASE_ENDS_MS)),
+        ("is restarted", Some(0)),
+        ("renews and says nothing", None),
+        ("is of an older version", Some(0)),
+    ] {
+        let old = what == "is of an older version";
+        let (mut leader, handover) = handing_over(if old { PARTS_LAYOUT } else { LAYOUT });
+        let confirm = |number| ToController::HandOverAck {
+            service: service(),
+            handover: number,
+            highest: None,
+        };
+        let revoked =
+            || ToController::RevokeAck { service: service(), term: DbTerm(1), highest: None };
+        // What all of them still hold is granted with the handover, and to a new one as well.
+        let status = PrimaryStatus::HandingOver { primary: "a".into(), handover: handover.clone() };
+        assert_eq!(leader.standing(1), None, "{what}: it was told");
+        leader.hello(3, "n3");
+        assert_eq!(leader.standing(3), Some(status.clone()), "{what}");
+        for conn in [1, 3] {
+            leader.hear(conn, confirm(handover.number));
+        }
+        match what {
+            "confirms" => leader.hear(2, confirm(handover.number)),
+            "confirms another handover" => leader.hear(2, confirm(handover.number + 1)),
+            "gives its lease back" => leader.hear(2, revoked()),
+            "closes" => leader.close(2),
+            "is restarted" => {
+                let (node, zone, revision) = ("n2".into(), "z".into(), Revision(1));
+                let hello = ToController::Hello { node, incarnation: 2, revision, zone };
+                leader.controller.handle_input(Input::NodeLayout(4, LAYOUT), leader.now);
+                leader.hear(4, hello);
+            }
+            "is of an older version" => {
+                assert_eq!(leader.standing(2), Some(PrimaryStatus::Absent));
+                leader.hear(2, revoked());
+            }
+            _ => assert_eq!(what, "renews and says nothing"),
+        }
+        let chosen = chosen_after(&mut leader, what.starts_with("renews"));
+        match until {
+            Some(until) => {
+                let after = chosen.unwrap_or(u64::MAX);
+                assert!(after + 60 >= until && after < until + 100, "{what}: after {after} ms");
+            }
+            None => assert_eq!(chosen, None, "{what}"),
+        }
+        if chosen.is_none() {
+            // Called off in the end, the lease is granted as before.
+            leader.run(1_000);
+            assert_eq!(leader.standing(1), Some(led(1)), "{what}");
+        }
+    }
+}
+
 /// Only `b` of two replicas is paused, at 7.
 #[test]
 fn a_word_of_the_poolers_stands_in_for_a_replica_only_if_all_gave_it() {
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -119,6 +119,7 @@
     }
 }
 
+/// Guards against a promotion that lacks commits which only a replica unknown to the controllers has.
 #[test]
 fn a_replica_that_counts_before_the_controllers_know_it_keeps_its_commits() {
     // Schedules in which a new replica is the only one that has a commit before its first heartbeat is
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -888,15 +888,15 @@
     garbled[4] = 0xc1;
     // (what, bytes, the layout its sender reads or what is said)
     let cases: Vec<(&str, Vec<u8>, Result<u8, &str>)> = vec![
-        ("this one", whole.clone(), Ok(2)),
-        ("a part, which a landed program takes for too large", encode(&raft(part)).to_vec(), Ok(2)),
+        ("this one", whole.clone(), Ok(3)),
+        ("a part, which a landed program takes for too large", encode(&raft(part)).to_vec(), Ok(3)),
         ("the first", first, Ok(1)),
         ("readable, of a newer program", with(end, 9), Ok(9)),
-        ("newer", with(0, 3), Err("a frame of layout 3, this program reads 2")),
+        ("newer", with(0, 4), Err("a frame of layout 4, this program reads 3")),
         (
             "newer, though it does not say so",
             garbled,
-            Err("that reads layout 9, this program reads 2"),
+            Err("that reads layout 9, this program reads 3"),
         ),
         ("too large", with(1, 0xff), Err("frame of")),
         ("cut", whole[..end].to_vec(), Err("")),
@@ -1027,9 +1027,9 @@
     eventually("an answer", || controller.answers());
     let mut stream = TcpStream::connect(controller.peer).expect("connected");
     stream.set_read_timeout(Some(Duration::from_secs(5))).expect("timeout");
-    stream.write_all(&[3, 0, 0, 1, 0x80]).expect("sent");
+    stream.write_all(&[4, 0, 0, 1, 0x80]).expect("sent");
     assert_eq!(stream.read(&mut [0; 8]).expect("closed in order"), 0);
-    let said = "a frame of layout 3, this program reads 2";
+    let said = "a frame of layout 4, this program reads 3";
     eventually("a line", || controller.log().contains(said));
     assert!(controller.answers());
     let mut stream = TcpStream::connect(controller.peer).expect("connected");
--- a/tests/subscribers.rs
+++ b/tests/subscribers.rs
@@ -1,61 +1,18 @@
 //! Nodes and controllers as processes: what a node keeps of versions, and what a leader keeps of nodes.
+#[path = "support/processes.rs"]
+mod processes;
 mod support;
 
+use processes::{Folder, Process, eventually};
 use silvertack::base::ids::{NodeName, Revision};
 use silvertack::config::configuration::Configuration;
 use silvertack::config::route_table::RouteTable;
 use silvertack::net::rpc::pooler_messages::{ToController, ToPooler};
 use silvertack::net::rpc::{Frame, receive, send};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 use support::{free_port, http};
 
-struct Process(Child);
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-impl Process {
-    fn run(role: &str, settings: &Path) -> Self {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_silvertack"));
-        command.args([role, "--settings"]).arg(settings).stderr(Stdio::null());
-        Self(command.spawn().expect(role))
-    }
-    fn signal(&self, name: &str) {
-        let pid = self.0.id().to_string();
-        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
-    }
-}
-struct Folder(PathBuf);
-impl Folder {
-    fn new(name: &str, port: u16) -> Self {
-        let folder = std::env::temp_dir().join(format!("silvertack-{name}-{port}"));
-        std::fs::create_dir_all(&folder).expect("folder");
-        Self(folder)
-    }
-    fn write(&self, name: &str, text: &str) -> PathBuf {
-        let file = self.0.join(name);
-        std::fs::write(&file, text).expect("settings");
-        file
-    }
-}
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
-fn eventually(what: &str, mut check: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !check() {
-        assert!(start.elapsed() < Duration::from_secs(20), "never: {what}");
-        std::thread::sleep(Duration::from_millis(10));
-    }
-}
 fn status(at: SocketAddr) -> serde_json::Value {
     let answer = http(at, "GET", "/status", &[], "");
     answer.ok().and_then(|(_, body)| serde_json::from_str(&body).ok()).unwrap_or_default()
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -48,6 +48,8 @@
     /// What the next statements meet, in their order: by the statement's id, or by the first word
     /// of its text where the id is `-`.
     pub(crate) by_key: Mutex<HashMap<String, VecDeque<InjectedFault>>>,
+    /// So many commits of the primary are missing at the replicas, as they describe themselves.
+    pub(crate) replicas_lack: AtomicU64,
 }
 
 #[derive(Default)]
@@ -375,7 +377,9 @@
             "DESCRIBE" | "PAUSE" | "CONTINUE" | "STEPDOWN" => {
                 let store = lock(&self.store);
                 let role = if primary { "primary" } else { "replica" };
-                let position = format!("{}.{}", store.term, store.number);
+                let lacks =
+                    if primary { 0 } else { self.faults.replicas_lack.load(Ordering::SeqCst) };
+                let position = format!("{}.{}", store.term, store.number.saturating_sub(lacks));
                 format!("ROW {role} {} {position} 0 0 0 1\r\nCOMPLETE -\r\n", store.term)
             }
             _ => "ERROR MALFORMED what\r\n".to_owned(),
