Pooler: a goodbye tells first how far commits were passed on

Cause: Goodbye tells no position, and the leader took it for "uses no lease", dropping the record of the lease, so that an older watermark covered the pooler. A renewal every 450 ms is all that told how far it had passed on.

Change: a pooler that stops gives each lease back as for a revocation (the lease is dropped and its furthest commit read under one lock), then says Goodbye; the frames are the old ones.

Why this works: an orderly stop tells no less than a kill leaves known, and nothing is passed on after it was told.

Tests: a_pooler_that_stops_in_order_tells_first_how_far_it_passed_on_commits and the rows on goodbyes in three tests of tests/leases.rs failed before this commit and hold with it.

--- a/src/leases/lease_table.rs
+++ b/src/leases/lease_table.rs
@@ -203,12 +203,13 @@
         Some(node.clone())
     }
 
-    /// A pooler shuts down in order and uses none of its leases any more.
+    /// A pooler shuts down in order. A lease whose revocation it has not acknowledged counts as that
+    /// of a pooler that was killed: how far it passed on commits is not known.
     pub fn release_all(&mut self, node: &NodeName) {
         if let Some(pooler) = self.poolers.get_mut(node) {
-            pooler.ended.clear();
-            for grant in pooler.grants.values_mut() {
-                grant.status = PrimaryStatus::Absent;
+            let granted: Vec<ServiceName> = pooler.grants.keys().cloned().collect();
+            for service in granted {
+                pooler.withdraw_grant(&service);
             }
         }
     }
--- a/src/net/rpc/pooler_messages.rs
+++ b/src/net/rpc/pooler_messages.rs
@@ -91,7 +91,8 @@
     /// the complete table.
     #[serde(rename = "Whole")]
     RequestFullTable,
-    /// The node shuts down gracefully: it uses no lease any more.
+    /// The node shuts down gracefully. How far it passed on commits is told by a `RevokeAck` for each
+    /// lease before; of a lease without one, nothing is known.
     #[serde(rename = "Bye")]
     Goodbye,
 }
--- a/src/pooler/leader_messages.rs
+++ b/src/pooler/leader_messages.rs
@@ -252,6 +252,15 @@
         self.view_changed.notify_all();
     }
 
+    /// Gives every lease back, so that the leader knows how far commits were passed on.
+    pub(super) fn release_leases(&self) {
+        let held = |(name, service): (&ServiceName, &ServiceView)| {
+            service.lease.term().map(|term| (name.clone(), term))
+        };
+        let leases: Vec<_> = lock(&self.view).services.iter().filter_map(held).collect();
+        leases.into_iter().for_each(|(service, term)| self.revoke(service, term));
+    }
+
     fn apply_route_table(&self, table: RouteTable) {
         let revision = table.revision;
         if lock(&self.view).set_route_table(table) {
--- a/src/pooler/process.rs
+++ b/src/pooler/process.rs
@@ -145,6 +145,7 @@
         if open > 0 && !grace.is_over() {
             return false;
         }
+        self.pooler.release_leases();
         self.pooler.send_to_leader(ToController::Goodbye);
         info!(target: "pooler", "stopped with {open} sessions open");
         true
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -194,7 +194,7 @@
     databases: Arc<StandIn>,
     frontend: SocketAddr,
     leader: Leader,
-    _pooler: Process,
+    pooler: Process,
     _folder: Folder,
 }
 
@@ -217,7 +217,7 @@
     let leader = Leader::accept(&listener, &databases);
     let frontend = at(ports[3]);
     eventually("the frontend", || TcpStream::connect(frontend).is_ok());
-    System { databases, frontend, leader, _pooler: pooler, _folder: folder }
+    System { databases, frontend, leader, pooler, _folder: folder }
 }
 
 /// A session whose answers a thread of its own reads.
@@ -331,3 +331,26 @@
     system.leader.grant(led());
     assert_eq!(client.outcome(), "COMPLETE");
 }
+
+/// Guards against a commit that is forgotten because its pooler stopped in order: the leader took a
+/// goodbye for the word that nothing was passed on.
+#[test]
+fn a_pooler_that_stops_in_order_tells_first_how_far_it_passed_on_commits() {
+    let mut system = start("goodbye");
+    let mut client = Client::open(&system);
+    assert_eq!(client.store("q1"), "COMPLETE");
+    for (id, text) in [("t1", "BEGIN"), ("t2", "STORE thing t2")] {
+        client.send(&format!("QUERY {id} {text}"));
+        assert!(client.line().starts_with("COMPLETE"));
+        assert!(client.line().starts_with("READY T"));
+    }
+    // The transaction ends while the pooler drains, after its last renewal perhaps.
+    system.pooler.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(100));
+    client.send("QUERY t3 COMMIT");
+    assert_eq!(client.outcome(), "COMPLETE");
+    drop(client);
+    assert_eq!(system.leader.given_back(), Some(at(2)));
+    assert!(matches!(system.leader.hears(), ToController::Goodbye));
+    assert!(system.pooler.0.wait().expect("ended").success());
+}
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -93,8 +93,10 @@
         ("an older term given back, over", 2, "term 1 given back", LEASE_ENDS_MS + 1, true),
         ("a newer term given back", 2, "term 3 given back", 10, true),
         ("lost, within the slack", 2, "lost", LEASE_ENDS_MS, false),
-        ("goodbye said", 2, "goodbye", 10, true),
-        ("revoked, then goodbye said", 2, "revoked, goodbye", 10, true),
+        ("goodbye said, not given back", 2, "goodbye", LEASE_ENDS_MS, false),
+        ("goodbye said, after the slack", 2, "goodbye", LEASE_ENDS_MS + 1, true),
+        ("given back, then goodbye said", 2, "given back, goodbye", 10, true),
+        ("revoked, then goodbye said", 2, "revoked, goodbye", LEASE_ENDS_MS, false),
     ];
     for (what, term, then, after, gone) in cases {
         let mut book = book(1);
@@ -111,6 +113,10 @@
             "term 3 given back" => give_back(&mut book, 3),
             "lost" => drop(book.disconnect(0, START.plus(5))),
             "goodbye" => book.release_all(&node(0)),
+            "given back, goodbye" => {
+                give_back(&mut book, 2);
+                book.release_all(&node(0));
+            }
             "revoked, goodbye" => {
                 revoke(&mut book);
                 book.release_all(&node(0));
@@ -151,7 +157,12 @@
         ("gave an older term back", watermark(Tick(LEASE_ENDS_MS), 3), None),
         ("gave an older term back", seen(LEASE_ENDS_MS - 1), None),
         ("gave an older term back", seen(LEASE_ENDS_MS), Some(Some(at(9)))),
-        ("started anew", watermark(Tick(LEASE_ENDS_MS), 3), Some(Some(at(5)))),
+        ("gave it back and said goodbye", watermark(Tick(LEASE_ENDS_MS), 3), Some(Some(at(5)))),
+        ("gave it back and started anew", watermark(Tick(LEASE_ENDS_MS), 3), Some(Some(at(5)))),
+        ("said goodbye", None, None),
+        ("said goodbye", watermark(Tick(LEASE_ENDS_MS), 3), None),
+        ("said goodbye", seen(LEASE_ENDS_MS - 1), None),
+        ("said goodbye", seen(LEASE_ENDS_MS), Some(Some(at(9)))),
         ("revoked", watermark(Tick(LEASE_ENDS_MS), 3), None),
         ("revoked", seen(LEASE_ENDS_MS - 1), None),
         ("revoked", seen(LEASE_ENDS_MS), Some(Some(at(9)))),
@@ -170,11 +181,17 @@
             "gave an older term back" => {
                 book.acknowledge_revocation(&node(0), &service(), DbTerm(1), Some(at(5)));
             }
-            "started anew" => {
+            "gave it back and said goodbye" => {
+                book.acknowledge_revocation(&node(0), &service(), TERM, Some(at(5)));
+                book.release_all(&node(0));
+            }
+            "gave it back and started anew" => {
                 book.acknowledge_revocation(&node(0), &service(), TERM, Some(at(5)));
+                book.release_all(&node(0));
                 book.register(&node(0), 2, 1, now);
                 book.acknowledge_revocation(&node(0), &service(), TERM, None);
             }
+            "said goodbye" => book.release_all(&node(0)),
             "another process" => {
                 book.register(&node(0), 2, 1, now);
                 book.acknowledge_revocation(&node(0), &service(), TERM, None);
@@ -688,9 +705,13 @@
     let revoked =
         |highest| ToController::RevokeAck { service: service(), term: DbTerm(1), highest };
     // (what the pooler does, ms after its last lease at which the next primary may be chosen)
-    for (what, until) in
-        [("nothing", LEASE_ENDS_MS), ("closes", LEASE_ENDS_MS), ("gives back", 0), ("goodbye", 0)]
-    {
+    for (what, until) in [
+        ("nothing", LEASE_ENDS_MS),
+        ("closes", LEASE_ENDS_MS),
+        ("gives back", 0),
+        ("goodbye", LEASE_ENDS_MS),
+        ("gives back, goodbye", 0),
+    ] {
         let mut leader = Leader::new(1, &[]);
         leader.settle(&["b", "c"]);
         leader.hello(1, "n1");
@@ -703,6 +724,10 @@
             "closes" => leader.close(1),
             "gives back" => leader.hear(1, revoked(Some(at(8)))),
             "goodbye" => leader.hear(1, ToController::Goodbye),
+            "gives back, goodbye" => {
+                leader.hear(1, revoked(Some(at(8))));
+                leader.hear(1, ToController::Goodbye);
+            }
             _ => assert_eq!(leader.standing(1), Some(PrimaryStatus::Absent)),
         }
         leader.answer_all("b", pauses, &row(false, 1, 7));
