Net: an interrupted read says nothing of the peer

What callers saw: nothing yet. A controller that stood still for a moment (as by SIGSTOP and SIGCONT) while it waited for a database's answer took the interrupted read for a database that can't be reached, which lets a failover begin, and closed the connection.

Cause: reads in ReadBuffer::fill and net::http passed Interrupted on, and outgoing_calls takes every error but a time-out for Unavailable. The pooler and the gateway handled it already.

Change: both read again (net::sockets::read_uninterrupted).

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -6,7 +6,7 @@
 //! Clients' requests for services don't come here; the gateway has its own HTTP.
 use crate::base::errors::Fatal;
 use crate::base::worker_pool::start_thread;
-use crate::net::sockets::{configure_stream, connect_stream, listen};
+use crate::net::sockets::{configure_stream, connect_stream, listen, read_uninterrupted};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -316,7 +316,7 @@
 /// Reads once and appends what came; 0 at the end of the stream.
 fn read_more(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> io::Result<usize> {
     let mut chunk = [0; READ_BYTES];
-    let count = stream.read(&mut chunk)?;
+    let count = read_uninterrupted(stream, &mut chunk)?;
     bytes.extend_from_slice(&chunk[..count]);
     Ok(count)
 }
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -1,6 +1,6 @@
 //! TCP sockets, and the options that all connections of this system share.
 use crate::base::errors::Fatal;
-use std::io;
+use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -42,6 +42,19 @@
     socket2::SockRef::from(stream).set_tcp_user_timeout(Some(unacknowledged_timeout))
 }
 
+/// Reads once, and again where a signal interrupted that: it says nothing of the peer.
+///
+/// # Errors
+/// Those of the reader.
+pub fn read_uninterrupted(from: &mut impl Read, bytes: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match from.read(bytes) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
+}
+
 /// Has the kernel probe a connection that was idle for `idle`, at least a second, so that an
 /// unreachable peer is noticed without any data in flight.
 ///
--- a/src/net/statement_protocol.rs
+++ b/src/net/statement_protocol.rs
@@ -6,6 +6,7 @@
 //! collected; what a statement means for a session is decided in `pooler`.
 use crate::base::errors::ErrorKind;
 use crate::base::ids::{DbTerm, Position};
+use crate::net::sockets::read_uninterrupted;
 use std::io::{self, Read};
 use std::ops::Range;
 
@@ -434,7 +435,7 @@
         self.bytes.drain(..self.start);
         self.start = 0;
         let mut chunk = [0u8; READ_BYTES];
-        let count = from.read(&mut chunk)?;
+        let count = read_uninterrupted(from, &mut chunk)?;
         self.bytes.extend_from_slice(&chunk[..count]);
         Ok(count)
     }
--- a/tests/subscribers.rs
+++ b/tests/subscribers.rs
@@ -3,7 +3,7 @@
 mod processes;
 mod support;
 
-use processes::{Folder, Process, eventually};
+use processes::{Controllers, Folder, Process, eventually, status};
 use silvertack::base::ids::{NodeName, Revision};
 use silvertack::config::configuration::Configuration;
 use silvertack::config::route_table::RouteTable;
@@ -11,12 +11,7 @@
 use silvertack::net::rpc::{Frame, receive, send};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
-use support::{free_port, http};
-
-fn status(at: SocketAddr) -> serde_json::Value {
-    let answer = http(at, "GET", "/status", &[], "");
-    answer.ok().and_then(|(_, body)| serde_json::from_str(&body).ok()).unwrap_or_default()
-}
+use support::free_port;
 
 fn route_table(revision: u64, hosts: &[&str]) -> RouteTable {
     let route = |host: &&str| {
@@ -109,39 +104,13 @@
 /// A greeting waits while the leader is not sure that it leads. Whoever left meanwhile is not there.
 #[test]
 fn a_node_that_left_before_the_leader_was_sure_is_not_taken_in() {
-    let (peer, admin) = (free_port(), free_port());
-    let folder = Folder::new("early", peer);
-    let at = |n: u8, port: u16| SocketAddr::from(([127, 0, 0, n], port));
-    let controllers: Vec<Process> = (1..=3)
-        .map(|n| {
-            let settings = format!(
-                "node_name = \"s{n}\"\nip_address = \"127.0.0.{n}\"\nzone = \"here\"\nbootstrap = true\n\
-                 port_range = [{peer}, {peer}]\nseed_nodes = [\"{}\", \"{}\", \"{}\"]\ndata_path = \"{}\"\n\
-                 quorum_member = true\n[listeners]\nadmin = \"{}\"\n[fault_tolerance]\nmachines = 1\n",
-                at(1, admin),
-                at(2, admin),
-                at(3, admin),
-                folder.0.join(n.to_string()).display(),
-                at(n, admin),
-            );
-            Process::run("controller", &folder.write(&format!("{n}.toml"), &settings))
-        })
-        .collect();
-    let leads = |n: u8| status(at(n, admin))["leads"] == true;
-    let voters = |n: u8| {
-        let members = status(at(n, admin))["members"].clone();
-        members.as_array().map_or(0, |m| m.iter().filter(|m| m["voter"] == true).count())
-    };
-    let mut leader = 0;
-    eventually("a leader of three", || {
-        leader = (1..=3).find(|n| leads(*n) && voters(*n) == 3).unwrap_or_default();
-        leader > 0
-    });
-    let others = || (1..=3u8).filter(|n| *n != leader).map(|n| &controllers[usize::from(n) - 1]);
-    others().for_each(|s| s.signal("-STOP"));
+    let controllers = Controllers::start("early");
+    let leader = controllers.leader();
+    let leads = |n: u8| controllers.leads(n);
+    controllers.others(leader).for_each(|n| controllers.signal(n, "-STOP"));
     eventually("doubt", || !leads(leader));
     let greet = |name: &str| {
-        let mut stream = TcpStream::connect(at(leader, peer)).expect("the leader");
+        let mut stream = TcpStream::connect(controllers.peer(leader)).expect("the leader");
         let zone = "here".into();
         let hello = ToController::Hello {
             node: NodeName::from(name),
@@ -155,8 +124,8 @@
     let stays = greet("stays");
     drop(greet("goes"));
     std::thread::sleep(Duration::from_millis(100));
-    others().for_each(|s| s.signal("-CONT"));
-    let nodes = || status(at(leader, admin))["stiles"].as_array().cloned().unwrap_or_default();
+    controllers.others(leader).for_each(|n| controllers.signal(n, "-CONT"));
+    let nodes = || controllers.status(leader)["stiles"].as_array().cloned().unwrap_or_default();
     let there = |name: &str| nodes().iter().any(|n| n["node"] == name && n["connected"] == true);
     eventually("the node that stayed, or another leader", || there("stays") || !leads(leader));
     assert!(!there("goes"));
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -1,5 +1,7 @@
 //! Processes of the program under test, and the folders that they use.
 #![allow(dead_code, reason = "each test file uses a part of it")]
+use crate::support::{free_port, http};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -52,3 +54,76 @@
         std::thread::sleep(Duration::from_millis(10));
     }
 }
+
+/// Three controllers on addresses of the loopback network.
+pub(crate) struct Controllers {
+    processes: Vec<Process>,
+    admin_port: u16,
+    peer_port: u16,
+    _folder: Folder,
+}
+impl Controllers {
+    /// Starts them and waits for a leader of three voters.
+    pub(crate) fn start(name: &str) -> Self {
+        let (peer_port, admin_port) = (free_port(), free_port());
+        let folder = Folder::new(name, peer_port);
+        let at = |n: u8, port: u16| SocketAddr::from(([127, 0, 0, n], port));
+        let run = |n: u8| {
+            let settings = format!(
+                "node_name = \"s{n}\"\nip_address = \"127.0.0.{n}\"\nzone = \"here\"\nbootstrap = true\n\
+                 port_range = [{peer_port}, {peer_port}]\nseed_nodes = [\"{}\", \"{}\", \"{}\"]\n\
+                 data_path = \"{}\"\nquorum_member = true\n[listeners]\nadmin = \"{}\"\n\
+                 [fault_tolerance]\nmachines = 1\n",
+                at(1, admin_port),
+                at(2, admin_port),
+                at(3, admin_port),
+                folder.0.join(n.to_string()).display(),
+                at(n, admin_port),
+            );
+            Process::run("controller", &folder.write(&format!("{n}.toml"), &settings))
+        };
+        let processes = (1..=3).map(run).collect();
+        let controllers = Self { processes, admin_port, peer_port, _folder: folder };
+        eventually("a leader of three", || {
+            (1..=3).any(|n| controllers.leads(n) && controllers.voters(n) == 3)
+        });
+        controllers
+    }
+    pub(crate) fn admin(&self, n: u8) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, n], self.admin_port))
+    }
+    pub(crate) fn peer(&self, n: u8) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, n], self.peer_port))
+    }
+    pub(crate) fn status(&self, n: u8) -> serde_json::Value {
+        status(self.admin(n))
+    }
+    pub(crate) fn leads(&self, n: u8) -> bool {
+        self.status(n)["leads"] == true
+    }
+    fn voters(&self, n: u8) -> usize {
+        let members = self.status(n)["members"].clone();
+        members.as_array().map_or(0, |m| m.iter().filter(|m| m["voter"] == true).count())
+    }
+    /// The number of the leader.
+    pub(crate) fn leader(&self) -> u8 {
+        let mut leader = None;
+        eventually("a leader", || {
+            leader = (1..=3).find(|n| self.leads(*n));
+            leader.is_some()
+        });
+        leader.expect("found")
+    }
+    pub(crate) fn others(&self, leader: u8) -> impl Iterator<Item = u8> {
+        (1..=3).filter(move |n| *n != leader)
+    }
+    pub(crate) fn signal(&self, n: u8, name: &str) {
+        self.processes[usize::from(n) - 1].signal(name);
+    }
+}
+
+/// What a process says of itself; null if it does not answer.
+pub(crate) fn status(at: SocketAddr) -> serde_json::Value {
+    let answer = http(at, "GET", "/status", &[], "");
+    answer.ok().and_then(|(_, body)| serde_json::from_str(&body).ok()).unwrap_or_default()
+}
