Controller: an order leaves only while its leader leads

Cause: each order to a database, and each call to the platform, connects and waits on a thread of its own; nothing asked before its bytes left whether the controller that gave it still led.

Change: the controller sets its leader lease in each step (SharedLeaderLease, RaftNode::leader_lease_end), and the thread asks right before the bytes leave whether the order's term is still led, with time left. If not, the call is given up: DatabaseResponse::NotSent, which says nothing of the database, or PromotionResponse::NotAttempted. The simulation asks the same question.

Why this works: until the lease ends no other controller can be elected, so what leaves before can't meet a successor's orders, but for the time on the wire; what is late there is harmless, as no choice rests on a pause.

--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -9,6 +9,7 @@
 use crate::config::settings::Settings;
 use crate::controller::effects::{Effects, Input};
 use crate::controller::failover_driver::DatabaseRequests;
+use crate::controller::leader_lease::LeaderLease;
 use crate::controller::leader_state::LeaderState;
 use crate::controller::linearizable_reads::{LinearizableReads, PendingProposals};
 use crate::controller::membership::JoinState;
@@ -156,6 +157,7 @@
         self.check_readable()?;
         self.persist_and_apply(now);
         self.check_readable()?;
+        self.publish_leader_lease(now);
         self.run_periodic_work(now);
         self.persist_and_apply(now);
         self.check_readable()?;
@@ -164,6 +166,13 @@
         Ok(())
     }
 
+    /// Tells the threads that act in this controller's name for how long it leads.
+    fn publish_leader_lease(&mut self, now: Tick) {
+        let term = self.raft.state.term;
+        let lease = self.raft.leader_lease_end(now).map(|until| LeaderLease { term, until });
+        self.effects.set_leader_lease(lease);
+    }
+
     /// Fails once something committed can't be read: all that followed would rest on an old state.
     fn check_readable(&self) -> Result<(), Fatal> {
         match (&self.unreadable, &self.raft.unreadable_message) {
@@ -177,6 +186,7 @@
     pub fn transfer_leadership(&mut self, now: Tick) {
         self.raft.transfer_leadership(now);
         self.persist_and_apply(now);
+        self.publish_leader_lease(now);
     }
 
     /// The Raft node.
--- a/src/controller/effects.rs
+++ b/src/controller/effects.rs
@@ -3,6 +3,7 @@
 //! simulation and the tests with queues in virtual time.
 use crate::base::ids::{InstanceId, MemberId, ServiceName};
 use crate::base::time::Tick;
+use crate::controller::leader_lease::LeaderLease;
 use crate::failover::{Attempt, DatabaseRequest, DatabaseResponse, PromotionResponse};
 use crate::net::http::{Request, Response};
 use crate::net::rpc::Frame;
@@ -73,6 +74,9 @@
     /// Asks a controller for membership, or with `was_member` whether `member` still is one;
     /// `Input::JoinResponse` follows.
     fn request_membership(&mut self, address: SocketAddr, member: Member, was_member: bool);
+    /// Sets until when this controller certainly leads, if it does. What is called for in a term is
+    /// given up if that has ended when the bytes would leave.
+    fn set_leader_lease(&mut self, lease: Option<LeaderLease>);
     /// Sends a database a request; `Input::DatabaseResponse` follows, unless this is false.
     fn call_database(
         &mut self,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -14,6 +14,7 @@
 mod event_loop;
 mod failover_driver;
 mod heartbeats;
+pub mod leader_lease;
 mod leader_state;
 mod lease_renewals;
 pub mod linearizable_reads;
--- a/src/controller/outgoing_calls.rs
+++ b/src/controller/outgoing_calls.rs
@@ -51,29 +51,39 @@
     }
 }
 
+/// A request to a database.
+pub(super) struct DatabaseCall<'a> {
+    /// The service of the database.
+    pub(super) service: &'a ServiceName,
+    /// The database.
+    pub(super) id: &'a InstanceId,
+    /// Where it listens.
+    pub(super) address: SocketAddr,
+    /// What it is asked.
+    pub(super) request: DatabaseRequest,
+}
+
 /// Sends a database one request on a connection of its own.
 ///
-/// `connected` is called once the connection is there, ahead of the answer.
+/// `connected` is called once the connection is there, ahead of the answer. `leads` is asked right
+/// before the request leaves: if the leadership in which it was made has ended, it is given up.
 pub(super) fn ask_database(
-    service: &ServiceName,
-    id: &InstanceId,
-    address: SocketAddr,
-    request: DatabaseRequest,
+    call: &DatabaseCall<'_>,
     connected: impl FnOnce(),
+    leads: impl Fn() -> bool,
 ) -> DatabaseResponse {
-    query_database(service, id, address, request, connected).unwrap_or_else(|e| match e.kind() {
+    query_database(call, connected, leads).unwrap_or_else(|e| match e.kind() {
         io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => DatabaseResponse::TimedOut,
         _ => DatabaseResponse::Unavailable,
     })
 }
 
 fn query_database(
-    service: &ServiceName,
-    id: &InstanceId,
-    address: SocketAddr,
-    request: DatabaseRequest,
+    call: &DatabaseCall<'_>,
     connected: impl FnOnce(),
+    leads: impl Fn() -> bool,
 ) -> io::Result<DatabaseResponse> {
+    let DatabaseCall { service, id, address, request } = *call;
     let mut stream = connect_stream(address, DATABASE_CONNECT_LIMIT, UNACKNOWLEDGED_LIMIT)?;
     connected();
     stream.set_read_timeout(Some(DATABASE_READ_LIMIT))?;
@@ -85,6 +95,9 @@
         Greeting::Refused(ErrorKind::WrongNode) => return Ok(DatabaseResponse::Unavailable),
         Greeting::Refused(_) => return Ok(DatabaseResponse::NoDescription),
     }
+    if !leads() {
+        return Ok(DatabaseResponse::NotSent);
+    }
     stream.write_all(format!("QUERY - {}\r\n", statement(request)).as_bytes())?;
     loop {
         if let Some(reply) = next_reply(&buffer)? {
@@ -140,20 +153,34 @@
     }
 }
 
-/// Has the platform promote the instance `target` of `service`.
-///
-/// `holder` names the leader that asks, `fence` is its fencing token: the platform refuses a lower
-/// one than it has seen.
+/// Who calls the platform, and where it is.
+pub(super) struct PromotionCall<'a> {
+    /// The platform's address.
+    pub(super) platform: SocketAddr,
+    /// The name of the leader that asks.
+    pub(super) holder: &'a str,
+    /// Its fencing token: the platform refuses a lower one than it has seen.
+    pub(super) fence: u64,
+}
+
+/// Has the platform promote the instance `target` of `service`. `leads` is asked right before the
+/// call leaves: if the leadership in which it was made has ended, it is given up.
 pub(super) fn request_promotion(
-    platform: SocketAddr,
-    holder: &str,
-    fence: u64,
+    call: &PromotionCall<'_>,
     service: &ServiceName,
     target: &InstanceId,
+    leads: impl Fn() -> bool,
 ) -> PromotionResponse {
+    let PromotionCall { platform, holder, fence } = *call;
     let body = serde_json::json!({ "target_service": service, "instance_id": target }).to_string();
     let headers = [("Duty-Holder", holder.to_owned()), ("Fence-Token", fence.to_string())];
-    match http::call(platform, "POST", "/failovers", &headers, body.as_bytes(), PLATFORM_LIMIT) {
+    let request = http::OutgoingRequest {
+        method: "POST",
+        path: "/failovers",
+        headers: &headers,
+        body: body.as_bytes(),
+    };
+    match http::call_while(platform, &request, PLATFORM_LIMIT, leads) {
         Ok(Response { status: 200..=299, .. }) => PromotionResponse::Accepted,
         Ok(Response { status: 409, .. }) => PromotionResponse::NotRunning,
         Ok(Response { status: 429, .. }) => PromotionResponse::NotAttempted,
@@ -162,7 +189,9 @@
             warn!(target: "failover", "platform answered {status}: {body}");
             PromotionResponse::Unknown
         }
-        Err(e) => {
+        // Nothing was sent.
+        Err(http::CallError::NotSent) => PromotionResponse::NotAttempted,
+        Err(http::CallError::Io(e)) => {
             warn!(target: "failover", "platform: {e}");
             PromotionResponse::Unknown
         }
--- a/src/controller/transport.rs
+++ b/src/controller/transport.rs
@@ -6,7 +6,10 @@
 use crate::base::time::Tick;
 use crate::base::worker_pool::start_thread;
 use crate::controller::effects::{Effects, Input};
-use crate::controller::outgoing_calls::{ask_database, request_join, request_promotion};
+use crate::controller::leader_lease::{LeaderLease, SharedLeaderLease};
+use crate::controller::outgoing_calls::{
+    DatabaseCall, PromotionCall, ask_database, request_join, request_promotion,
+};
 use crate::controller::peer_connections::{PeerConnection, PeerLink, exceeds_backlog};
 use crate::failover::{Attempt, DatabaseRequest, DatabaseResponse, PromotionResponse};
 use crate::net::http::{Request, Response};
@@ -65,13 +68,16 @@
     storage: Sender<WriteBatch>,
     /// The controller's event queue.
     events: Sender<Event>,
+    /// For the threads that call databases and the platform.
+    leader_lease: SharedLeaderLease,
 }
 
 impl SocketTransport {
     /// A transport without connections. `storage` leads to the storage thread, `events` to the
     /// controller's thread.
     pub(crate) fn new(storage: Sender<WriteBatch>, events: Sender<Event>) -> Self {
-        Self { connections: HashMap::new(), links: HashMap::new(), storage, events }
+        let leader_lease = SharedLeaderLease::default();
+        Self { connections: HashMap::new(), links: HashMap::new(), storage, events, leader_lease }
     }
     /// Takes over a connection that was accepted on the peer port.
     pub(crate) fn add_connection(&mut self, conn: u64, stream: TcpStream, now: Tick) {
@@ -178,6 +184,9 @@
             })));
         });
     }
+    fn set_leader_lease(&mut self, lease: Option<LeaderLease>) {
+        self.leader_lease.set(lease);
+    }
     fn call_database(
         &mut self,
         service: &ServiceName,
@@ -187,7 +196,9 @@
         attempt: Attempt,
     ) -> bool {
         let (events, service, id) = (self.events.clone(), service.clone(), id.clone());
+        let leader_lease = self.leader_lease.clone();
         start_thread(move || {
+            let leads = || leader_lease.covers(attempt.raft_term, Tick::now());
             let report = |response| {
                 let (service, id) = (service.clone(), id.clone());
                 let input = Input::DatabaseResponse {
@@ -205,7 +216,8 @@
                     report(DatabaseResponse::Connected);
                 }
             };
-            report(ask_database(&service, &id, address, ask, connected));
+            let database = DatabaseCall { service: &service, id: &id, address, request: ask };
+            report(ask_database(&database, connected, leads));
         })
     }
     fn request_promotion(
@@ -223,9 +235,12 @@
             drop(events.send(Event::Input(input)));
         };
         let (not_started, names) = (report.clone(), (service.clone(), target.clone()));
+        let leader_lease = self.leader_lease.clone();
         let started = start_thread(move || {
-            let response =
-                request_promotion(provider, &holder, attempt.fencing_token(), &service, &target);
+            let leads = || leader_lease.covers(attempt.raft_term, Tick::now());
+            let fence = attempt.fencing_token();
+            let call = PromotionCall { platform: provider, holder: &holder, fence };
+            let response = request_promotion(&call, &service, &target, leads);
             report(service, target, response);
         });
         if !started {
--- a/src/failover/actions.rs
+++ b/src/failover/actions.rs
@@ -31,6 +31,8 @@
     Unavailable,
     /// No answer came in time. The request may still be carried out.
     TimedOut,
+    /// The leader that made the request did not lead any more when it would have left.
+    NotSent,
 }
 
 /// What the platform answered to a call that promotes a database.
--- a/src/failover/state.rs
+++ b/src/failover/state.rs
@@ -106,7 +106,9 @@
             DatabaseResponse::Description(description) => {
                 description.primary && description.term == record.term
             }
-            DatabaseResponse::NoDescription | DatabaseResponse::Connected => true,
+            DatabaseResponse::NoDescription
+            | DatabaseResponse::Connected
+            | DatabaseResponse::NotSent => true,
             DatabaseResponse::Unavailable | DatabaseResponse::TimedOut => false,
         };
         if leads { Self::Leads } else { Self::DoesNotLead }
@@ -210,6 +212,10 @@
         if attempt.raft_term == self.attempt.raft_term {
             self.replicas.record_response(database, request, response);
         }
+        // It says nothing of the database.
+        if *response == DatabaseResponse::NotSent {
+            return Vec::new();
+        }
         if request == DatabaseRequest::Describe && self.departed.is_checked_in(attempt) {
             return match response {
                 DatabaseResponse::Description(description) => {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -354,19 +354,63 @@
     body: &[u8],
     timeout: Duration,
 ) -> io::Result<Response> {
+    let request = OutgoingRequest { method, path, headers, body };
+    call_while(to, &request, timeout, || true).map_err(|error| match error {
+        CallError::Io(error) => error,
+        CallError::NotSent => io::ErrorKind::Interrupted.into(),
+    })
+}
+
+/// A request of this program to another one.
+pub struct OutgoingRequest<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The path.
+    pub path: &'a str,
+    /// Headers beside those that every request has.
+    pub headers: &'a [(&'a str, String)],
+    /// The body, in JSON.
+    pub body: &'a [u8],
+}
+
+/// Why a call got no response.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// It was given up before anything was sent.
+    #[error("given up before it was sent")]
+    NotSent,
+    /// The connection failed or timed out; the request may have arrived.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// As [`call`], but asks `may_send` once the connection is there, right before the request leaves.
+///
+/// # Errors
+/// `NotSent` if it may not; otherwise as [`call`].
+pub fn call_while(
+    to: SocketAddr,
+    request: &OutgoingRequest<'_>,
+    timeout: Duration,
+    may_send: impl FnOnce() -> bool,
+) -> Result<Response, CallError> {
     let mut stream = connect_stream(to, timeout, timeout)?;
     stream.set_read_timeout(Some(timeout))?;
+    let OutgoingRequest { method, path, headers, body } = request;
     let mut out = format!(
         "{method} {path} HTTP/1.1\r\nHost: {to}\r\nConnection: close\r\n\
          Content-Type: application/json\r\nContent-Length: {}\r\n",
         body.len()
     );
-    for (name, value) in headers {
+    for (name, value) in *headers {
         out.push_str(&format!("{name}: {value}\r\n"));
     }
     out.push_str("\r\n");
     let mut out = out.into_bytes();
     out.extend_from_slice(body);
+    if !may_send() {
+        return Err(CallError::NotSent);
+    }
     stream.write_all(&out)?;
     let mut bytes = Vec::new();
     let head = read_response_head(&mut stream, &mut bytes)?;
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -178,6 +178,21 @@
             && self.quorum_answered_within(LEADER_LEASE_MS, now)
     }
 
+    /// Until when [`RaftNode::holds_leader_lease`] goes on to hold if no member answers any more; none
+    /// if it does not hold now.
+    pub fn leader_lease_end(&self, now: Tick) -> Option<Tick> {
+        if !self.holds_leader_lease(now) {
+            return None;
+        }
+        let answered_at = |id: &MemberId| match *id == self.state.member_id {
+            true => now,
+            false => self.progress.get(id).map_or(Tick(0), |progress| progress.last_acked),
+        };
+        let mut answered: Vec<Tick> = self.voters().iter().map(answered_at).collect();
+        answered.sort_unstable_by(|a, b| b.cmp(a));
+        answered.get(self.quorum() - 1).map(|oldest| oldest.plus(LEADER_LEASE_MS))
+    }
+
     /// Puts a message of the current term into the outbox.
     pub(super) fn send(&mut self, to: MemberId, kind: RaftMessageKind) {
         let message = RaftMessage { from: self.state.member_id, term: self.state.term, kind };
--- a/src/simulation/databases.rs
+++ b/src/simulation/databases.rs
@@ -1,5 +1,6 @@
 //! The databases of each service: replication, commits, and the platform that promotes.
 use crate::base::ids::{DbTerm, InstanceId, Position, ServiceName};
+use crate::base::time::Tick;
 use crate::config::directory::{Lifecycle, Role};
 use crate::controller::effects::Input;
 use crate::failover::{Attempt, DatabaseRequest, DatabaseResponse, PromotionResponse};
@@ -26,6 +27,17 @@
     pub(super) id: u64,
 }
 
+/// What becomes of a controller's call when it has connected.
+enum OutgoingCall {
+    Leaves,
+    /// Its machine is frozen, and the thread that calls with it.
+    StandsStill {
+        until: u64,
+    },
+    /// The controller does not lead any more, or its process has ended.
+    GivenUp,
+}
+
 pub(super) struct Database {
     pub(super) id: InstanceId,
     pub(super) service: ServiceName,
@@ -307,6 +319,21 @@
         }
     }
 
+    /// Whether a call that a controller wanted to make, and has connected for, leaves it now.
+    fn outgoing_call(&self, from: usize, incarnation: u64, attempt: Attempt) -> OutgoingCall {
+        let machine = &self.machines[from];
+        if let Some(until) = machine.frozen_until.filter(|until| *until > self.now) {
+            return OutgoingCall::StandsStill { until };
+        }
+        let now = Tick(self.now + machine.clock_offset);
+        let controller = machine.controller.as_ref().filter(|_| machine.incarnation == incarnation);
+        let lease = controller.and_then(|controller| controller.effects.leader_lease);
+        match lease.is_some_and(|lease| lease.covers(attempt.raft_term, now)) {
+            true => OutgoingCall::Leaves,
+            false => OutgoingCall::GivenUp,
+        }
+    }
+
     /// Answers a controller's request to a database, at once, late or never.
     pub(super) fn handle_database_request(
         &mut self,
@@ -316,6 +343,20 @@
         request: DatabaseRequest,
         attempt: Attempt,
     ) {
+        let again =
+            |service, id| Event::DatabaseRequest(from, incarnation, service, id, request, attempt);
+        match self.outgoing_call(from, incarnation, attempt) {
+            OutgoingCall::Leaves => {}
+            OutgoingCall::StandsStill { until } => {
+                return self.schedule_at(until, again(service, id));
+            }
+            OutgoingCall::GivenUp => {
+                let response = DatabaseResponse::NotSent;
+                let input =
+                    Input::DatabaseResponse { service, instance: id, request, attempt, response };
+                return self.schedule_after(1, Event::ControllerInput(from, incarnation, input));
+            }
+        }
         let number = self.databases.iter().position(|d| d.id == id);
         let reached = number.filter(|n| {
             let (here, there) = (Party::Controller(from), Party::Database(*n));
@@ -343,6 +384,18 @@
         target: InstanceId,
         attempt: Attempt,
     ) {
+        match self.outgoing_call(from, incarnation, attempt) {
+            OutgoingCall::Leaves => {}
+            OutgoingCall::StandsStill { until } => {
+                let again = Event::PromotionRequest(from, incarnation, service, target, attempt);
+                return self.schedule_at(until, again);
+            }
+            OutgoingCall::GivenUp => {
+                let response = PromotionResponse::NotAttempted;
+                let input = Input::PromotionResponse { service, target, attempt, response };
+                return self.schedule_after(1, Event::ControllerInput(from, incarnation, input));
+            }
+        }
         let number = self.databases.iter().position(|d| d.id == target);
         let running = number.filter(|n| self.databases[*n].up);
         let (mut posted, mut after) = match running {
--- a/src/simulation/machines.rs
+++ b/src/simulation/machines.rs
@@ -203,6 +203,7 @@
         let due = controller.millis_until_step(now).max(1);
         let mut wanted = std::mem::take(&mut controller.effects);
         controller.effects.open = std::mem::take(&mut wanted.open);
+        controller.effects.leader_lease = wanted.leader_lease;
         self.schedule_after(held + due, wake);
         self.check_controller(number);
         self.carry_out(number, wanted, held);
--- a/src/simulation/recorded_effects.rs
+++ b/src/simulation/recorded_effects.rs
@@ -2,6 +2,7 @@
 use crate::base::ids::{InstanceId, MemberId, ServiceName};
 use crate::base::time::Tick;
 use crate::controller::effects::Effects;
+use crate::controller::leader_lease::LeaderLease;
 use crate::failover::{Attempt, DatabaseRequest};
 use crate::net::rpc::raft_messages::{Member, RaftMessage};
 use crate::raft::storage::WriteBatch;
@@ -19,6 +20,7 @@
     pub(super) posts: Vec<(ServiceName, InstanceId, Attempt)>,
     pub(super) frames: VecDeque<(u64, Arc<[u8]>)>,
     pub(super) open: BTreeSet<u64>,
+    pub(super) leader_lease: Option<LeaderLease>,
 }
 
 impl Effects for RecordedEffects {
@@ -33,6 +35,9 @@
     fn request_membership(&mut self, at: SocketAddr, member: Member, was: bool) {
         self.standing.push((at, member, was));
     }
+    fn set_leader_lease(&mut self, lease: Option<LeaderLease>) {
+        self.leader_lease = lease;
+    }
     fn call_database(
         &mut self,
         service: &ServiceName,
--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -356,6 +356,35 @@
     }
 }
 
+/// A leader that was not sure to lead gave the request up: the database was asked nothing.
+#[test]
+fn a_request_that_was_not_sent_says_nothing_of_the_database() {
+    let (snapshot, now) = (snapshot(), Tick(50_000));
+    let not_sent = DatabaseResponse::NotSent;
+    let mut suspected = begin_steady(&snapshot, now);
+    let doubt = SuspicionReason::ConnectionsBroken;
+    suspected.report_suspicion(&snapshot, &"n1".into(), &"a".into(), doubt, now);
+    let fenced = fencing(&snapshot, now);
+    // (the stage, who was asked what)
+    for (stage, id, request) in [
+        (&suspected, "a", DatabaseRequest::Describe),
+        (&fenced, "a", DatabaseRequest::Describe),
+        (&fenced, "c", PAUSE),
+    ] {
+        let mut s = stage.clone();
+        let actions = s.handle_response(&snapshot, s.attempt, &id.into(), request, &not_sent, now);
+        assert_eq!((actions, &s.state), (vec![], &stage.state), "{id} {request:?}");
+    }
+    // A pause that was never sent can't hold a replica that is to go on.
+    let mut s = fenced.clone();
+    s.handle_response(&snapshot, s.attempt, &"c".into(), PAUSE, &not_sent, now);
+    let leads = row(true, 1, at(9));
+    s.handle_response(&snapshot, s.attempt, &"a".into(), DatabaseRequest::Describe, &leads, now);
+    s.handle_response(&snapshot, s.attempt, &"b".into(), PAUSE, &row(false, 1, at(7)), now);
+    confirm_resumption(&mut s, &snapshot, now);
+    assert_eq!(s.tick(&snapshot, now.plus(1_100)), [], "both are known to go on");
+}
+
 #[test]
 fn a_primary_found_slow_twice_is_replaced_once() {
     let (snapshot, now) = (snapshot(), Tick(50_000));
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -6,6 +6,7 @@
 use silvertack::config::settings::Settings;
 use silvertack::controller::core::Controller;
 use silvertack::controller::effects::{Effects, Input};
+use silvertack::controller::leader_lease::{LeaderLease, SharedLeaderLease};
 use silvertack::failover::{Attempt, DatabaseRequest, DatabaseResponse, PromotionResponse};
 use silvertack::leases::lease_table::{CoverageRule, LEASE_MS, LeaseTable};
 use silvertack::leases::passed_on::UnreportedCommits;
@@ -392,6 +393,7 @@
     posts: Vec<(InstanceId, Attempt)>,
     sent: Vec<(u64, ToPooler)>,
     raft: Vec<(MemberId, RaftMessage)>,
+    leader_lease: Option<LeaderLease>,
 }
 impl Queue {
     fn keep(&mut self, conn: u64, frame: &[u8]) {
@@ -401,6 +403,9 @@
     }
 }
 impl Effects for Queue {
+    fn set_leader_lease(&mut self, lease: Option<LeaderLease>) {
+        self.leader_lease = lease;
+    }
     fn send_raft(&mut self, to: MemberId, _: SocketAddr, message: RaftMessage, _: Tick) {
         self.raft.push((to, message));
     }
@@ -760,6 +765,39 @@
     }
 }
 
+/// What threads are told of the leadership is never longer than the leader itself may rely on.
+#[test]
+fn threads_act_for_a_leader_only_while_it_certainly_leads() {
+    for voters in [1, 3, 5] {
+        let mut leader = Leader::of(voters, 1, &[]);
+        let shared = SharedLeaderLease::default();
+        let term = leader.controller.raft().state.term;
+        assert!(!shared.covers(term, leader.now), "nothing was set");
+        shared.set(leader.controller.effects.leader_lease);
+        assert!(shared.covers(term, leader.now), "{voters}");
+        for other in [Term(term.0 - 1), Term(term.0 + 1)] {
+            assert!(!shared.covers(other, leader.now), "{voters}: {other:?}");
+        }
+        // Followers that answer no more: it ends by itself, also for a thread that was told before.
+        leader.cut = true;
+        let cut_at = leader.now;
+        while leader.now.since(cut_at) < 1_000 {
+            let alone = leader.controller.raft().holds_leader_lease(leader.now);
+            let told = shared.covers(term, leader.now);
+            assert!(!told || alone, "{voters}: after {}", leader.now.since(cut_at));
+            leader.run(10);
+        }
+        assert!(!shared.covers(term, leader.now), "{voters}: it ends without being set again");
+        shared.set(leader.controller.effects.leader_lease);
+        assert_eq!(shared.covers(term, leader.now), voters == 1, "{voters}: alone it goes on");
+        leader.cut = false;
+        leader.run(200);
+        leader.controller.transfer_leadership(leader.now);
+        shared.set(leader.controller.effects.leader_lease);
+        assert!(voters == 1 || !shared.covers(term, leader.now), "{voters}: it is handed over");
+    }
+}
+
 /// The primary drains, and `b` is to follow it, with `n1` and `n2` as poolers. Gives the handover.
 fn handing_over(layout_of_n2: u8) -> (Leader, Handover) {
     let mut leader = Leader::new(1, &[]);
--- a/tests/stale_leader.rs
+++ b/tests/stale_leader.rs
@@ -3,8 +3,8 @@
 mod processes;
 mod support;
 
-use processes::Controllers;
-use std::io::{BufRead, BufReader, Write};
+use processes::{Controllers, eventually};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 use support::http;
@@ -40,6 +40,27 @@
     reader
 }
 
+/// Guards against the order of a leader that is none any more: it ended a pause that the next leader
+/// relied on.
+#[test]
+fn a_leader_that_stood_still_gives_up_the_orders_that_it_was_about_to_send() {
+    let (database, address) = listen();
+    let controllers = Controllers::start("stale");
+    let leader = controllers.leader();
+    report_primary(&controllers, leader, address);
+    // The request waits for the greeting to be answered; the leader stands still meanwhile.
+    let mut waiting = greeted(&database);
+    controllers.signal(leader, "-STOP");
+    waiting.get_mut().write_all(b"READY I -\r\n").expect("sent");
+    eventually("another leader", || controllers.others(leader).any(|n| controllers.leads(n)));
+    controllers.signal(leader, "-CONT");
+    let mut sent = String::new();
+    waiting.read_to_string(&mut sent).expect("the end of the connection");
+    assert_eq!(sent, "", "of the leader before");
+    // The new leader asks in its own name.
+    http(controllers.admin(controllers.leader()), "GET", "/status", &[], "").expect("it answers");
+}
+
 /// Guards against an interrupted wait that counts as the answer of a database: that it can't be reached.
 #[test]
 fn a_leader_that_was_interrupted_and_still_leads_sends_its_orders() {
