Failover: a departed replica counts until it has ended

For a pooler that says no more, a departed replica is asked each 0.5 s at the address it had whether it still runs, and counts until it refuses (or did neither for 60 s); when a primary is lost its answer counts. Replicas are not paused any more while a lease is in use, since a database that no controller knows was the only receiver then. What the poolers know enough for gets faster: a lost primary is followed once the replicas that live have answered, and a planned change waits for no departure.

--- a/src/controller/committed_entries.rs
+++ b/src/controller/committed_entries.rs
@@ -17,6 +17,9 @@
 /// changed since, any other the whole table.
 const MAX_ROUTE_TABLES: usize = 8;
 
+/// Addresses of departed databases that are remembered; a departure that lasts is one of the newest.
+const MAX_DEPARTED_ADDRESSES: usize = 4_096;
+
 impl<E: Effects> Controller<E> {
     /// Applies the entries that are committed and not applied yet. If one can't be read, the
     /// reason is noted in `unreadable` and nothing is applied any more.
@@ -114,6 +117,7 @@
             }
             _ => None,
         };
+        self.note_departed_address(command);
         let outcome = self.state_machine.apply(command);
         if let Some(reply) = caller {
             let answer = match command {
@@ -148,6 +152,17 @@
         }
     }
 
+    /// Notes where a database listened that is about to leave the directory.
+    fn note_departed_address(&mut self, command: &Command) {
+        let Command::RemoveInstance { id, .. } = command else { return };
+        if let Some(record) = self.state_machine.instances().get(id) {
+            if self.departed_addresses.len() >= MAX_DEPARTED_ADDRESSES {
+                self.departed_addresses.pop_first();
+            }
+            self.departed_addresses.insert(id.clone(), record.instance.address);
+        }
+    }
+
     /// Acts on a command that changes the primary of a service or the intent to change it.
     fn handle_primary_change(
         &mut self,
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -2,7 +2,7 @@
 //! node, the replicated state and what the leader keeps; it knows no socket, thread, clock or file.
 //! The event loop and the simulation call `handle_input` for what arrived, and `step` after that.
 use crate::base::errors::Fatal;
-use crate::base::ids::{LogIndex, MemberId, Revision, ServiceName};
+use crate::base::ids::{InstanceId, LogIndex, MemberId, Revision, ServiceName};
 use crate::base::time::Tick;
 use crate::config::configuration::{Configuration, Service};
 use crate::config::route_table::RouteTable;
@@ -30,6 +30,7 @@
 use log::{error, info, warn};
 use serde_bytes::ByteBuf;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::SyncSender;
 
@@ -68,6 +69,8 @@
     pub(super) join: JoinState,
     /// Only while this controller leads.
     pub(super) leader_state: Option<LeaderState>,
+    /// Where databases listened that left the directory since this process started; they may serve on.
+    pub(super) departed_addresses: BTreeMap<InstanceId, SocketAddr>,
     /// Callers that wait for their command to be applied.
     pub(super) proposed: PendingProposals<SyncSender<Response>>,
     /// Callers that wait until this controller is confirmed as the leader.
@@ -126,6 +129,7 @@
             directory_updates: DirectoryUpdates::default(),
             join: JoinState::new(now),
             leader_state: None,
+            departed_addresses: BTreeMap::new(),
             proposed: PendingProposals::default(),
             reads: LinearizableReads::default(),
             database_requests: DatabaseRequests::default(),
--- a/src/controller/failover_driver.rs
+++ b/src/controller/failover_driver.rs
@@ -242,10 +242,11 @@
             && let Some(next) = self.database_requests.queue.pop_front()
         {
             let QueuedRequest { service, instance, request, attempt } = next;
-            let Some(record) = self.state_machine.instances().get(&instance) else {
+            let listed = self.state_machine.instances().get(&instance).map(|r| r.instance.address);
+            let departed = || self.departed_addresses.get(&instance).copied();
+            let Some(address) = listed.or_else(departed) else {
                 continue;
             };
-            let address = record.instance.address;
             let started =
                 self.effects.call_database(&service, &instance, address, request, attempt);
             // Without a thread it is not sent; the failover that needs the answer retries.
--- a/src/failover/departed.rs
+++ b/src/failover/departed.rs
@@ -1,15 +1,15 @@
 //! The departed replica check: whether a replica that left can be forgotten.
 //!
-//! A replica that left took its log along, and commits were acknowledged because of it until it
-//! ended. While its log may hold the only copy of such a commit, no other replica may be promoted
-//! without regard to it. It can be forgotten once enough listed replicas have everything that the
-//! primary had after the departed replica ended: no commit that it helped to acknowledge lies
-//! beyond that position.
+//! A replica that left takes its log along, and commits are acknowledged because of it until it
+//! ends, which may be long after its goodbye. While its log may hold the only copy of such a commit,
+//! no other replica may be promoted without regard to it. So it is asked until it refuses, and can be
+//! forgotten once enough listed replicas have everything that the primary had after that: no commit
+//! that it helped to acknowledge lies beyond that position.
 
-use super::actions::{Attempt, DatabaseRequest, FailoverAction};
+use super::actions::{Attempt, DatabaseRequest, DatabaseResponse, FailoverAction};
 use super::timing::{
     DEPARTED_CHECK_BACKOFF_MS, DEPARTED_CHECK_MAX_BACKOFF_MS, DEPARTED_CHECK_TIMEOUT_MS,
-    DEPARTURE_COMPLETE_MS, REQUEST_RETRY_MS,
+    DEPARTED_PROBE_INTERVAL_MS, DEPARTED_SILENT_MS, REQUEST_RETRY_MS,
 };
 use super::{Failover, ServiceSnapshot};
 use crate::base::ids::{InstanceId, Position};
@@ -25,6 +25,16 @@
     sequence: u64,
     /// When this leader first saw that it had left.
     noticed_at: Tick,
+    /// When it was last asked whether it still runs.
+    probed_at: Tick,
+    /// It refused: it receives nothing any more.
+    ended: bool,
+}
+
+impl Departure {
+    fn has_ended(&self, now: Tick) -> bool {
+        self.ended || now.since(self.noticed_at) >= DEPARTED_SILENT_MS
+    }
 }
 
 /// One check whether the listed replicas have what the departed ones may have taken along.
@@ -79,18 +89,38 @@
     fn update_departures(&mut self, snapshot: &ServiceSnapshot, now: Tick) {
         self.departures.retain(|id, left| snapshot.departed.get(id) == Some(&left.sequence));
         for (id, &sequence) in &snapshot.departed {
-            let departure = Departure { sequence, noticed_at: now };
+            let departure = Departure { sequence, noticed_at: now, probed_at: now, ended: false };
             self.departures.entry(id.clone()).or_insert(departure);
         }
     }
 
     /// Those that receive nothing any more, each with its sequence number.
     fn ended(&self, now: Tick) -> BTreeMap<InstanceId, u64> {
-        let ended = |left: &Departure| now.since(left.noticed_at) >= DEPARTURE_COMPLETE_MS;
-        let ended = self.departures.iter().filter(|(_, left)| ended(left));
+        let ended = self.departures.iter().filter(|(_, left)| left.has_ended(now));
         ended.map(|(id, left)| (id.clone(), left.sequence)).collect()
     }
 
+    /// Asks those that may still run, each at intervals.
+    fn probe(&mut self, now: Tick) -> Vec<FailoverAction> {
+        let mut requests = Vec::new();
+        for (id, departure) in &mut self.departures {
+            let due = now.since(departure.probed_at) >= DEPARTED_PROBE_INTERVAL_MS;
+            if due && !departure.has_ended(now) {
+                departure.probed_at = now;
+                requests.push(FailoverAction::SendRequest(id.clone(), DatabaseRequest::Describe));
+            }
+        }
+        requests
+    }
+
+    /// A departed replica was asked whether it still runs. One that refuses the connection, or at whose
+    /// address another database listens now, has ended.
+    pub(super) fn record_probe(&mut self, database: &InstanceId, response: &DatabaseResponse) {
+        if let Some(departure) = self.departures.get_mut(database) {
+            departure.ended |= *response == DatabaseResponse::Unavailable;
+        }
+    }
+
     /// Goes on with the check that is under way: gives it up after its time, else asks again.
     fn continue_check(&mut self, snapshot: &ServiceSnapshot, now: Tick) -> Vec<FailoverAction> {
         let Some(check) = &mut self.check else { return Vec::new() };
@@ -168,9 +198,10 @@
         if self.departed.check.is_some() {
             return self.departed.continue_check(snapshot, now);
         }
+        let probes = self.departed.probe(now);
         let departed = self.departed.ended(now);
-        if departed.is_empty() || now < self.departed.next_check_at {
-            return Vec::new();
+        if !probes.is_empty() || departed.is_empty() || now < self.departed.next_check_at {
+            return probes;
         }
         self.begin_attempt();
         self.departed.check = Some(DepartedReplicaCheck {
--- a/src/failover/fencing.rs
+++ b/src/failover/fencing.rs
@@ -1,5 +1,5 @@
-//! Fencing a lost primary: its leases are revoked and the replicas paused, so that from then on
-//! nothing is passed on to clients that the next primary lacks.
+//! Fencing a lost primary: its leases are revoked, and once they are over the replicas are paused, so
+//! that nothing is passed on to clients that the next primary lacks.
 
 use super::actions::{DatabaseRequest, DatabaseResponse, FailoverAction};
 use super::selection::answers_cover_commits;
@@ -53,6 +53,12 @@
         snapshot.possible_holders().filter(|id| self.descriptions.contains_key(*id)).count()
     }
 
+    /// Whether all listed replicas that live have answered.
+    pub(super) fn all_living_answered(&self, snapshot: &ServiceSnapshot) -> bool {
+        let mut living = snapshot.replica_ids().filter(|id| snapshot.alive.contains(*id));
+        living.all(|id| self.descriptions.contains_key(id))
+    }
+
     /// How many of the possible holders have answered since every lease had ended.
     pub(super) fn answers_after_leases(&self, snapshot: &ServiceSnapshot) -> usize {
         let answered = &self.answered_after_leases;
@@ -74,11 +80,6 @@
         }
     }
 
-    /// The listed replicas whose answers are waited for.
-    fn unanswered(&self, snapshot: &ServiceSnapshot) -> Vec<InstanceId> {
-        snapshot.replica_ids().filter(|id| self.needs_answer_of(id)).cloned().collect()
-    }
-
     /// Whether the replicas have to be asked again now that every lease has ended: what the poolers
     /// reported leaves something open, or is more than the replicas had before.
     fn must_ask_again(&self, snapshot: &ServiceSnapshot) -> bool {
@@ -104,8 +105,30 @@
         self.suspicion.clear_reporters();
         self.state = FailoverState::Fencing(Fencing::new(snapshot.leases_expired, now));
         let mut actions = vec![FailoverAction::RevokeLeases(record.term)];
-        let replicas = snapshot.replica_ids().cloned().collect();
-        actions.extend(self.replicas.pause(replicas, record.term, now));
+        actions.extend(self.ask_holders(snapshot, record.term, now));
+        actions
+    }
+
+    /// Asks the possible holders whose answers are waited for how far they are. The listed ones are
+    /// paused for that, but not while a lease is in use: what is acknowledged then has to reach them.
+    /// One that departed may still run, and is only asked.
+    fn ask_holders(
+        &mut self,
+        snapshot: &ServiceSnapshot,
+        term: DbTerm,
+        now: Tick,
+    ) -> Vec<FailoverAction> {
+        let FailoverState::Fencing(fencing) = &mut self.state else { return Vec::new() };
+        fencing.requested_at = now;
+        let unanswered = |id: &&InstanceId| fencing.needs_answer_of(id);
+        let departed: Vec<_> = snapshot.departed.keys().filter(unanswered).cloned().collect();
+        let listed: Vec<_> = snapshot.replica_ids().filter(unanswered).cloned().collect();
+        let describe = |id| FailoverAction::SendRequest(id, DatabaseRequest::Describe);
+        let mut actions = match fencing.asks_after_leases {
+            true => self.replicas.pause(listed, term, now),
+            false => listed.into_iter().map(describe).collect(),
+        };
+        actions.extend(departed.into_iter().map(describe));
         actions
     }
 
@@ -202,19 +225,15 @@
         let FailoverState::Fencing(fencing) = &mut self.state else { return Vec::new() };
         if fencing.must_ask_again(snapshot) {
             fencing.asks_after_leases = true;
-            fencing.requested_at = now;
             // Answers that are still under way may be from before the leases ended.
             self.begin_attempt();
-            let replicas = snapshot.replica_ids().cloned().collect();
-            return self.replicas.pause(replicas, record.term, now);
+            return self.ask_holders(snapshot, record.term, now);
         }
         if now.since(fencing.requested_at) <= REQUEST_RETRY_MS {
             return Vec::new();
         }
-        fencing.requested_at = now;
         let recheck = now.since(fencing.since) > PRIMARY_RECHECK_AFTER_MS;
-        let unanswered = fencing.unanswered(snapshot);
-        let mut actions = self.replicas.pause(unanswered, record.term, now);
+        let mut actions = self.ask_holders(snapshot, record.term, now);
         if recheck && snapshot.database(&record.primary).is_some() {
             let primary = record.primary.clone();
             actions.push(FailoverAction::SendRequest(primary, DatabaseRequest::Describe));
--- a/src/failover/handover.rs
+++ b/src/failover/handover.rs
@@ -99,11 +99,6 @@
         cause: PlannedCause,
         now: Tick,
     ) -> Vec<FailoverAction> {
-        // A departed replica may hold the only copy of a commit. Were the primary lost in the middle
-        // of the change, nobody could follow it.
-        if !snapshot.departed.is_empty() {
-            return Vec::new();
-        }
         let Some(target) = planned_target(snapshot) else { return Vec::new() };
         let others: Vec<_> = snapshot.replica_ids().filter(|id| **id != target).cloned().collect();
         self.begin_attempt();
--- a/src/failover/selection.rs
+++ b/src/failover/selection.rs
@@ -30,7 +30,9 @@
     let furthest = fencing.furthest();
     let prefer_replicas = now.since(fencing.since) < PREFER_REPLICAS_MS;
     // What the poolers said is enough; but with all answers the furthest replica is found.
-    let waited = !prefer_replicas || answers_cover_commits(fencing.answers(snapshot), snapshot);
+    let waited = !prefer_replicas
+        || fencing.all_living_answered(snapshot)
+        || answers_cover_commits(fencing.answers(snapshot), snapshot);
     let covered_by_answers =
         answers_cover_commits(fencing.answers_after_leases(snapshot), snapshot);
     // A replica that is behind what was passed on would lose those commits.
--- a/src/failover/state.rs
+++ b/src/failover/state.rs
@@ -216,6 +216,13 @@
         if *response == DatabaseResponse::NotSent {
             return Vec::new();
         }
+        if request == DatabaseRequest::Describe
+            && snapshot.departed.contains_key(database)
+            && self.state == FailoverState::Steady
+        {
+            self.departed.record_probe(database, response);
+            return Vec::new();
+        }
         if request == DatabaseRequest::Describe && self.departed.is_checked_in(attempt) {
             return match response {
                 DatabaseResponse::Description(description) => {
@@ -419,10 +426,7 @@
         }
         let backed_off =
             self.called_off_at.is_none_or(|at| now.since(at) > PLANNED_CHANGE_RETRY_MS);
-        if primary.lifecycle_state == Lifecycle::Draining
-            && backed_off
-            && snapshot.departed.is_empty()
-        {
+        if primary.lifecycle_state == Lifecycle::Draining && backed_off {
             return self.plan_change(snapshot, record.term, PlannedCause::Draining, now);
         }
         if !snapshot.alive.contains(id) && self.suspicion.heeds_missing_heartbeats(now) {
--- a/src/failover/timing.rs
+++ b/src/failover/timing.rs
@@ -20,9 +20,13 @@
 /// time: the alarm may have been false.
 pub(super) const PRIMARY_RECHECK_AFTER_MS: u64 = 2 * REQUEST_RETRY_MS;
 
-/// A database that said goodbye receives nothing more after this time; it may have repeated the
-/// goodbye once by then.
-pub(super) const DEPARTURE_COMPLETE_MS: u64 = 2_000;
+/// A departed replica is asked this often whether it still runs: it may serve on, and receive, for
+/// many seconds after its goodbye.
+pub(super) const DEPARTED_PROBE_INTERVAL_MS: u64 = 500;
+
+/// A departed replica that neither answers nor refuses is taken for ended after this time, as one
+/// whose heartbeats don't come is.
+pub(super) const DEPARTED_SILENT_MS: u64 = 60_000;
 
 /// How long the replicas may take to reach the primary's position in one departed replica check.
 pub(super) const DEPARTED_CHECK_TIMEOUT_MS: u64 = 1_500;
