--- a/src/simulation/commits.rs
+++ b/src/simulation/commits.rs
@@ -7,6 +7,7 @@
 use crate::simulation::databases::Write;
 use crate::simulation::events::Event;
 use crate::simulation::network::Party;
+use crate::simulation::nodes::ObservedCommit;
 use crate::simulation::schedule::draw_below;
 use crate::simulation::world::World;
 
@@ -21,6 +22,8 @@
     pub(super) service: ServiceName,
     pub(super) write: Write,
     pub(super) position: Position,
+    /// When the node sent the statement.
+    pub(super) sent_at: u64,
 }
 
 /// A node's question to the target of a handover, and the answer once there is one.
@@ -105,11 +108,13 @@
 
     /// A node passes a commit on to its client; no later primary may lack it.
     fn pass_on_commit(&mut self, number: usize, commit: Commit) {
-        let Commit { service, write, position } = commit;
+        let Commit { service, write, position, sent_at } = commit;
         let now = self.now;
         let node = &mut self.nodes[number];
         let highest = node.highest.entry(service.clone()).or_insert(position);
         *highest = position.max(*highest);
+        let observed = ObservedCommit { term: write.term, position, sent_at };
+        node.unreported.insert(service.clone(), observed);
         self.report.acknowledged_commits += 1;
         let newer = self.promotions.get(&service).into_iter().flatten();
         let lacks =
--- a/src/simulation/databases.rs
+++ b/src/simulation/databases.rs
@@ -22,6 +22,8 @@
 pub(super) struct PendingCommit {
     pub(super) node: usize,
     pub(super) incarnation: u64,
+    /// When the node sent its statement.
+    pub(super) sent_at: u64,
     /// Length of the log up to and with this commit.
     pub(super) length: usize,
     pub(super) id: u64,
@@ -328,10 +330,14 @@
         database.pending_commits.retain(|c| c.length > has);
         let acknowledgements: Vec<_> = due
             .into_iter()
-            .map(|PendingCommit { node, incarnation, length, id }| {
+            .map(|PendingCommit { node, incarnation, sent_at, length, id }| {
                 let position = Position { term: log[length - 1].term, number: length as u64 };
-                let commit =
-                    Commit { service: service.clone(), write: Write { term, id }, position };
+                let commit = Commit {
+                    service: service.clone(),
+                    write: Write { term, id },
+                    position,
+                    sent_at,
+                };
                 (node, Event::CommitAck(node, incarnation, commit))
             })
             .collect();
@@ -343,7 +349,14 @@
     }
 
     /// A primary appends a node's commit, which waits for one replica.
-    pub(super) fn append_write(&mut self, node: usize, to: usize, incarnation: u64, term: DbTerm) {
+    pub(super) fn append_write(
+        &mut self,
+        node: usize,
+        to: usize,
+        incarnation: u64,
+        term: DbTerm,
+        sent_at: u64,
+    ) {
         self.last_number += 1;
         let id = self.last_number;
         let database = &mut self.databases[to];
@@ -351,7 +364,7 @@
             let term = if database.term == term { term } else { database.term };
             database.log.push(Write { term, id });
             let length = database.log.len();
-            database.pending_commits.push(PendingCommit { node, incarnation, length, id });
+            database.pending_commits.push(PendingCommit { node, incarnation, sent_at, length, id });
         }
     }
 
--- a/src/simulation/events.rs
+++ b/src/simulation/events.rs
@@ -37,8 +37,9 @@
     DatabaseRequest(usize, u64, ServiceName, InstanceId, DatabaseRequest, Attempt),
     PromotionRequest(usize, u64, ServiceName, InstanceId, Attempt),
     Promote(ServiceName, usize),
-    /// A node's statement reaches a database, by node, database, node's incarnation, leased term.
-    Write(usize, usize, u64, DbTerm),
+    /// A node's statement reaches a database, by node, database, node's incarnation, leased term, time of
+    /// sending.
+    Write(usize, usize, u64, DbTerm, u64),
     Replicate(usize, usize, DbTerm, Arc<Vec<Write>>),
     ReplicaAck(usize, usize, DbTerm, usize),
     /// The primary acknowledges a commit, to a node and its incarnation.
@@ -90,8 +91,8 @@
                 self.handle_promotion_request((from, incarnation), service, target, attempt);
             }
             Event::Promote(service, target) => self.promote(&service, target),
-            Event::Write(node, to, incarnation, term) => {
-                self.append_write(node, to, incarnation, term);
+            Event::Write(node, to, incarnation, term, sent_at) => {
+                self.append_write(node, to, incarnation, term, sent_at);
             }
             Event::Replicate(from, to, term, log) => self.receive_log(from, to, term, &log),
             Event::ReplicaAck(number, by, term, has) => {
--- a/src/simulation/faults.rs
+++ b/src/simulation/faults.rs
@@ -205,6 +205,8 @@
         node.highest.clear();
         node.confirmations.clear();
         node.sent.clear();
+        node.unreported.clear();
+        node.last_answer = None;
         let incarnation = node.incarnation;
         self.schedule_after(after, Event::NodeTurn(number, incarnation));
     }
--- a/src/simulation/nodes.rs
+++ b/src/simulation/nodes.rs
@@ -5,10 +5,11 @@
 use crate::controller::effects::Input;
 use crate::leases::lease_table::LEASE_MS;
 use crate::net::rpc::pooler_messages::{
-    Handover, LeaseGrant, PrimaryStatus, ToController, ToPooler,
+    Handover, LeaseGrant, ObservedPosition, PrimaryStatus, ToController, ToPooler,
 };
 use crate::net::rpc::{Frame, LAYOUT};
 use crate::pooler::handover::CommitConfirmation;
+use crate::pooler::replica_reads::elapsed_lower_bound_ms;
 use crate::simulation::commits::Commit;
 use crate::simulation::events::Event;
 use crate::simulation::network::{Party, RemoteEnd};
@@ -43,6 +44,33 @@
     pub(super) confirmations: BTreeMap<ServiceName, CommitConfirmation>,
     /// It stops in order once its next commit was passed on.
     pub(super) stops_after_commit: bool,
+    /// The last commits that the leader was not told of.
+    pub(super) unreported: BTreeMap<ServiceName, ObservedCommit>,
+    /// The last answer to a renewal on this connection, and when it arrived.
+    pub(super) last_answer: Option<(u64, u64)>,
+}
+
+/// A commit's position, which tells how far the primary was after its statement was sent.
+#[derive(Clone, Copy)]
+pub(super) struct ObservedCommit {
+    pub(super) term: DbTerm,
+    pub(super) position: Position,
+    pub(super) sent_at: u64,
+}
+
+impl Node {
+    /// What a renewal reports: the positions that were observed after the last answer of the leader,
+    /// from which the leader counts the time.
+    fn take_observed(&mut self) -> Vec<ObservedPosition> {
+        let Some((_, arrived_at)) = self.last_answer else { return Vec::new() };
+        let unreported = std::mem::take(&mut self.unreported).into_iter();
+        let reported = unreported.filter_map(|(service, observed)| {
+            let ObservedCommit { term, position, sent_at } = observed;
+            let sent_after_ms = elapsed_lower_bound_ms(Tick(arrived_at), Tick(sent_at))?;
+            Some(ObservedPosition { service, term, position, sent_after_ms })
+        });
+        reported.collect()
+    }
 }
 
 impl Node {
@@ -150,7 +178,7 @@
                 && let Some(to) = to
                 && let Some(time) = self.arrival_time(Party::Node(number), Party::Database(to), 0)
             {
-                self.schedule_at(time, Event::Write(number, to, incarnation, lease.term));
+                self.schedule_at(time, Event::Write(number, to, incarnation, lease.term, now));
             }
         }
     }
@@ -165,11 +193,12 @@
         if node.sent.len() > 16 {
             node.sent.pop_first();
         }
-        let (quotas, demand, observed, bounds_requested) =
-            (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        let observed = node.take_observed();
+        let last_grant_seq = node.last_answer.map_or(0, |(seq, _)| seq);
+        let (quotas, demand, bounds_requested) = (Vec::new(), Vec::new(), Vec::new());
         let renewal = ToController::RenewLeases {
             seq,
-            last_grant_seq: 0,
+            last_grant_seq,
             quotas,
             demand,
             observed,
@@ -193,6 +222,7 @@
                     node.known = controllers;
                 }
                 if !std::mem::replace(&mut node.welcome, true) {
+                    node.last_answer = None;
                     self.send_renewal(number);
                 }
             }
@@ -211,6 +241,7 @@
             ToPooler::LeaseGrants { seq, complete, grants, .. } => {
                 let Some(asked) = node.sent.get(&seq).copied() else { return };
                 node.sent.retain(|s, _| *s >= seq);
+                node.last_answer = Some((seq, now));
                 if complete {
                     node.leases.clear();
                 }
--- a/src/simulation/world.rs
+++ b/src/simulation/world.rs
@@ -158,6 +158,8 @@
             highest: BTreeMap::new(),
             confirmations: BTreeMap::new(),
             stops_after_commit: false,
+            unreported: BTreeMap::new(),
+            last_answer: None,
         });
         self.schedule_at(500 + number as u64, Event::NodeTurn(number, 1));
     }
