pooler: a commit is forwarded only once listed replicas have it

Cause: a lost primary is replaced by counting. All but s - 1 of the known replicas have answered, so one of them has each forwarded commit. But the primary acknowledges a commit whichever replicas received it, also one that no controller has heard of yet. Such a commit may have no holder among those that are counted, and where the pooler's report is lost nothing else says so.

Change: the leader tells poolers sync_replicas (ToPooler::SyncReplicas, frame layout 4, before the first grant), and a pooler forwards a commit only once that many replicas in its directory have described a position at or beyond it. The mechanism is the one of the handover, whose target is one more condition. A departed replica is forgotten only when no lease can be left under which a pooler counts it (2.5 s after its departure).

Why this works: each forwarded commit now has s holders among the registered and the departed replicas, so the count is a proof whatever else receives.

--- a/src/controller/committed_entries.rs
+++ b/src/controller/committed_entries.rs
@@ -98,6 +98,8 @@
     pub(super) fn set_configuration(&mut self, config: Option<Configuration>) {
         let services = config.iter().flat_map(|c| &c.services);
         self.services = services.map(|s| (s.name.clone(), s.clone())).collect();
+        let replicated = self.services.values().filter(|service| service.sync_replicas > 0);
+        self.sync_replicas = replicated.map(|s| (s.name.clone(), s.sync_replicas)).collect();
         self.config = config;
         self.route_table_frames.clear();
         if let Some(leader_state) = &mut self.leader_state {
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -53,6 +53,8 @@
     pub(super) config: Option<Configuration>,
     /// The services of the current configuration by name.
     pub(super) services: BTreeMap<ServiceName, Service>,
+    /// The `sync_replicas` of the services of the current configuration, where it is not 0.
+    pub(super) sync_replicas: BTreeMap<ServiceName, u32>,
     /// The most recent route tables, the current one last. Deltas are computed against the others.
     pub(super) route_tables: VecDeque<RouteTable>,
     /// Encoded frames that update a node from the given revision to the current route table.
@@ -124,6 +126,7 @@
             route_tables: config.iter().map(RouteTable::of).collect(),
             config: None,
             services: BTreeMap::new(),
+            sync_replicas: BTreeMap::new(),
             route_table_frames: HashMap::new(),
             directory_frame: None,
             node_layouts: HashMap::new(),
--- a/src/controller/pooler_subscriptions.rs
+++ b/src/controller/pooler_subscriptions.rs
@@ -10,9 +10,9 @@
 use crate::controller::core::Controller;
 use crate::controller::effects::Effects;
 use crate::net::rpc::pooler_messages::{ToController, ToPooler};
-use crate::net::rpc::{FIRST_LAYOUT, Frame, HANDOVER_LAYOUT, encode};
+use crate::net::rpc::{FIRST_LAYOUT, Frame, HANDOVER_LAYOUT, SYNC_REPLICAS_LAYOUT, encode};
 use log::{debug, info};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 /// Maximum bytes of directory deltas queued for one connection. Beyond this limit the complete
@@ -59,6 +59,8 @@
     /// Whether the complete directory has to be sent: on a new connection, and after a delta that
     /// exceeded the queue limit.
     directory_due: bool,
+    /// The numbers of synchronous replicas that the node was sent last; `None` before the first time.
+    sync_replicas: Option<BTreeMap<ServiceName, u32>>,
     /// The renewal to answer once the connection's send queue is empty.
     pub(super) renewal: Option<PendingRenewal>,
     /// Number of the latest pending update included in a response; `None` before the first one.
@@ -175,6 +177,7 @@
             return;
         }
         self.send_due_directory(conn);
+        self.send_due_sync_replicas(conn);
         self.send_due_route_table(conn);
         let renewal = self.subscribers.get_mut(&conn).and_then(|s| s.renewal.take());
         if let Some(renewal) = renewal {
@@ -198,6 +201,20 @@
         self.effects.send(conn, frame);
     }
 
+    /// Sends a node the numbers of synchronous replicas, on a new connection and after a change. A
+    /// lease that is granted later is used according to them.
+    fn send_due_sync_replicas(&mut self, conn: u64) {
+        let Some(subscriber) = self.subscribers.get_mut(&conn) else { return };
+        if subscriber.layout < SYNC_REPLICAS_LAYOUT
+            || subscriber.sync_replicas.as_ref() == Some(&self.sync_replicas)
+        {
+            return;
+        }
+        subscriber.sync_replicas = Some(self.sync_replicas.clone());
+        let message = ToPooler::SyncReplicas(self.sync_replicas.clone());
+        self.send_frame(conn, &Frame::Controller(message));
+    }
+
     fn send_due_route_table(&mut self, conn: u64) {
         let Some(current) = self.route_tables.back() else { return };
         let Some(subscriber) = self.subscribers.get_mut(&conn) else { return };
@@ -316,6 +333,7 @@
             layout: self.node_layouts.get(&conn).copied().unwrap_or(FIRST_LAYOUT),
             revision,
             directory_due: true,
+            sync_replicas: None,
             renewal: None,
             updates_sent: None,
             released: BTreeSet::new(),
--- a/src/failover/departed.rs
+++ b/src/failover/departed.rs
@@ -4,14 +4,15 @@
 //! A departed replica continues to count for the acknowledgement of commits until its process
 //! stops, which may be long after it departed. While its log may hold the only copy of such a
 //! commit, the selection of a promotion target has to take it into account. Therefore it is probed
-//! until it refuses the connection. After that the primary is asked for its position: no commit
-//! that the departed replica helped to acknowledge lies beyond it. Once enough registered replicas
-//! have reached that position, the departed replica is forgotten.
+//! until it refuses the connection. Once it has, and no pooler counts it as listed any more, the
+//! primary is asked for its position: no commit that was forwarded because of the departed replica
+//! lies beyond it. Once enough registered replicas have reached that position, the departed replica
+//! is forgotten.
 
 use super::actions::{Attempt, DatabaseRequest, DatabaseResponse, FailoverAction};
 use super::timing::{
     DEPARTED_ASSUMED_STOPPED_MS, DEPARTED_CHECK_BACKOFF_MS, DEPARTED_CHECK_MAX_BACKOFF_MS,
-    DEPARTED_CHECK_TIMEOUT_MS, DEPARTED_PROBE_INTERVAL_MS, REQUEST_RETRY_MS,
+    DEPARTED_CHECK_TIMEOUT_MS, DEPARTED_LISTED_MS, DEPARTED_PROBE_INTERVAL_MS, REQUEST_RETRY_MS,
 };
 use super::{Failover, ServiceSnapshot};
 use crate::base::ids::{InstanceId, Position};
@@ -37,6 +38,11 @@
     fn has_stopped(&self, now: Tick) -> bool {
         self.stopped || now.since(self.noticed_at) >= DEPARTED_ASSUMED_STOPPED_MS
     }
+
+    /// Whether a pooler may still forward commits because this replica has them.
+    fn may_be_listed(&self, now: Tick) -> bool {
+        now.since(self.noticed_at) < DEPARTED_LISTED_MS
+    }
 }
 
 /// One check whether the registered replicas have every commit that the departed ones may have.
@@ -102,10 +108,14 @@
         }
     }
 
-    /// The departed replicas that have stopped, each with its sequence number.
-    fn stopped(&self, now: Tick) -> BTreeMap<InstanceId, u64> {
-        let stopped = self.departures.iter().filter(|(_, departure)| departure.has_stopped(now));
-        stopped.map(|(id, departure)| (id.clone(), departure.sequence)).collect()
+    /// The departed replicas on which no further commit depends, each with its sequence number:
+    /// they have stopped, and no pooler counts them any more.
+    fn forgettable(&self, now: Tick) -> BTreeMap<InstanceId, u64> {
+        let forgettable = self
+            .departures
+            .iter()
+            .filter(|(_, departure)| departure.has_stopped(now) && !departure.may_be_listed(now));
+        forgettable.map(|(id, departure)| (id.clone(), departure.sequence)).collect()
     }
 
     /// Probes the departed replicas that may still run, each at a fixed interval.
@@ -208,7 +218,7 @@
             return self.departed.continue_check(snapshot, now);
         }
         let probes = self.departed.probe(now);
-        let departed = self.departed.stopped(now);
+        let departed = self.departed.forgettable(now);
         if !probes.is_empty() || departed.is_empty() || now < self.departed.next_check_at {
             return probes;
         }
--- a/src/failover/timing.rs
+++ b/src/failover/timing.rs
@@ -1,5 +1,7 @@
 //! Time-outs, intervals and thresholds of failovers and handovers. Times are in milliseconds.
 
+use crate::leases::lease_table::LEASE_USE_MS;
+
 /// Poolers that must report an unanswered request before a primary that has not responded to the
 /// leader either is treated as lost or slow. One or two poolers may have network faults of their
 /// own.
@@ -30,6 +32,11 @@
 /// to have stopped. A registered database without heartbeats is removed after the same time.
 pub(super) const DEPARTED_ASSUMED_STOPPED_MS: u64 = 60_000;
 
+/// Time after which no pooler counts a departed replica as listed any more. Until then one may use a
+/// lease that it was granted before it was told of the departure. An update may be unsent for as
+/// long as a leader's own lease lasts, if its process stands still.
+pub(super) const DEPARTED_LISTED_MS: u64 = LEASE_USE_MS + 650;
+
 /// Time that the replicas have to reach the primary's position in one departed replica check.
 pub(super) const DEPARTED_CHECK_TIMEOUT_MS: u64 = 1_500;
 
--- a/src/gateway/leader_messages.rs
+++ b/src/gateway/leader_messages.rs
@@ -129,7 +129,8 @@
             ToPooler::NotLeader(_)
             | ToPooler::Welcome { .. }
             | ToPooler::Revoke { .. }
-            | ToPooler::HandOver { .. } => {}
+            | ToPooler::HandOver { .. }
+            | ToPooler::SyncReplicas(_) => {}
             ToPooler::RouteTable(route_table) => self.apply_route_table(*route_table),
             // Nothing changes, so the requests that wait for an endpoint need not be woken.
             ToPooler::RouteTableDelta(delta) if self.has_revision(delta.revision) => return,
--- a/src/leases/lease_table.rs
+++ b/src/leases/lease_table.rs
@@ -18,6 +18,10 @@
 /// clocks may run at slightly different rates.
 const LEASE_EXPIRY_MARGIN_MS: u64 = 50;
 
+/// How long a pooler may use a lease after it was granted or renewed, as seen by the leader, in
+/// milliseconds.
+pub const LEASE_USE_MS: u64 = LEASE_MS + LEASE_EXPIRY_MARGIN_MS;
+
 /// How long a disconnected pooler is kept, in milliseconds. It may have forwarded later commits
 /// than it reported; replicas have received those by the end of this time.
 const DISCONNECTED_POOLER_RETENTION_MS: u64 = 10_000;
@@ -118,11 +122,11 @@
 
 /// When a lease granted at this time is certainly no longer in use.
 fn lease_end(granted_at: Tick) -> Tick {
-    granted_at.plus(LEASE_MS + LEASE_EXPIRY_MARGIN_MS)
+    granted_at.plus(LEASE_USE_MS)
 }
 
 fn has_expired(granted_at: Tick, now: Tick) -> bool {
-    now.since(granted_at) > LEASE_MS + LEASE_EXPIRY_MARGIN_MS
+    now.since(granted_at) > LEASE_USE_MS
 }
 
 /// When the commits acknowledged under a lease that was never given up count as covered.
--- a/src/net/rpc/layout.rs
+++ b/src/net/rpc/layout.rs
@@ -6,7 +6,7 @@
 //! support and sends them only frames that they can decode.
 
 /// The newest layout that this program supports.
-pub const LAYOUT: u8 = 3;
+pub const LAYOUT: u8 = 4;
 
 /// The layout of releases that did not number layouts yet; their frames contain no layout.
 pub const FIRST_LAYOUT: u8 = 1;
@@ -19,6 +19,10 @@
 /// [`ToPooler::HandOver`](crate::net::rpc::pooler_messages::ToPooler::HandOver).
 pub const HANDOVER_LAYOUT: u8 = 3;
 
+/// The first layout in which poolers confirm commits at listed replicas, see
+/// [`ToPooler::SyncReplicas`](crate::net::rpc::pooler_messages::ToPooler::SyncReplicas).
+pub const SYNC_REPLICAS_LAYOUT: u8 = 4;
+
 /// The required layout of a frame that every release can decode. The first layout wrote a zero
 /// here.
 pub(super) const NO_REQUIRED_LAYOUT: u8 = 0;
--- a/src/net/rpc/pooler_messages.rs
+++ b/src/net/rpc/pooler_messages.rs
@@ -13,6 +13,7 @@
 use crate::config::directory::DirectoryEntry;
 use crate::config::route_table::{RouteTable, RouteTableDelta};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Why a pooler suspects that a database has failed.
@@ -165,6 +166,11 @@
         /// The term and the target of the handover.
         handover: Handover,
     },
+    /// The number of replicas that must have received a commit before the primary acknowledges it,
+    /// for all services where it is not 0. Sent before the first grant on a connection and whenever
+    /// a configuration changes it: under a lease, a pooler forwards a commit only once that many
+    /// replicas in the directory have received it.
+    SyncReplicas(BTreeMap<ServiceName, u32>),
     /// Asks the node to renew its leases immediately, because the response would contain changes.
     #[serde(rename = "Renew")]
     RenewNow,
--- a/src/pooler/cluster_view.rs
+++ b/src/pooler/cluster_view.rs
@@ -7,7 +7,7 @@
 use crate::base::time::Tick;
 use crate::config::directory::DirectoryEntry;
 use crate::config::route_table::RouteTable;
-use crate::pooler::handover::CommitConfirmation;
+use crate::pooler::commit_confirmation::CommitConfirmation;
 use crate::pooler::leases::{ConnectionQuota, PrimaryLease, Revocation};
 use crate::pooler::pool::ConnectionPool;
 use crate::pooler::replica_reads::{RECENT_READ_MS, ReadWatermarks, WATERMARK_AHEAD_MS};
@@ -44,8 +44,8 @@
     pub(crate) watermarks: ReadWatermarks,
     /// The highest position of a commit that was forwarded to a client.
     pub(crate) highest_commit: Option<Position>,
-    /// The handover that the leader announced, until it grants a lease without one.
-    pub(crate) confirmation: Option<CommitConfirmation>,
+    /// Which replicas have received the commits, and how many have to.
+    pub(crate) confirmation: CommitConfirmation,
     pub(crate) quota: ConnectionQuota,
     /// When the lease on the primary was lost; `None` while one is granted.
     pub(crate) lease_lost_at: Option<Tick>,
@@ -179,6 +179,17 @@
         true
     }
 
+    /// Sets how many replicas must have received a commit of a service before it is forwarded; 0
+    /// for services that are not in `counts`.
+    pub(crate) fn set_sync_replicas(&mut self, counts: &BTreeMap<ServiceName, u32>) {
+        for service in counts.keys() {
+            self.services.entry(service.clone()).or_default();
+        }
+        for (name, service) in &mut self.services {
+            service.confirmation.set_sync_replicas(counts.get(name).copied().unwrap_or(0));
+        }
+    }
+
     /// Replaces the complete directory.
     pub(crate) fn set_directory(&mut self, entries: Vec<DirectoryEntry>, now: Tick) {
         let removed: Vec<InstanceId> = self
--- a/src/pooler/exchange.rs
+++ b/src/pooler/exchange.rs
@@ -8,7 +8,7 @@
 use crate::net::rpc::pooler_messages::SuspicionReason;
 use crate::net::statement_protocol::{Outcome, Reply, Statement, TransactionState};
 use crate::pooler::client_session::ClientStatement;
-use crate::pooler::handover::Commit;
+use crate::pooler::commit_forwarding::Commit;
 use crate::pooler::pool::ConnectionPool;
 use crate::pooler::server::Pooler;
 use crate::pooler::server_connection::{
--- a/src/pooler/leader_messages.rs
+++ b/src/pooler/leader_messages.rs
@@ -132,6 +132,7 @@
             }
             ToPooler::Revoke { service, term } => self.revoke(service, term),
             ToPooler::HandOver { service, handover } => self.begin_handover(&service, handover),
+            ToPooler::SyncReplicas(counts) => lock(&self.view).set_sync_replicas(&counts),
             ToPooler::RenewNow => self.renew(),
         }
     }
@@ -376,7 +377,7 @@
         let mut acknowledgement = None;
         match status {
             PrimaryStatus::Active { term, primary } => {
-                self.confirmation = None;
+                self.confirmation.end_handover();
                 self.accept_lease(&service, term, primary, renewal, requested_at);
             }
             PrimaryStatus::HandingOver { primary, handover } => {
--- a/src/pooler/pool.rs
+++ b/src/pooler/pool.rs
@@ -201,6 +201,11 @@
         drain_period_over(Tick(self.draining_since.load(Ordering::Relaxed)), now, drain_ms)
     }
 
+    /// Whether the database is draining, or no longer in the directory.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining_since.load(Ordering::Relaxed) != 0
+    }
+
     /// Whether reads skip the replica because it recently lagged behind the position of a read.
     pub(crate) fn is_lagging(&self, now: Tick) -> bool {
         now.0 < self.lagging_until.load(Ordering::Relaxed)
--- a/src/pooler/server.rs
+++ b/src/pooler/server.rs
@@ -49,6 +49,8 @@
     pub(super) view: Mutex<ClusterView>,
     /// Notifies threads that wait for a change of `view`.
     pub(super) view_changed: Condvar,
+    /// Notifies sessions whose commit waits for a confirmation when a query of a replica ended.
+    pub(super) commit_confirmed: Condvar,
     pub(super) leader: LeaderConnection,
     pub(super) renewals: Renewals,
     /// When each suspected database was last reported to the leader.
@@ -98,6 +100,7 @@
             incarnation: rand::random(),
             view: Mutex::default(),
             view_changed: Condvar::new(),
+            commit_confirmed: Condvar::new(),
             leader: LeaderConnection::new("pooler", settings.seed_peers()),
             renewals: Renewals::default(),
             suspicions: Mutex::default(),
--- a/src/simulation/change_faults.rs
+++ b/src/simulation/change_faults.rs
@@ -62,7 +62,7 @@
 const NODE_SHUTDOWN_MS: u64 = 1_000;
 
 /// The service that a random number selects.
-fn service_of(number: u8) -> ServiceName {
+pub(super) fn service_of(number: u8) -> ServiceName {
     ServiceName::from(SERVICES[usize::from(number) % SERVICES.len()])
 }
 
--- a/src/simulation/checker.rs
+++ b/src/simulation/checker.rs
@@ -12,7 +12,7 @@
 
 /// A commit whose acknowledgement a node forwarded to its client, and when.
 #[derive(Clone, Copy)]
-pub(super) struct AcknowledgedCommit {
+pub(super) struct ForwardedCommit {
     pub(super) write: Write,
     pub(super) node: usize,
     pub(super) forwarded_at: u64,
--- a/src/simulation/faults.rs
+++ b/src/simulation/faults.rs
@@ -99,6 +99,10 @@
                 self.nodes[number].shuts_down_after_commit = true;
             }
             FaultKind::EarlyDeregistration(number) => self.inject_early_deregistration(number),
+            FaultKind::UnregisteredSoleHolder(number) => {
+                self.inject_unregistered_sole_holder(number);
+            }
+            FaultKind::DepartedSoleHolder(number) => self.inject_departed_sole_holder(number),
         }
     }
 
@@ -217,6 +221,7 @@
         node.leases.clear();
         node.revoked.clear();
         node.highest_positions.clear();
+        node.listed_databases.clear();
         node.commit_confirmations.clear();
         node.renewals_sent.clear();
         node.unreported_commits.clear();
--- a/src/simulation/mod.rs
+++ b/src/simulation/mod.rs
@@ -3,6 +3,7 @@
 mod callers;
 pub mod change_faults;
 mod checker;
+mod commit_holder_faults;
 mod commits;
 mod databases;
 mod events;
--- a/src/simulation/nodes.rs
+++ b/src/simulation/nodes.rs
@@ -2,6 +2,7 @@
 //! which they hold leases.
 use crate::base::ids::{DbTerm, InstanceId, NodeName, Position, Revision, ServiceName};
 use crate::base::time::Tick;
+use crate::config::directory::DirectoryEntry;
 use crate::config::route_table::RouteTable;
 use crate::controller::effects::Input;
 use crate::leases::lease_table::LEASE_MS;
@@ -9,7 +10,7 @@
     Handover, LeaseGrant, ObservedPosition, PrimaryStatus, ToController, ToPooler,
 };
 use crate::net::rpc::{Frame, LAYOUT};
-use crate::pooler::handover::CommitConfirmation;
+use crate::pooler::commit_confirmation::CommitConfirmation;
 use crate::pooler::replica_reads::elapsed_lower_bound_ms;
 use crate::simulation::commits::Commit;
 use crate::simulation::events::Event;
@@ -51,7 +52,9 @@
     pub(super) revoked: BTreeMap<ServiceName, (DbTerm, u64)>,
     /// The highest position that it has observed of each service.
     pub(super) highest_positions: BTreeMap<ServiceName, Position>,
-    /// How commits are confirmed during the handover of each service.
+    /// The databases in the directory that it received, and their services.
+    pub(super) listed_databases: BTreeMap<InstanceId, ServiceName>,
+    /// Which replicas of each service have received its commits.
     pub(super) commit_confirmations: BTreeMap<ServiceName, CommitConfirmation>,
     /// Whether it shuts down gracefully after it has forwarded its next commit.
     pub(super) shuts_down_after_commit: bool,
@@ -92,11 +95,33 @@
         lease.is_some_and(|l| l.term == commit.write.term && now < l.requested_at + LEASE_MS)
     }
 
+    fn update_directory(&mut self, upserted: Vec<DirectoryEntry>, removed: &[InstanceId]) {
+        self.listed_databases.retain(|id, _| !removed.contains(id));
+        let listed = upserted.into_iter().map(|entry| (entry.id, entry.service));
+        self.listed_databases.extend(listed);
+    }
+
+    fn set_sync_replicas(&mut self, counts: &BTreeMap<ServiceName, u32>) {
+        for service in SERVICES.map(ServiceName::from) {
+            let count = counts.get(&service).copied().unwrap_or(0);
+            self.commit_confirmations.entry(service).or_default().set_sync_replicas(count);
+        }
+    }
+
+    /// The replicas of a service in the directory that it received.
+    pub(super) fn listed_replicas(&self, service: &ServiceName) -> Vec<InstanceId> {
+        let primary = self.leases.get(service).map(|lease| &lease.primary);
+        let listed =
+            self.listed_databases.iter().filter(|(id, of)| *of == service && Some(*id) != primary);
+        listed.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Starts the confirmation of commits for a handover. Returns the acknowledgement.
     fn begin_handover(&mut self, service: ServiceName, handover: Handover) -> ToController {
         let highest = self.highest_positions.get(&service).copied();
         let number = handover.number;
-        self.commit_confirmations.insert(service.clone(), CommitConfirmation::new(handover));
+        let confirmation = self.commit_confirmations.entry(service.clone()).or_default();
+        confirmation.begin_handover(handover);
         ToController::HandOverAck { service, handover: number, highest }
     }
 
@@ -118,7 +143,7 @@
                 return None;
             }
         };
-        self.commit_confirmations.remove(&service);
+        self.commit_confirmations.entry(service.clone()).or_default().end_handover();
         let last = self.revoked.get(&service);
         if last.is_none_or(|(revoked_term, revoked_seq)| term > *revoked_term || seq > *revoked_seq)
         {
@@ -261,23 +286,16 @@
                     None => self.send_to_controller(number, ToController::RequestFullTable),
                 }
             }
-            ToPooler::Directory(_) | ToPooler::DirectoryDelta { .. } => {}
+            ToPooler::Directory(entries) => {
+                node.listed_databases.clear();
+                node.update_directory(entries, &[]);
+            }
+            ToPooler::DirectoryDelta { upserted, removed } => {
+                node.update_directory(upserted, &removed);
+            }
+            ToPooler::SyncReplicas(counts) => node.set_sync_replicas(&counts),
             ToPooler::LeaseGrants { seq, complete, grants, .. } => {
-                let Some(sent_at) = node.renewals_sent.get(&seq).copied() else { return };
-                node.renewals_sent.retain(|s, _| *s >= seq);
-                node.last_grant = Some((seq, now));
-                if complete {
-                    node.leases.clear();
-                }
-                let mut acknowledgements = Vec::new();
-                for grant in grants {
-                    acknowledgements.extend(node.apply_grant(grant, seq, sent_at));
-                }
-                node.leases.values_mut().for_each(|l| l.requested_at = l.requested_at.max(sent_at));
-                for message in acknowledgements {
-                    self.send_to_controller(number, message);
-                }
-                self.check_single_leased_term();
+                self.apply_lease_grants(number, seq, complete, grants);
             }
             ToPooler::HandOver { service, handover } => {
                 let message = node.begin_handover(service, handover);
@@ -295,6 +313,33 @@
         }
     }
 
+    /// Applies the answer to a renewal, and acknowledges the handovers in it.
+    fn apply_lease_grants(
+        &mut self,
+        number: usize,
+        seq: u64,
+        complete: bool,
+        grants: Vec<LeaseGrant>,
+    ) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        let Some(sent_at) = node.renewals_sent.get(&seq).copied() else { return };
+        node.renewals_sent.retain(|s, _| *s >= seq);
+        node.last_grant = Some((seq, now));
+        if complete {
+            node.leases.clear();
+        }
+        let mut acknowledgements = Vec::new();
+        for grant in grants {
+            acknowledgements.extend(node.apply_grant(grant, seq, sent_at));
+        }
+        node.leases.values_mut().for_each(|l| l.requested_at = l.requested_at.max(sent_at));
+        for message in acknowledgements {
+            self.send_to_controller(number, message);
+        }
+        self.check_single_leased_term();
+    }
+
     fn apply_route_table(&mut self, number: usize, route_table: RouteTable) {
         if !self
             .committed_configurations
--- a/src/simulation/world.rs
+++ b/src/simulation/world.rs
@@ -3,7 +3,7 @@
 use crate::net::rpc::raft_messages::LogEntry;
 use crate::simulation::callers::Caller;
 use crate::simulation::change_faults::{ObservedChange, PendingChangeFault};
-use crate::simulation::checker::{AcknowledgedCommit, CommittedConfiguration};
+use crate::simulation::checker::{CommittedConfiguration, ForwardedCommit};
 use crate::simulation::databases::{Database, Write};
 use crate::simulation::events::Event;
 use crate::simulation::machines::Machine;
@@ -55,7 +55,7 @@
     /// in `committed_configurations`, counted from 1.
     pub(super) read_floors: Vec<(u64, usize)>,
     /// Commits that nodes forwarded to clients.
-    pub(super) acknowledged_commits: BTreeMap<ServiceName, Vec<AcknowledgedCommit>>,
+    pub(super) acknowledged_commits: BTreeMap<ServiceName, Vec<ForwardedCommit>>,
     /// The term of each promoted primary, and its log at the time of the promotion.
     pub(super) promotions: BTreeMap<ServiceName, Vec<(DbTerm, Vec<Write>)>>,
     /// Databases whose deregistration was acknowledged.
@@ -167,6 +167,7 @@
             leases: BTreeMap::new(),
             revoked: BTreeMap::new(),
             highest_positions: BTreeMap::new(),
+            listed_databases: BTreeMap::new(),
             commit_confirmations: BTreeMap::new(),
             shuts_down_after_commit: false,
             unreported_commits: BTreeMap::new(),
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -281,6 +281,15 @@
     ]
 }
 
+/// The frame that layout 4 added, for the confirmation of commits at listed replicas.
+fn frame_of_layout_4() -> Frame {
+    Frame::Controller(ToPooler::SyncReplicas([("s".into(), 161), ("t".into(), 162)].into()))
+}
+
+/// The frame of layout 4 as it was first released.
+const FRAME_OF_LAYOUT_4: &[u8] =
+    b"\x04\x00\x00\x21\x81\xa7Steward\x81\xacSyncReplicas\x82\xa1s\xcc\xa1\xa1t\xcc\xa2\x04";
+
 /// Whether two frames are equal, field by field. Without `_` and `..` in the patterns, so that new
 /// variants and fields have to be added here.
 fn same_frame(a: &Frame, b: &Frame) -> bool {
@@ -418,6 +427,7 @@
             HandOver { service, handover: Handover { number, term, target } },
             HandOver { service: s, handover: Handover { number: n, term: t, target: to } },
         ) => (service, number, term, target) == (s, n, t, to),
+        (SyncReplicas(a), SyncReplicas(b)) => a == b,
         (RenewNow, RenewNow) => true,
         (
             NotLeader(_)
@@ -429,6 +439,7 @@
             | LeaseGrants { .. }
             | Revoke { .. }
             | HandOver { .. }
+            | SyncReplicas(_)
             | RenewNow,
             _,
         ) => false,
@@ -547,10 +558,12 @@
 #[test]
 fn every_frame_is_decoded_and_encoded_as_in_earlier_releases() {
     // (file, newest layout of the program that wrote it, its frames, the layouts that frames
-    // require). Only chunks and the messages of handovers require more than the first layout.
+    // require). Only chunks, the messages of handovers and the
+    // numbers of synchronous replicas require more than the first layout.
     let files = [
         (FRAMES, 2, frames(), vec![2, 2]),
         (FRAMES_OF_LAYOUT_3, 3, frames_of_layout_3(), vec![3, 3, 3, 3]),
+        (FRAME_OF_LAYOUT_4, 4, vec![frame_of_layout_4()], vec![4]),
     ];
     for (mut rest, layout, expected, required_layouts) in files {
         let mut read = Vec::new();
@@ -625,6 +638,9 @@
     Steward Revoke
     Steward Renew";
 
+const FRAME_NAMES_OF_LAYOUT_4: &str = "Steward
+    Steward SyncReplicas";
+
 const FRAME_NAMES_OF_LAYOUT_3: &str = "Stile
     Stile HandOverAck
     Steward
@@ -638,11 +654,14 @@
         frames.iter().flat_map(|frame| encode(frame).to_vec()).collect()
     };
     let (first, added) = (encode_all(frames()), encode_all(frames_of_layout_3()));
+    let newest = encode_all(vec![frame_of_layout_4()]);
     for (file, names) in [
         (FRAMES, FRAME_NAMES),
         (&first, FRAME_NAMES),
         (FRAMES_OF_LAYOUT_3, FRAME_NAMES_OF_LAYOUT_3),
         (&added, FRAME_NAMES_OF_LAYOUT_3),
+        (FRAME_OF_LAYOUT_4, FRAME_NAMES_OF_LAYOUT_4),
+        (&newest, FRAME_NAMES_OF_LAYOUT_4),
     ] {
         let (mut rest, mut found) = (file, BTreeSet::new());
         while !rest.is_empty() {
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -56,6 +56,8 @@
             .prop_map(|(fault, number)| FaultKind::DuringPrimaryChange { fault, number }),
         1 => (0..3u8).prop_map(FaultKind::NodeShutdown),
         1 => (0..3u8).prop_map(FaultKind::EarlyDeregistration),
+        1 => (0..3u8).prop_map(FaultKind::UnregisteredSoleHolder),
+        1 => (0..3u8).prop_map(FaultKind::DepartedSoleHolder),
     ]
 }
 fn schedule() -> impl Strategy<Value = Schedule> {
@@ -158,3 +160,26 @@
         .map(|seed| run_schedule(&Schedule::from_seed_without_change_faults(seed)).map(drop));
     assert_eq!(outcomes, [Ok(()), Ok(()), Ok(())]);
 }
+
+/// Guards against forwarding a commit that only a replica outside the directory has: one that is not
+/// registered yet (review/7), or one that left and was forgotten (review/6). The controllers can't
+/// take it into account when the primary and the nodes' reports are lost.
+#[test]
+fn a_commit_that_only_an_unlisted_replica_received_is_not_forwarded() {
+    for seed in 1..=4 {
+        for kind in [FaultKind::UnregisteredSoleHolder(0), FaultKind::DepartedSoleHolder(1)] {
+            let fault = Fault { start_ms: 8_000, duration_ms: 0, kind };
+            let schedule = Schedule {
+                seed,
+                controllers: 3,
+                tolerated_losses: 1,
+                operators: 2,
+                length_ms: 20_000,
+                faults: vec![fault.clone()],
+            };
+            let report = run_schedule(&schedule);
+            let report = report.unwrap_or_else(|v| panic!("seed {seed}, {:?}: {v}", fault.kind));
+            assert!(report.promotions > 0 && report.acknowledged_commits > 50, "{report:?}");
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -145,6 +145,10 @@
     pub(crate) fn times_received(&self, id: &str) -> usize {
         lock(&self.received).iter().filter(|r| r.id == id).count()
     }
+    /// How often the databases have received a statement with this text.
+    pub(crate) fn statements_received(&self, text: &str) -> usize {
+        lock(&self.received).iter().filter(|r| r.text == text).count()
+    }
     /// Sets the faults of the next statements with this key, see [`Faults::by_key`].
     pub(crate) fn inject(&self, key: &str, faults: &[InjectedFault]) {
         let faults = faults.iter().copied().collect();
