pooler: commits are confirmed without a slot of the database, after the connection is released

Cause: the confirmation of each commit by DESCRIBE takes a slot at a replica and a priced statement of the system's own, and the connection to the primary was held meanwhile.

Change: - A replica describes itself once in a term, which tells its role. Then it is asked to BEGIN FETCH behind WAITFOR, which takes no slot, and is rolled back. It answers LAGGING until it has applied the position, so queries are paced, and one that applies a commit over 100 ms late is asked for its description for a second. The target of a handover always describes itself, as it may lead the next term, which began without the commit. - The position in each reply of a replica counts, also in a reply to a client's read. - The reply to a commit is copied and the connection released before the commit waits.

--- a/src/pooler/client_session.rs
+++ b/src/pooler/client_session.rs
@@ -71,6 +71,13 @@
 pub(super) enum ClientReply {
     /// The database's reply, which is in the buffer of the checked-out connection.
     Forward(Reply),
+    /// The database's reply, with the position in it. The connection has been released.
+    Detached {
+        /// The reply as the database sent it.
+        bytes: Vec<u8>,
+        /// The position in the reply.
+        position: Option<Position>,
+    },
     /// Success of a statement that needed no database.
     Complete,
     /// An error.
@@ -287,6 +294,11 @@
     fn send_reply(&mut self, stream: &TcpStream, reply: ClientReply) -> io::Result<()> {
         match reply {
             ClientReply::Forward(reply) => self.forward(stream, &reply),
+            ClientReply::Detached { bytes, position } => {
+                self.last_position = position.or(self.last_position);
+                let mut stream = stream;
+                stream.write_all(&bytes)
+            }
             ClientReply::Complete => self.send_own_reply(stream, format_args!("COMPLETE -")),
             ClientReply::Error { kind, text } => {
                 self.send_own_reply(stream, format_args!("ERROR {kind} {text}"))
--- a/src/pooler/commit_confirmation.rs
+++ b/src/pooler/commit_confirmation.rs
@@ -5,6 +5,12 @@
 //! that the controllers know. So a commit is forwarded only once that many *listed* replicas are
 //! known to have received it, and during a handover once its target has received it as well.
 //!
+//! A replica is first asked for its description, which tells its role. Later it is only asked whether
+//! it has a position, by a `BEGIN` behind `WAITFOR`, which takes no slot of the database. It answers
+//! that it has not until it has applied the position. So one that applies late is asked for its
+//! description again, which tells what it has received. The position in each reply of a replica, also
+//! to a client's read, counts as well.
+//!
 //! The types do no I/O and get the time as a parameter. `commit_forwarding` sends the queries.
 use crate::base::ids::{DbTerm, InstanceId, Position};
 use crate::base::time::Tick;
@@ -19,13 +25,25 @@
 /// consecutive failure of the replica.
 const QUERY_TIMEOUT_MS: u64 = 150;
 
-/// The pause in ms before a replica that does not have the commit is queried again. It doubles with
-/// each consecutive failure of the replica.
+/// The pause in ms before a replica that did not reply is queried again. It doubles with each
+/// consecutive failure of the replica.
 const QUERY_RETRY_MS: u64 = 10;
 
-/// The timeout and the pause double at most this many times.
+/// The pause in ms before any replica is queried after one that did not have the commit yet: most
+/// replicas apply a commit some milliseconds later. It doubles with each consecutive such reply from
+/// the third on.
+const LACKING_RETRY_MS: u64 = 8;
+
+/// The timeout and the pauses double at most this many times.
 const MAX_DOUBLINGS: u32 = 3;
 
+/// The time in ms for which a commit waits before replicas are asked for their descriptions.
+const LATE_AFTER_MS: u64 = 100;
+
+/// The time in ms for which a replica that applied a position late is asked for its description
+/// only.
+const LATE_REPLICA_MS: u64 = 1_000;
+
 /// A commit that the primary of `term` acknowledged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AcknowledgedCommit {
@@ -33,6 +51,8 @@
     pub term: DbTerm,
     /// The position in the primary's reply. A commit without one can't be confirmed.
     pub position: Option<Position>,
+    /// When the primary's reply arrived.
+    pub acknowledged_at: Tick,
 }
 
 /// Whether a commit that the primary acknowledged may be forwarded to its client.
@@ -48,13 +68,38 @@
     Wait,
 }
 
-/// A query of a replica for the position that it has received.
+/// What a replica is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplicaQuestion {
+    /// For its description of itself, with the position that it has received.
+    Describe,
+    /// Whether its log has this position.
+    HasPosition(Position),
+}
+
+/// A replica's reply to a [`ReplicaQuestion`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReplicaReply {
+    /// Its description of itself.
+    Description(ServerDescription),
+    /// Whether it has applied the position that it was asked for.
+    Position {
+        /// Whether it has.
+        reached: bool,
+        /// The position that it has applied.
+        applied: Position,
+    },
+}
+
+/// A query of a replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaQuery {
     /// The replica.
     pub replica: InstanceId,
     /// The commit that the query has to confirm.
     pub commit: AcknowledgedCommit,
+    /// What the replica is asked.
+    pub question: ReplicaQuestion,
     /// The time in ms after which the query is given up.
     pub timeout_ms: u64,
 }
@@ -64,8 +109,15 @@
 struct ReplicaProgress {
     /// It has received all commits up to this position.
     received: Option<Position>,
+    /// The newest term in which it described itself as a replica. It can't become the primary of
+    /// that term any more, since a promotion begins another one.
+    replica_in: Option<DbTerm>,
+    /// Until this tick it is only asked for its description, because it applied a position late.
+    late_until: Tick,
     /// When the query in flight began.
     queried_at: Option<Tick>,
+    /// When it was last queried; of several replicas the one that was queried least recently is next.
+    last_queried_at: Tick,
     /// No further query begins before this tick.
     next_query_at: Tick,
     /// The number of queries since the last one that was answered with a higher position.
@@ -81,6 +133,20 @@
         position.is_some() && position <= self.received
     }
 
+    /// Whether it need not describe itself: it is a replica in the commit's term and applies in time.
+    fn may_be_asked_briefly(&self, commit: AcknowledgedCommit, now: Tick) -> bool {
+        self.replica_in == Some(commit.term)
+            && now >= self.late_until
+            && now.since(commit.acknowledged_at) < LATE_AFTER_MS
+    }
+
+    /// Records that it has received all commits up to a position. Returns whether that is new.
+    fn advance(&mut self, received: Option<Position>) -> bool {
+        let advanced = received > self.received;
+        self.received = self.received.max(received);
+        advanced
+    }
+
     /// Whether a query is in flight that may still be answered soon.
     fn reply_is_expected(&self, now: Tick) -> bool {
         self.queried_at.is_some_and(|at| now.since(at) < HEDGE_DELAY_MS)
@@ -101,6 +167,10 @@
     replicas: BTreeMap<InstanceId, ReplicaProgress>,
     /// The replica that last confirmed a commit; it is queried first.
     preferred: Option<InstanceId>,
+    /// The number of consecutive replies of replicas that did not have the commit.
+    lacking_replies: u32,
+    /// No query begins before this tick.
+    next_query_at: Tick,
 }
 
 impl CommitConfirmation {
@@ -137,46 +207,97 @@
         let missing = (self.sync_replicas as usize).saturating_sub(holders);
         let replica = match target {
             None if missing == 0 => return CommitDecision::Forward,
+            _ if now < self.next_query_at => return CommitDecision::Wait,
             Some(target) => self.next_to_query(&[&target], 1, now).cloned(),
             None => self.next_to_query(&lacking, missing, now).cloned(),
         };
         let Some(replica) = replica else { return CommitDecision::Wait };
         self.replicas.retain(|id, progress| progress.queried_at.is_some() || listed.contains(id));
+        let question = self.question_for(&replica, commit, now);
         let progress = self.replicas.entry(replica.clone()).or_default();
         progress.queried_at = Some(now);
+        progress.last_queried_at = now;
         let timeout_ms = QUERY_TIMEOUT_MS << progress.doublings();
-        CommitDecision::Query(ReplicaQuery { replica, commit, timeout_ms })
+        CommitDecision::Query(ReplicaQuery { replica, commit, question, timeout_ms })
     }
 
-    /// Ends a query that [`CommitDecision::Query`] asked for, and records the replica's description
-    /// of itself. It is `None` if the replica did not reply, or if it is no longer listed or the
-    /// lease on the term of the commit is no longer held. Returns whether more is known than before.
+    /// What a replica is asked about a commit. The target of a handover always describes itself: it
+    /// may already lead the next term, which began without the commit.
+    fn question_for(
+        &self,
+        replica: &InstanceId,
+        commit: AcknowledgedCommit,
+        now: Tick,
+    ) -> ReplicaQuestion {
+        let is_target = self.handover.as_ref().is_some_and(|h| h.target == *replica);
+        let known = self.replicas.get(replica);
+        let may_be_brief = known.is_some_and(|known| known.may_be_asked_briefly(commit, now));
+        match commit.position {
+            Some(position) if may_be_brief && !is_target => ReplicaQuestion::HasPosition(position),
+            _ => ReplicaQuestion::Describe,
+        }
+    }
+
+    /// Ends a query that [`CommitDecision::Query`] asked for, and records the replica's reply. It is
+    /// `None` if the replica did not reply, or if it is no longer listed or the lease on the term of
+    /// the commit is no longer held. Returns whether more is known than before.
     pub fn record_query(
         &mut self,
         query: &ReplicaQuery,
-        description: Option<&ServerDescription>,
+        reply: Option<&ReplicaReply>,
         now: Tick,
     ) -> bool {
-        let AcknowledgedCommit { term, position } = query.commit;
-        // Positions of a primary, and those of a newer term, can't be compared with the commit's.
-        let replica = description.filter(|d| !d.primary && d.received.term <= term);
-        let received = replica.map(|description| description.received);
+        let AcknowledgedCommit { term, position, .. } = query.commit;
         let progress = self.replicas.entry(query.replica.clone()).or_default();
         progress.queried_at = None;
-        let advanced = received > progress.received;
-        progress.received = progress.received.max(received);
+        let advanced = progress.advance(reply.and_then(|reply| received_position(query, reply)));
         let confirmed = progress.has_received(position);
         progress.failures = if advanced || confirmed { 0 } else { progress.failures + 1 };
+        match reply {
+            Some(ReplicaReply::Description(description)) => {
+                // A replica that has described itself before is asked again if it applies late.
+                let was_late = progress.replica_in == Some(term) && now >= progress.late_until;
+                if was_late && confirmed {
+                    progress.late_until = now.plus(LATE_REPLICA_MS);
+                }
+                let is_replica = !description.primary && description.term <= term;
+                progress.replica_in = is_replica.then_some(term);
+            }
+            Some(ReplicaReply::Position { .. }) => {}
+            None => {
+                progress.replica_in = None;
+                progress.next_query_at = now.plus(QUERY_RETRY_MS << progress.doublings());
+            }
+        }
         if confirmed {
-            progress.next_query_at = now;
+            self.lacking_replies = 0;
             self.preferred = Some(query.replica.clone());
-        } else {
-            progress.next_query_at = now.plus(QUERY_RETRY_MS << progress.doublings());
-            self.preferred.take_if(|preferred| *preferred == query.replica);
+            return advanced;
+        }
+        self.preferred.take_if(|preferred| *preferred == query.replica);
+        if reply.is_some() {
+            self.lacking_replies += 1;
+            let doublings = self.lacking_replies.saturating_sub(2).min(MAX_DOUBLINGS);
+            self.next_query_at = now.plus(LACKING_RETRY_MS << doublings);
         }
         advanced
     }
 
+    /// Records the position in a replica's reply to a statement that was sent under a lease on
+    /// `term`. It counts if the replica has described itself as one in this term. Returns whether
+    /// more is known than before.
+    pub fn record_position(
+        &mut self,
+        replica: &InstanceId,
+        term: DbTerm,
+        applied: Position,
+    ) -> bool {
+        let progress = self.replicas.get_mut(replica);
+        progress
+            .filter(|progress| progress.replica_in == Some(term) && applied.term <= term)
+            .is_some_and(|progress| progress.advance(Some(applied)))
+    }
+
     /// The target of the handover, if the commit has to wait for it. A handover covers its own term
     /// and all earlier ones.
     fn missing_target(&self, commit: AcknowledgedCommit) -> Option<InstanceId> {
@@ -205,7 +326,26 @@
         candidates
             .iter()
             .filter(|id| progress(id).may_be_queried(now))
-            .min_by_key(|id| (self.preferred.as_ref() != Some(**id), progress(id).failures))
+            .min_by_key(|id| {
+                let ReplicaProgress { failures, last_queried_at, .. } = progress(id);
+                (self.preferred.as_ref() != Some(**id), failures, last_queried_at)
+            })
             .copied()
     }
 }
+
+/// The position up to which a replica has received all commits, according to its reply. Positions of
+/// a primary, and those of a newer term than the commit's, can't be compared with the commit's.
+fn received_position(query: &ReplicaQuery, reply: &ReplicaReply) -> Option<Position> {
+    let term = query.commit.term;
+    match reply {
+        ReplicaReply::Description(description) => {
+            let comparable = !description.primary && description.received.term <= term;
+            comparable.then_some(description.received)
+        }
+        ReplicaReply::Position { reached, applied } => {
+            let asked = query.commit.position.filter(|_| *reached);
+            (applied.term <= term).then_some(asked.map_or(*applied, |asked| asked.max(*applied)))
+        }
+    }
+}
--- a/src/pooler/commit_forwarding.rs
+++ b/src/pooler/commit_forwarding.rs
@@ -3,12 +3,15 @@
 //!
 //! One session at a time queries a replica for its position; the result serves all sessions of the
 //! service that wait for a confirmation.
+use crate::base::errors::ErrorKind;
 use crate::base::ids::{DbTerm, InstanceId, Position, ServiceName};
 use crate::base::sync::lock;
 use crate::base::time::Tick;
-use crate::net::statement_protocol::ServerDescription;
+use crate::net::statement_protocol::{Outcome, Reply, TransactionState};
 use crate::pooler::cluster_view::{ClusterView, PrimaryPosition, ServiceView};
-use crate::pooler::commit_confirmation::{AcknowledgedCommit, CommitDecision, ReplicaQuery};
+use crate::pooler::commit_confirmation::{
+    AcknowledgedCommit, CommitDecision, ReplicaQuery, ReplicaQuestion, ReplicaReply,
+};
 use crate::pooler::pool::{CheckOutRequest, ConnectionPool};
 use crate::pooler::reroute::SessionReroute;
 use crate::pooler::server::Pooler;
@@ -32,6 +35,8 @@
     pub(super) sent_at: Tick,
     /// The position in the primary's reply.
     pub(super) position: Option<Position>,
+    /// When the primary's reply arrived.
+    pub(super) acknowledged_at: Tick,
 }
 
 impl ServiceView {
@@ -39,10 +44,10 @@
     /// the acknowledgement of a later revocation or handover includes it. Returns `None` if the
     /// lease is no longer held.
     fn decide_commit(&mut self, commit: Commit, zone: &str, now: Tick) -> Option<CommitDecision> {
-        let Commit { term, sent_at, position } = commit;
+        let Commit { term, sent_at, position, acknowledged_at } = commit;
         self.lease.active(now).filter(|lease| lease.term == term)?;
         let replicas = self.listed_replicas(zone);
-        let acknowledged = AcknowledgedCommit { term, position };
+        let acknowledged = AcknowledgedCommit { term, position, acknowledged_at };
         let decision = self.confirmation.decide(acknowledged, &replicas, now);
         if decision == CommitDecision::Forward
             && let Some(position) = position
@@ -72,7 +77,7 @@
         &mut self,
         service: &ServiceName,
         query: &ReplicaQuery,
-        reply: Option<&QueryReply>,
+        reply: Option<&PoolReply>,
         now: Tick,
     ) -> bool {
         let listed = self.pools.get(&query.replica);
@@ -80,14 +85,31 @@
         let leased = view.lease.active(now).is_some_and(|lease| lease.term == query.commit.term);
         let valid =
             reply.filter(|reply| leased && listed.is_some_and(|p| Arc::ptr_eq(p, &reply.pool)));
-        view.confirmation.record_query(query, valid.map(|reply| &reply.description), now)
+        view.confirmation.record_query(query, valid.map(|reply| &reply.reply), now)
     }
 }
 
-/// A replica's description of itself, and the pool that it was queried through.
-struct QueryReply {
+impl ClusterView {
+    /// Records the position in a replica's reply to a client's read, under the same conditions as
+    /// the result of a query. Returns whether more is known than before.
+    fn record_replica_position(
+        &mut self,
+        service: &ServiceName,
+        pool: &ConnectionPool,
+        applied: Position,
+        now: Tick,
+    ) -> bool {
+        let listed = self.pools.get(&pool.id).is_some_and(|p| std::ptr::eq(&**p, pool));
+        let Some(view) = self.services.get_mut(service).filter(|_| listed) else { return false };
+        let term = view.lease.active(now).map(|lease| lease.term);
+        term.is_some_and(|term| view.confirmation.record_position(&pool.id, term, applied))
+    }
+}
+
+/// A replica's reply, and the pool that the replica was queried through.
+struct PoolReply {
     pool: Arc<ConnectionPool>,
-    description: ServerDescription,
+    reply: ReplicaReply,
 }
 
 impl Pooler {
@@ -125,13 +147,25 @@
         }
     }
 
+    /// Records the position in a replica's reply to a client's read.
+    pub(super) fn record_replica_position(
+        &self,
+        service: &ServiceName,
+        pool: &ConnectionPool,
+        applied: Position,
+    ) {
+        if lock(&self.view).record_replica_position(service, pool, applied, Tick::now()) {
+            self.commit_confirmed.notify_all();
+        }
+    }
+
     /// Queries a replica for its position, and records the result for all sessions that wait.
     fn query_replica(&self, service: &ServiceName, query: &ReplicaQuery, deadline: Tick) {
         let deadline = deadline.min(Tick::now().plus(query.timeout_ms));
         let pool = lock(&self.view).pools.get(&query.replica).map(Arc::clone);
         let reply = pool.and_then(|pool| {
-            let description = self.describe(&pool, deadline)?;
-            Some(QueryReply { pool, description })
+            let reply = self.ask(&pool, query.question, deadline)?;
+            Some(PoolReply { pool, reply })
         });
         let now = Tick::now();
         lock(&self.view).record_query(service, query, reply.as_ref(), now);
@@ -139,18 +173,29 @@
         self.commit_confirmed.notify_all();
     }
 
-    /// Queries a database for its description. Returns `None` if it does not reply in time or
-    /// rejects the query.
-    fn describe(&self, pool: &ConnectionPool, deadline: Tick) -> Option<ServerDescription> {
+    /// Asks a replica a question. Returns `None` if it does not reply in time or rejects the
+    /// question.
+    fn ask(
+        &self,
+        pool: &ConnectionPool,
+        question: ReplicaQuestion,
+        deadline: Tick,
+    ) -> Option<ReplicaReply> {
         let reroute = SessionReroute::default();
         let request =
             CheckOutRequest { reroute: &reroute, session: 0, priority: QUERY_PRIORITY, deadline };
         let mut connection = pool.check_out(&request, || self.renew_soon(Tick::now())).ok()?;
-        match describe_on(&mut connection, deadline) {
-            Ok(description) => {
+        let reply = match question {
+            ReplicaQuestion::Describe => describe(&mut connection, deadline),
+            ReplicaQuestion::HasPosition(position) => {
+                ask_for_position(&mut connection, position, deadline)
+            }
+        };
+        match reply {
+            Ok(reply) => {
                 pool.record_reply(Tick::now());
                 pool.release(connection);
-                description
+                reply
             }
             Err(_) => {
                 pool.discard(connection);
@@ -160,15 +205,44 @@
     }
 }
 
-/// Queries the database for its description on this connection. Returns `None` if the database
-/// rejects the query.
-fn describe_on(
+/// Waits for a reply until the deadline.
+fn receive(connection: &mut ServerConnection, deadline: Tick) -> Result<Reply, Loss> {
+    connection.receive(|| (Tick::now() >= deadline).then_some(Loss::Abandoned))
+}
+
+/// Asks a database for its description on this connection. Returns `None` if the database rejects
+/// that.
+fn describe(
     connection: &mut ServerConnection,
     deadline: Tick,
-) -> Result<Option<ServerDescription>, Loss> {
+) -> Result<Option<ReplicaReply>, Loss> {
     connection.send(b"QUERY - DESCRIBE\r\n", 1).map_err(|error| error.loss)?;
-    let reply = connection.receive(|| (Tick::now() >= deadline).then_some(Loss::Abandoned))?;
+    let reply = receive(connection, deadline)?;
     let description = reply.description(connection.reply_bytes(&reply));
     connection.consume(&reply);
-    Ok(description)
+    Ok(description.map(ReplicaReply::Description))
+}
+
+/// Asks a replica on this connection whether its log has a position: only then can it begin a
+/// transaction that waits for it. The transaction is ended at once.
+fn ask_for_position(
+    connection: &mut ServerConnection,
+    position: Position,
+    deadline: Tick,
+) -> Result<Option<ReplicaReply>, Loss> {
+    let lines = format!("QUERY - WAITFOR {position} BEGIN FETCH\r\nQUERY - ABORT\r\n");
+    connection.send(lines.as_bytes(), 2).map_err(|error| error.loss)?;
+    let begun = receive(connection, deadline)?;
+    connection.consume(&begun);
+    let ended = receive(connection, deadline)?;
+    connection.consume(&ended);
+    if ended.state != TransactionState::Idle {
+        return Err(Loss::Broken);
+    }
+    let reached = match begun.outcome {
+        Outcome::Complete => true,
+        Outcome::Error(ErrorKind::Lagging) => false,
+        Outcome::Error(_) => return Ok(None),
+    };
+    Ok(begun.position.map(|applied| ReplicaReply::Position { reached, applied }))
 }
--- a/src/pooler/exchange.rs
+++ b/src/pooler/exchange.rs
@@ -40,6 +40,13 @@
     position.map_or_else(String::new, |position| format!("WAITFOR {position} "))
 }
 
+/// The reply to a statement, which is in the connection's buffer.
+pub(super) struct ExchangeReply {
+    pub(super) reply: Reply,
+    /// The commit that has to be confirmed before the reply is forwarded, if the statement made one.
+    pub(super) commit: Option<Commit>,
+}
+
 /// One exchange of a statement with a database.
 pub(super) struct Exchange<'a> {
     pub(super) pooler: &'a Pooler,
@@ -50,7 +57,7 @@
     pub(super) term: Option<DbTerm>,
     /// The deadline of the statement.
     pub(super) deadline: Tick,
-    /// Whether a successful statement commits something.
+    /// Whether a successful statement commits a write.
     pub(super) commits: bool,
     /// Whether the statement only reads and no database has replied in its transaction yet.
     pub(super) first_read: bool,
@@ -90,7 +97,7 @@
         &self,
         connection: &mut ServerConnection,
         line: &str,
-    ) -> Result<Reply, ExchangeError> {
+    ) -> Result<ExchangeReply, ExchangeError> {
         let sent_at = Tick::now();
         // The last check of the lease before a write can take effect at the database.
         if self.lost_lease(sent_at) {
@@ -110,12 +117,14 @@
             self.pool.record_latency(self.route_type, now.since(sent_at));
         }
         let Some(term) = self.term else {
-            return Ok(reply);
+            if let (Outcome::Complete, Some(position)) = (&reply.outcome, reply.position) {
+                self.pooler.record_replica_position(self.service, self.pool, position);
+            }
+            return Ok(ExchangeReply { reply, commit: None });
         };
         if self.commits && reply.outcome == Outcome::Complete {
-            let commit = Commit { term, sent_at, position: reply.position };
-            let confirmed = self.pooler.await_confirmation(self.service, commit, self.deadline);
-            return confirmed.map_err(ExchangeError::sent).map(|()| reply);
+            let commit = Commit { term, sent_at, position: reply.position, acknowledged_at: now };
+            return Ok(ExchangeReply { reply, commit: Some(commit) });
         }
         if self.lost_lease(now) {
             // Another primary may have been promoted: a success of the old one is not forwarded.
@@ -125,7 +134,7 @@
         } else if let Some(position) = reply.position {
             self.pooler.record_position(self.service, term, sent_at, position);
         }
-        Ok(reply)
+        Ok(ExchangeReply { reply, commit: None })
     }
 
     /// Whether the exchange is with a primary whose lease is no longer held.
--- a/src/pooler/reroute.rs
+++ b/src/pooler/reroute.rs
@@ -127,6 +127,11 @@
         !matches!(self.transaction, Transaction::Open { .. })
     }
 
+    /// Whether the client has written in its open transaction.
+    pub fn has_written(&self) -> bool {
+        matches!(self.transaction, Transaction::Open { wrote: true, .. })
+    }
+
     /// The values of the client's CONFIGURE statements, which must be set on a connection before
     /// the session's next statement.
     pub fn settings(&self) -> &BTreeMap<String, String> {
@@ -283,7 +288,7 @@
                 _ => LossOutcome::Retry,
             };
         }
-        let wrote = matches!(self.transaction, Transaction::Open { wrote: true, .. });
+        let wrote = self.has_written();
         match plan.kind {
             // The client has seen no result, and a write without a commit has no effect.
             StatementKind::Read | StatementKind::Write if plan.first_in_transaction => {
--- a/src/pooler/statement_execution.rs
+++ b/src/pooler/statement_execution.rs
@@ -9,7 +9,8 @@
 use crate::net::statement_protocol::{Outcome, Reply, TransactionState};
 use crate::pooler::admission::CheckOutError;
 use crate::pooler::client_session::{ClientReply, ClientSession, ClientStatement};
-use crate::pooler::exchange::Exchange;
+use crate::pooler::commit_forwarding::Commit;
+use crate::pooler::exchange::{Exchange, ExchangeReply};
 use crate::pooler::pool::{CheckOutRequest, ConnectionPool};
 use crate::pooler::replica_reads::{LAGGING_SKIP_MS, PRIMARY_FALLBACK_PENALTY};
 use crate::pooler::reroute::{LossOutcome, StatementKind, StatementPlan};
@@ -94,7 +95,12 @@
             }
         }
         let error = match self.exchange(statement, deadline, attempts.wait_until_deadline) {
-            Ok(reply) => {
+            Ok(ExchangeReply { reply, commit: Some(commit) })
+                if reply.state == TransactionState::Idle =>
+            {
+                return Some(self.forward_commit(reply, commit, deadline));
+            }
+            Ok(ExchangeReply { reply, .. }) => {
                 return match reply.outcome {
                     Outcome::Complete => Some(self.handle_success(plan, reply)),
                     Outcome::Error(kind) => {
@@ -243,7 +249,7 @@
         statement: &ClientStatement<'_>,
         deadline: Tick,
         wait_until_deadline: bool,
-    ) -> Result<Reply, ExchangeError> {
+    ) -> Result<ExchangeReply, ExchangeError> {
         let plan = &statement.plan;
         let started_at = self.reroute.started_at(statement.arrived_at);
         let wait_for = match &self.checked_out {
@@ -264,7 +270,7 @@
             pool,
             term: *term,
             deadline,
-            commits: commits(plan),
+            commits: commits(plan) && (plan.autocommit || self.reroute.has_written()),
             first_read,
             reply_timeout_ms: reply_timeout_ms(
                 plan,
@@ -286,11 +292,31 @@
         if !connection.in_transaction
             && let Some(rejection) = exchange.begin(connection, plan.read_only, wait_for)?
         {
-            return Ok(rejection);
+            return Ok(ExchangeReply { reply: rejection, commit: None });
         }
         exchange.run(connection, &statement.line(None, hasher))
     }
 
+    /// Releases the connection to the primary, and forwards the reply to a commit once it is
+    /// confirmed.
+    fn forward_commit(&mut self, reply: Reply, commit: Commit, deadline: Tick) -> ClientReply {
+        let Some(CheckedOutConnection { connection, .. }) = &mut self.checked_out else {
+            return ClientReply::error(ErrorKind::Unknown, "connection lost");
+        };
+        let bytes = connection.reply_bytes(&reply).to_vec();
+        connection.consume(&reply);
+        connection.in_transaction = false;
+        connection.synced_in_transaction = false;
+        self.release();
+        if self.pooler.await_confirmation(&self.service, commit, deadline).is_err() {
+            self.reroute.abandon();
+            return ClientReply::error(ErrorKind::Unknown, "commit not confirmed");
+        }
+        self.own_position = self.own_position.max(reply.position);
+        self.reroute.handle_reply(reply.state);
+        ClientReply::Detached { bytes, position: reply.position }
+    }
+
     /// Handles a success reply of a database.
     fn handle_success(&mut self, plan: &StatementPlan, reply: Reply) -> ClientReply {
         let ends_transaction = plan.autocommit || plan.kind == StatementKind::Commit;
--- a/src/simulation/commits.rs
+++ b/src/simulation/commits.rs
@@ -2,10 +2,11 @@
 //! listed replicas have the commit, and during a handover once its target has it.
 use crate::base::ids::{DbTerm, Position, ServiceName};
 use crate::base::time::Tick;
-use crate::net::statement_protocol::ServerDescription;
-use crate::pooler::commit_confirmation::{AcknowledgedCommit, CommitDecision, ReplicaQuery};
+use crate::pooler::commit_confirmation::{
+    AcknowledgedCommit, CommitDecision, ReplicaQuery, ReplicaQuestion, ReplicaReply,
+};
 use crate::simulation::checker::ForwardedCommit;
-use crate::simulation::databases::Write;
+use crate::simulation::databases::{Database, Write};
 use crate::simulation::events::Event;
 use crate::simulation::network::Endpoint;
 use crate::simulation::nodes::ObservedCommit;
@@ -31,7 +32,21 @@
     incarnation: u64,
     commit: Commit,
     query: ReplicaQuery,
-    reply: Option<ServerDescription>,
+    reply: Option<ReplicaReply>,
+}
+
+impl Database {
+    /// Answers a node's question. As in a database, a position is compared with the end of the log,
+    /// whatever the log has at that position.
+    fn answer(&self, question: ReplicaQuestion) -> ReplicaReply {
+        match question {
+            ReplicaQuestion::Describe => ReplicaReply::Description(self.description()),
+            ReplicaQuestion::HasPosition(position) => {
+                let applied = self.position();
+                ReplicaReply::Position { reached: applied >= position, applied }
+            }
+        }
+    }
 }
 
 impl World {
@@ -45,8 +60,11 @@
         }
         let listed = node.listed_replicas(&commit.service);
         let confirmation = node.commit_confirmations.entry(commit.service.clone()).or_default();
-        let acknowledged =
-            AcknowledgedCommit { term: commit.write.term, position: Some(commit.position) };
+        let acknowledged = AcknowledgedCommit {
+            term: commit.write.term,
+            position: Some(commit.position),
+            acknowledged_at: Tick(commit.sent_at),
+        };
         match confirmation.decide(acknowledged, &listed, Tick(now)) {
             CommitDecision::Forward => self.forward_commit(number, commit),
             CommitDecision::Query(query) => {
@@ -75,14 +93,14 @@
         }
     }
 
-    /// Answers a node's query with the replica's description.
+    /// Answers a node's query.
     pub(super) fn handle_replica_query(&mut self, number: usize, query: NodeQuery) {
         let database = &self.databases[number];
-        let description = database.up.then(|| database.description());
+        let reply = database.up.then(|| database.answer(query.query.question));
         let back = self.arrival_time(Endpoint::Database(number), Endpoint::Node(query.node), 0);
-        match (back, description) {
-            (Some(time), Some(description)) => {
-                let replied = NodeQuery { reply: Some(description), ..query };
+        match (back, reply) {
+            (Some(time), Some(reply)) => {
+                let replied = NodeQuery { reply: Some(reply), ..query };
                 self.schedule_at(time, Event::ReplicaReply(replied));
             }
             _ => self.schedule_after(query.query.timeout_ms, Event::ReplicaReply(query)),
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -288,8 +288,15 @@
     system.databases.faults.replica_lag.store(0, Ordering::SeqCst);
     assert_eq!(client.outcome(), "COMPLETE");
     // One replica that does not reply delays a commit, but another one confirms it.
-    system.databases.inject("DESCRIBE", &[InjectedFault::NoReply]);
+    system.databases.inject("WAITFOR", &[InjectedFault::NoReply]);
     assert_eq!(client.store("q3"), "COMPLETE");
+    // A transaction that wrote nothing has nothing to confirm.
+    system.databases.faults.replica_lag.store(1, Ordering::SeqCst);
+    for (id, text) in [("t1", "BEGIN"), ("t2", "FETCH thing"), ("t3", "COMMIT")] {
+        client.send(&format!("QUERY {id} {text}"));
+        while !client.line().starts_with("READY") {}
+    }
+    system.databases.faults.replica_lag.store(0, Ordering::SeqCst);
     // Replicas that left the directory do not count; the primary never does.
     let removed = vec!["i-ledger-1".into(), "i-ledger-2".into()];
     system.leader.send(ToPooler::DirectoryDelta { upserted: Vec::new(), removed });
@@ -308,9 +315,10 @@
     system.leader.send(ToPooler::SyncReplicas([].into()));
     assert_eq!(system.leader.hand_over(&handover(2, "i-ledger-1")), Some(at(4)), "not q5");
     system.leader.grant(active());
-    let asked = system.databases.statements_received("DESCRIBE");
+    let asked = || ["DESCRIBE", "WAITFOR"].map(|text| system.databases.own_statements(text));
+    let before = asked();
     assert_eq!(client.store("q6"), "COMPLETE");
-    assert_eq!(system.databases.statements_received("DESCRIBE"), asked);
+    assert_eq!(asked(), before);
 }
 
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -50,7 +50,7 @@
     /// The faults of the next statements, in order. The key is the statement's id, or the first
     /// word of its text if the id is `-`.
     pub(crate) by_key: Mutex<HashMap<String, VecDeque<InjectedFault>>>,
-    /// The number of commits of the primary that replicas lack according to their own description.
+    /// The number of commits of the primary that replicas lack according to their own replies.
     pub(crate) replica_lag: AtomicU64,
 }
 
@@ -145,9 +145,9 @@
     pub(crate) fn times_received(&self, id: &str) -> usize {
         lock(&self.received).iter().filter(|r| r.id == id).count()
     }
-    /// How often the databases have received a statement with this text.
-    pub(crate) fn statements_received(&self, text: &str) -> usize {
-        lock(&self.received).iter().filter(|r| r.text == text).count()
+    /// How often the databases have received a statement of the pooler's own that contains this.
+    pub(crate) fn own_statements(&self, text: &str) -> usize {
+        lock(&self.received).iter().filter(|r| r.id == "-" && r.text.contains(text)).count()
     }
     /// Sets the faults of the next statements with this key, see [`Faults::by_key`].
     pub(crate) fn inject(&self, key: &str, faults: &[InjectedFault]) {
@@ -228,7 +228,7 @@
         if service != Some(&self.service) || id.is_some_and(|id| id != self.id(database)) {
             return out.write_all(b"ERROR WRONGNODE other\r\n");
         }
-        out.write_all(format!("READY I {}\r\n", self.position()).as_bytes())?;
+        out.write_all(format!("READY I {}\r\n", self.position(database)).as_bytes())?;
         let mut names: BTreeMap<String, String> = BTreeMap::new();
         let mut before = names.clone();
         let mut open: Option<Vec<(String, String)>> = None;
@@ -285,7 +285,7 @@
                 continue;
             }
             let state = if open.is_some() { 'T' } else { 'I' };
-            let reply = format!("{reply}READY {state} {}\r\n", self.position());
+            let reply = format!("{reply}READY {state} {}\r\n", self.position(database));
             match fault {
                 InjectedFault::Duplicated => out.write_all(reply.repeat(2).as_bytes())?,
                 InjectedFault::DuplicatedLate(ms) => {
@@ -305,9 +305,21 @@
         }
     }
 
-    fn position(&self) -> String {
+    /// The last position that a database has received and applied.
+    fn position(&self, database: usize) -> String {
         let store = lock(&self.store);
-        format!("{}.{}", store.term, store.number)
+        let lag = if store.primary == database { 0 } else { self.lag() };
+        format!("{}.{}", store.term, store.number.saturating_sub(lag))
+    }
+    fn lag(&self) -> u64 {
+        self.faults.replica_lag.load(Ordering::SeqCst)
+    }
+    fn lacks_position(&self, database: usize, wanted: &str) -> bool {
+        let number = |position: &str| -> Option<(u64, u64)> {
+            let (term, number) = position.split_once('.')?;
+            Some((term.parse().ok()?, number.parse().ok()?))
+        };
+        number(&self.position(database)) < number(wanted)
     }
 
     /// Executes a statement and returns the lines of the reply before `READY`.
@@ -320,8 +332,11 @@
         names: &mut BTreeMap<String, String>,
         open: &mut Option<Vec<(String, String)>>,
     ) -> String {
-        let text = match text.strip_prefix("WAITFOR ") {
-            Some(rest) => rest.split_once(' ').map_or("", |(_, text)| text),
+        let text = match text.strip_prefix("WAITFOR ").and_then(|rest| rest.split_once(' ')) {
+            Some((wanted, _)) if self.lacks_position(database, wanted) => {
+                return "ERROR LAGGING behind\r\n".to_owned();
+            }
+            Some((_, text)) => text,
             None => text,
         };
         let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
@@ -392,11 +407,10 @@
                 complete
             }
             "DESCRIBE" | "PAUSE" | "CONTINUE" | "STEPDOWN" => {
-                let store = lock(&self.store);
+                let position = self.position(database);
+                let term = lock(&self.store).term;
                 let role = if primary { "primary" } else { "replica" };
-                let lag = if primary { 0 } else { self.faults.replica_lag.load(Ordering::SeqCst) };
-                let position = format!("{}.{}", store.term, store.number.saturating_sub(lag));
-                format!("ROW {role} {} {position} 0 0 0 1\r\nCOMPLETE -\r\n", store.term)
+                format!("ROW {role} {term} {position} 0 0 0 1\r\nCOMPLETE -\r\n")
             }
             _ => "ERROR MALFORMED what\r\n".to_owned(),
         }
