controller: only a refused connection shows that a departed replica has stopped

Cause: call_database turned each error but a time-out into Unavailable, also the end of a connection that had been accepted. The departed replica check took that for the end of the process and forgot the replica while it still let the primary acknowledge commits.

Change: the outcomes carry their evidence in the name: ConnectionRefused, AddressReassigned, ConnectionFailed. Only the first two show a stopped process. The same confusion elsewhere: a PAUSE or CONTINUE whose connection broke may still be carried out, so it stays outstanding as after a time-out; a suspected primary whose connection broke once is asked once more, as after a time-out, instead of being fenced.

Why this works: a process whose port refuses connections has ended; if it comes back, no pooler counts it before it is registered. Since commits are confirmed at listed replicas the case held already; now the check doesn't rest on that.

--- a/src/controller/outgoing_calls.rs
+++ b/src/controller/outgoing_calls.rs
@@ -73,27 +73,41 @@
     connected: impl FnOnce(),
     leads: impl Fn() -> bool,
 ) -> DatabaseResponse {
-    query_database(call, connected, leads).unwrap_or_else(|e| match e.kind() {
+    let stream =
+        match connect_stream(call.address, DATABASE_CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT) {
+            Ok(stream) => stream,
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                return DatabaseResponse::ConnectionRefused;
+            }
+            Err(e) => return response_of_error(&e),
+        };
+    connected();
+    query_database(call, stream, leads).unwrap_or_else(|e| response_of_error(&e))
+}
+
+/// The response that an error of a connection amounts to, unless the connection was refused.
+fn response_of_error(error: &io::Error) -> DatabaseResponse {
+    match error.kind() {
         io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => DatabaseResponse::TimedOut,
-        _ => DatabaseResponse::Unavailable,
-    })
+        _ => DatabaseResponse::ConnectionFailed,
+    }
 }
 
 fn query_database(
     call: &DatabaseCall<'_>,
-    connected: impl FnOnce(),
+    mut stream: TcpStream,
     leads: impl Fn() -> bool,
 ) -> io::Result<DatabaseResponse> {
-    let DatabaseCall { service, id, address, request } = *call;
-    let mut stream = connect_stream(address, DATABASE_CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT)?;
-    connected();
+    let DatabaseCall { service, id, request, .. } = *call;
     stream.set_read_timeout(Some(DATABASE_READ_TIMEOUT))?;
     stream.write_all(format!("CONNECT {service} {CONNECT_ROLE} {id}\r\n").as_bytes())?;
     let mut buffer = ReadBuffer::default();
     match read_connect_reply(&mut stream, &mut buffer)? {
         ConnectReply::Ready => {}
         // Another database now uses this address.
-        ConnectReply::Refused(ErrorKind::WrongNode) => return Ok(DatabaseResponse::Unavailable),
+        ConnectReply::Refused(ErrorKind::WrongNode) => {
+            return Ok(DatabaseResponse::AddressReassigned);
+        }
         ConnectReply::Refused(_) => return Ok(DatabaseResponse::NoDescription),
     }
     if !leads() {
--- a/src/failover/actions.rs
+++ b/src/failover/actions.rs
@@ -28,14 +28,31 @@
     Connected,
     /// The database responded without a description: it is running.
     NoDescription,
-    /// The connection was refused or closed, or another database listens at that address.
-    Unavailable,
+    /// The connection was refused: nothing listens at the database's address.
+    ConnectionRefused,
+    /// Another database responded at this address.
+    AddressReassigned,
+    /// The connection could not be established for another reason, or it ended or broke after it
+    /// was accepted. The database may be running, and may still carry out the request.
+    ConnectionFailed,
     /// No response arrived in time. The request may still be carried out.
     TimedOut,
     /// The request was dropped, because the controller no longer led when it was to be sent.
     NotSent,
 }
 
+impl DatabaseResponse {
+    /// Whether the response shows that the database's process has stopped.
+    pub fn shows_stopped_process(&self) -> bool {
+        matches!(self, Self::ConnectionRefused | Self::AddressReassigned)
+    }
+
+    /// Whether the request may still be carried out although no response to it arrived.
+    pub(super) fn leaves_request_open(&self) -> bool {
+        matches!(self, Self::Connected | Self::TimedOut | Self::ConnectionFailed)
+    }
+}
+
 /// The platform's response to a call that promotes a database.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PromotionResponse {
--- a/src/failover/departed.rs
+++ b/src/failover/departed.rs
@@ -30,7 +30,7 @@
     noticed_at: Tick,
     /// When the replica was last probed.
     probed_at: Tick,
-    /// Whether it refused the connection, which shows that it has stopped and receives no commits.
+    /// Whether a response showed that its process has stopped, so that it receives no commits.
     stopped: bool,
 }
 
@@ -131,11 +131,10 @@
         requests
     }
 
-    /// Records the response of a departed replica to a probe. It has stopped if the connection is
-    /// refused or another database now listens at its address.
+    /// Records the response of a departed replica to a probe.
     pub(super) fn record_probe(&mut self, database: &InstanceId, response: &DatabaseResponse) {
         if let Some(departure) = self.departures.get_mut(database) {
-            departure.stopped |= *response == DatabaseResponse::Unavailable;
+            departure.stopped |= response.shows_stopped_process();
         }
     }
 
--- a/src/failover/resume.rs
+++ b/src/failover/resume.rs
@@ -142,7 +142,7 @@
         Some(self.request_resume(alive, now))
     }
 
-    /// Records that a request was answered. A request that timed out stays outstanding until it
+    /// Records that a request was answered. A request without a response stays outstanding until it
     /// expires, because it may still be carried out.
     pub(super) fn record_response(
         &mut self,
@@ -150,7 +150,7 @@
         request: DatabaseRequest,
         response: &DatabaseResponse,
     ) {
-        if matches!(response, DatabaseResponse::Connected | DatabaseResponse::TimedOut) {
+        if response.leaves_request_open() {
             return;
         }
         match request {
--- a/src/failover/state.rs
+++ b/src/failover/state.rs
@@ -113,7 +113,10 @@
             DatabaseResponse::NoDescription
             | DatabaseResponse::Connected
             | DatabaseResponse::NotSent => true,
-            DatabaseResponse::Unavailable | DatabaseResponse::TimedOut => false,
+            DatabaseResponse::ConnectionRefused
+            | DatabaseResponse::AddressReassigned
+            | DatabaseResponse::ConnectionFailed
+            | DatabaseResponse::TimedOut => false,
         };
         if leads { Self::Leads } else { Self::DoesNotLead }
     }
--- a/src/failover/suspicion.rs
+++ b/src/failover/suspicion.rs
@@ -171,7 +171,7 @@
                 Vec::new()
             };
         }
-        if *response == DatabaseResponse::TimedOut && self.suspicion.may_be_lost_packet(now) {
+        if response.leaves_request_open() && self.suspicion.may_be_lost_packet(now) {
             self.suspicion.timed_out_at = Some(now);
             self.state = FailoverState::Suspected { since: now, connected: false };
             let (primary, describe) = (record.primary.clone(), DatabaseRequest::Describe);
