--- a/tests/failover_replicas.rs
+++ b/tests/failover_replicas.rs
@@ -8,6 +8,7 @@
     LeaseStatus, PromotionResponse, ServiceSnapshot,
 };
 use silvertack::leases::acknowledged_commits::{AcknowledgedCommits, UnreportedCommits};
+use silvertack::leases::lease_table::LEASE_MS;
 use silvertack::net::rpc::pack;
 use silvertack::net::rpc::pooler_messages::{Handover, SuspicionReason};
 use silvertack::net::statement_protocol::ServerDescription;
@@ -746,6 +747,8 @@
     /// an acknowledgement.
     reports: bool,
     state_machine: StateMachine,
+    /// When each database last departed.
+    removed_at: BTreeMap<InstanceId, Tick>,
     failover: Failover,
     raft_term: u64,
     due: Vec<(Tick, Due)>,
@@ -772,6 +775,7 @@
             lease_sent: Lease::InUse,
             reports: !seed.is_multiple_of(3),
             state_machine: StateMachine::default(),
+            removed_at: BTreeMap::new(),
             failover: Failover::begin(&snapshot, Tick(50_000)).0,
             raft_term: 1,
             due: Vec::new(),
@@ -844,6 +848,7 @@
     }
     fn remove_instance(&mut self, id: &InstanceId, sequence: u64) {
         self.record(format!("{id} is removed"));
+        self.removed_at.insert(id.clone(), self.now);
         self.state_machine.apply(&Command::RemoveInstance { id: id.clone(), sequence });
     }
     fn snapshot(&self) -> ServiceSnapshot {
@@ -1032,6 +1037,7 @@
         }
         log_lengths.sort_unstable_by(|a, b| b.cmp(a));
         let commit_count = log_lengths.get(self.sync - 1).copied().unwrap_or(0);
+        let commit_count = commit_count.min(self.confirmed_commits());
         let commit_count = match &self.lease {
             Lease::InUse => commit_count,
             Lease::HandingOver(handover) => {
@@ -1046,6 +1052,21 @@
         let known = self.acknowledged.last().map_or(0, |(index, _)| index + 1);
         self.acknowledged.extend((known..commit_count).map(|index| (index, log[index])));
     }
+    /// The number of commits that enough replicas in the pooler's directory have received. It may
+    /// not have been told yet of a departure that is more recent than its lease.
+    fn confirmed_commits(&self) -> usize {
+        let listed = |id: &&InstanceId| {
+            let departed = self.removed_at.get(*id);
+            self.state_machine.instances().contains_key(*id)
+                || departed.is_some_and(|at| self.now.since(*at) < LEASE_MS)
+        };
+        let responds = |id: &&InstanceId| self.nodes[*id].alive && !self.nodes[*id].unreachable;
+        let replicas = self.nodes.keys().filter(|id| **id != self.primary);
+        let mut received: Vec<usize> =
+            replicas.filter(listed).filter(responds).map(|id| self.nodes[id].log.len()).collect();
+        received.sort_unstable_by(|a, b| b.cmp(a));
+        received.get(self.sync - 1).copied().unwrap_or(0)
+    }
     /// Runs the simulation for this many milliseconds, with a commit every 20 ms. Events are
     /// dispatched once they are due.
     fn run_for(&mut self, ms: u64) {
