gateway: the retry budget is one a service and covers every repeated send

Cause: a node had one budget for all services, so a service that failed alone spent what requests to the others had earned; a request that was sent again to the same endpoint after a reused connection broke was not charged; and the budget looked back over a window, so that what was earned before traffic fell could be spent after it. Change: a token bucket for each service. A request earns budget when it is first sent, each further send spends it, and at most two retries are saved, so the bound holds in any period and over restarts. A connection that may be stale is reused only while the budget covers a resend. The unit test of the budget had one service and a window; its successor asks for the same ratio, for no more than two saved retries, and for services that don't share.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -127,11 +127,13 @@
     /// How long a machine still counts as failed after its return, in seconds.
     #[validate(range(min = 1, max = 3600))]
     pub join_sync_s: u64,
-    /// The maximum fraction of the requests, plus `retry_slack`, that all nodes together may retry
-    /// at another database in any window of `retry_window_s`.
+    /// The maximum fraction of the requests to a service that all nodes together may send once
+    /// more in any window of `retry_window_s`. The deployment also allows a fixed number,
+    /// `retry_slack`, which the program does not read.
     #[validate(range(min = 0.0, max = 1.0))]
     pub retry_ratio: f64,
-    /// The window of the retry budget, in seconds.
+    /// The window of the retry budget, in seconds. Validated, but not used by the program: its
+    /// budget holds in any window.
     #[validate(range(min = 1, max = 3600))]
     pub retry_window_s: u64,
 }
--- a/src/gateway/endpoint_access.rs
+++ b/src/gateway/endpoint_access.rs
@@ -3,12 +3,12 @@
 use crate::base::ids::InstanceId;
 use crate::base::sync::lock;
 use crate::base::time::Tick;
-use crate::gateway::attempts::AttemptOutcome;
+use crate::gateway::attempts::{AttemptOutcome, Idempotency};
 use crate::gateway::endpoint_attempt::{Attempt, write_request};
 use crate::gateway::outlier_detection::OutlierDetector;
 use crate::gateway::request_context::RequestContext;
 use crate::gateway::server::Gateway;
-use crate::gateway::upstreams::{AcquiredEndpoint, EndpointConnection};
+use crate::gateway::upstreams::{AcquiredEndpoint, EndpointConnection, ReusePolicy};
 use crate::net::idle_connections::is_readable;
 use crate::net::sockets::connect_stream;
 use crate::net::statement_protocol::ReadBuffer;
@@ -48,7 +48,7 @@
         excluded: &[InstanceId],
         deadline: Tick,
     ) -> Option<AcquiredEndpoint> {
-        let reuse = request.reuse_policy();
+        let reuse = self.reuse_policy(request);
         let mut upstreams = lock(&self.upstreams);
         loop {
             let now = Tick::now();
@@ -66,6 +66,17 @@
         }
     }
 
+    /// Which idle connections the request may reuse. One that the endpoint may have closed is reused
+    /// only while the retry budget covers sending the request again.
+    fn reuse_policy(&self, request: &RequestContext<'_>) -> ReusePolicy {
+        match request.idempotency() {
+            Idempotency::Idempotent if lock(&self.retry_budgets).allows_retry(request.service) => {
+                ReusePolicy::AnyIdle
+            }
+            Idempotency::Idempotent | Idempotency::NonIdempotent => ReusePolicy::FreshOnly,
+        }
+    }
+
     /// Releases an endpoint after an attempt of `took_ms` milliseconds: `record` records the result
     /// in the outlier detector, and `connection` is kept for another request.
     pub(super) fn release_endpoint(
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -129,12 +129,12 @@
         }
         match self.gateway.start_attempt(self.request, endpoint) {
             Ok(attempt) => {
-                self.policy.record_sent();
+                self.record_sent();
                 self.stream_body(attempt, client)
             }
             Err(outcome) => {
                 if outcome != AttemptOutcome::NotSent {
-                    self.policy.record_sent();
+                    self.record_sent();
                 }
                 let next = self.next_step(outcome);
                 Ok(self.apply_next_step(next, outcome))
@@ -147,13 +147,31 @@
     /// for it.
     fn acquire_next_endpoint(&self, is_retry: bool) -> Option<AcquiredEndpoint> {
         let deadline = self.request.acquire_deadline();
-        if is_retry && !lock(&self.gateway.retry_budget).try_spend(Tick::now()) {
+        if is_retry && !self.try_spend_retry() {
             return None;
         }
         let deadline = if is_retry { Tick(0) } else { deadline };
         self.gateway.acquire_endpoint(self.request, &self.tried_endpoints, deadline)
     }
 
+    /// Records that bytes of the request may have reached an endpoint. A request earns retry budget
+    /// once, for its first attempt.
+    fn record_sent(&mut self) {
+        if !self.policy.is_retry() {
+            lock(&self.gateway.retry_budgets).record_request(self.request.service);
+        }
+        self.policy.record_sent();
+    }
+
+    fn budget_allows_retry(&self) -> bool {
+        lock(&self.gateway.retry_budgets).allows_retry(self.request.service)
+    }
+
+    /// Spends retry budget for sending the request once more; false if there is none.
+    fn try_spend_retry(&self) -> bool {
+        lock(&self.gateway.retry_budgets).try_spend(self.request.service)
+    }
+
     fn handle_no_endpoint(&self) -> Flow {
         if !self.attempts.is_empty() {
             return Flow::Continue(Step::AwaitResponses);
@@ -206,9 +224,7 @@
             return Ok(self.refuse(Refusal::GatewayTimeout));
         }
         let hedge_due = self.hedge_due();
-        if hedge_due.is_some_and(|due| now >= due)
-            && lock(&self.gateway.retry_budget).allows_retry(now)
-        {
+        if hedge_due.is_some_and(|due| now >= due) && self.budget_allows_retry() {
             return Ok(Flow::Continue(Step::StartAttempt));
         }
         let mut wait_ms = self.request.time_left_ms(now);
@@ -253,7 +269,8 @@
     fn end_attempt(&mut self, index: usize, outcome: AttemptOutcome) -> Flow {
         let attempt = self.attempts.swap_remove(index);
         let idempotent = self.request.idempotency() == Idempotency::Idempotent;
-        if idempotent && !self.body_streamed && attempt.used_stale_connection() {
+        let may_resend = idempotent && !self.body_streamed && attempt.used_stale_connection();
+        if may_resend && self.try_spend_retry() {
             return self.resend_on_new_connection(attempt);
         }
         let next = self.next_step(outcome);
@@ -269,6 +286,7 @@
     /// likely closed the reused one while it was idle.
     fn resend_on_new_connection(&mut self, attempt: Attempt) -> Flow {
         self.policy.record_resent();
+        increment(&self.gateway.counters.retries);
         match self.gateway.start_attempt(self.request, attempt.into_endpoint()) {
             Ok(attempt) => {
                 self.attempts.push(attempt);
@@ -287,7 +305,7 @@
         let conditions = RetryConditions {
             others_in_flight: !self.attempts.is_empty(),
             time_left: !self.request.is_past_deadline(now),
-            budget_left: lock(&self.gateway.retry_budget).allows_retry(now),
+            budget_left: self.budget_allows_retry(),
         };
         self.policy.next_step(outcome, conditions)
     }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -142,8 +142,7 @@
 
 fn apply_settings(gateway: &Gateway, settings: &Settings) {
     gateway.leader.set_seeds(settings.seed_peers());
-    let bounds = &settings.timing_bounds;
-    lock(&gateway.retry_budget).configure(bounds.retry_ratio, 1_000 * bounds.retry_window_s);
+    lock(&gateway.retry_budgets).set_ratio(settings.timing_bounds.retry_ratio);
 }
 
 /// The progress of a graceful shutdown.
--- a/src/gateway/request_context.rs
+++ b/src/gateway/request_context.rs
@@ -5,7 +5,6 @@
 use crate::config::route_table::RouteEntry;
 use crate::gateway::attempts::Idempotency;
 use crate::gateway::http1::{BodyDecoder, BodyFraming, RequestHead, append_header};
-use crate::gateway::upstreams::ReusePolicy;
 
 /// The gateway stops waiting for a response this many milliseconds before the client's deadline.
 /// The endpoint gets a deadline that is earlier by the same time.
@@ -42,14 +41,6 @@
         }
     }
 
-    /// Which idle connections the request may reuse.
-    pub(super) fn reuse_policy(&self) -> ReusePolicy {
-        match self.idempotency() {
-            Idempotency::Idempotent => ReusePolicy::AnyIdle,
-            Idempotency::NonIdempotent => ReusePolicy::FreshOnly,
-        }
-    }
-
     /// Until when the request may wait for an endpoint whose queue has room: for a quarter of the
     /// latency target, because a later refusal would be of little use to the client.
     pub(super) fn acquire_deadline(&self) -> Tick {
--- a/src/gateway/request_handling.rs
+++ b/src/gateway/request_handling.rs
@@ -5,7 +5,6 @@
 //! when the connection is idle again or is to be closed.
 use crate::base::errors::Refusal;
 use crate::base::ids::ServiceName;
-use crate::base::sync::lock;
 use crate::base::time::Tick;
 use crate::config::configuration::SessionLimits;
 use crate::config::route_table::{RouteEntry, RouteTable};
@@ -102,7 +101,6 @@
         let timeout_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
         let deadline = arrived.plus(timeout_ms);
         let ReceivedBody { buffered, remaining } = receive_body(head, client, deadline)?;
-        lock(&self.retry_budget).record_request(arrived);
         let mut request = RequestContext {
             head,
             route,
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -1,78 +1,59 @@
-//! The retry budget: limits retries to a share of the requests, so that retries don't multiply the
-//! load on endpoints that are overloaded.
+//! The retry budgets: limit the retries to a share of the requests of each service, so that retries
+//! don't multiply the load on endpoints that are overloaded.
 //!
-//! Pure logic without I/O or a clock. The gateway's shared state owns one budget; request handling
-//! records requests, and forwarding spends retries.
-use crate::base::time::Tick;
-use std::collections::VecDeque;
-
-/// The width of the buckets in which requests are counted, in milliseconds. The window slides by
-/// one bucket at a time.
-const BUCKET_MS: u64 = 500;
-
-/// How many retries this node may send: over a sliding window, retries stay within a ratio of the
-/// requests that the node received.
+//! Pure logic without I/O or a clock. The gateway's shared state owns the budgets. Forwarding
+//! records each request whose first attempt was sent, and spends one retry for each further time
+//! that a request is sent to an endpoint, whether the same or another.
+use crate::base::ids::ServiceName;
+use std::collections::HashMap;
+
+/// How many unspent retries a service's budget holds at most. The deployment allows all nodes
+/// together a fixed number of retries beyond the ratio (`retry_slack`), and each node may spend
+/// what it has saved in the same moment.
+const MAX_SAVED_RETRIES: f64 = 2.0;
+
+/// Absorbs the rounding of sums of the ratio, so that a whole retry is recognised as one.
+const ROUNDING: f64 = 1e-6;
+
+/// How many retries this node may send to each service: a token bucket, which every request fills
+/// by the ratio. In any period, the retries of a service exceed the ratio of its requests by at
+/// most [`MAX_SAVED_RETRIES`].
 #[derive(Clone, Debug)]
-pub struct RetryBudget {
+pub struct RetryBudgets {
     ratio: f64,
-    window_ms: u64,
-    buckets: VecDeque<Bucket>,
-}
-
-#[derive(Clone, Debug)]
-struct Bucket {
-    started_at: Tick,
-    requests: u64,
-    retries: u64,
+    saved: HashMap<ServiceName, f64>,
 }
 
-impl RetryBudget {
-    /// Creates an empty budget of `ratio` retries for each request of the last `window_ms`
-    /// milliseconds.
-    pub fn new(ratio: f64, window_ms: u64) -> Self {
-        Self { ratio, window_ms, buckets: VecDeque::new() }
+impl RetryBudgets {
+    /// Creates empty budgets of `ratio` retries for each request of a service.
+    pub fn new(ratio: f64) -> Self {
+        Self { ratio, saved: HashMap::new() }
     }
 
-    /// Applies changed settings, and keeps the counts.
-    pub(super) fn configure(&mut self, ratio: f64, window_ms: u64) {
+    /// Applies a changed ratio to the requests from now on.
+    pub(super) fn set_ratio(&mut self, ratio: f64) {
         self.ratio = ratio;
-        self.window_ms = window_ms;
-    }
-
-    /// Returns the bucket of `now`, and drops the buckets that have left the window.
-    fn current_bucket(&mut self, now: Tick) -> &mut Bucket {
-        while self
-            .buckets
-            .front()
-            .is_some_and(|bucket| now.since(bucket.started_at) > self.window_ms)
-        {
-            self.buckets.pop_front();
-        }
-        if self.buckets.back().is_none_or(|bucket| now.since(bucket.started_at) >= BUCKET_MS) {
-            self.buckets.push_back(Bucket { started_at: now, requests: 0, retries: 0 });
-        }
-        let last = self.buckets.len() - 1;
-        &mut self.buckets[last]
     }
 
-    /// Records a request from a client.
-    pub fn record_request(&mut self, now: Tick) {
-        self.current_bucket(now).requests += 1;
+    /// Records a request that was sent to an endpoint of the service for the first time.
+    pub fn record_request(&mut self, service: &ServiceName) {
+        let saved = match self.saved.get_mut(service) {
+            Some(saved) => saved,
+            None => self.saved.entry(service.clone()).or_default(),
+        };
+        *saved = (*saved + self.ratio).min(MAX_SAVED_RETRIES);
     }
 
-    /// Whether the budget allows one more retry.
-    pub fn allows_retry(&mut self, now: Tick) -> bool {
-        self.current_bucket(now);
-        let requests: u64 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u64 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        (retries + 1) as f64 <= self.ratio * requests as f64
+    /// Whether the budget of the service allows one more retry.
+    pub fn allows_retry(&self, service: &ServiceName) -> bool {
+        self.saved.get(service).is_some_and(|saved| *saved + ROUNDING >= 1.0)
     }
 
-    /// Spends one retry. Returns false if the budget is spent.
-    pub fn try_spend(&mut self, now: Tick) -> bool {
-        let allowed = self.allows_retry(now);
-        if allowed {
-            self.current_bucket(now).retries += 1;
+    /// Spends one retry of the service. Returns false if its budget is spent.
+    pub fn try_spend(&mut self, service: &ServiceName) -> bool {
+        let allowed = self.allows_retry(service);
+        if let Some(saved) = self.saved.get_mut(service).filter(|_| allowed) {
+            *saved -= 1.0;
         }
         allowed
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -10,7 +10,7 @@
 use crate::config::settings::Settings;
 use crate::gateway::client_connection::{ClientConnection, ClientGuard};
 use crate::gateway::leader_messages::Renewals;
-use crate::gateway::retry_budget::RetryBudget;
+use crate::gateway::retry_budget::RetryBudgets;
 use crate::gateway::upstreams::Upstreams;
 use crate::net::idle_connections::IdleConnections;
 use crate::net::leader_connection::LeaderConnection;
@@ -35,7 +35,7 @@
     pub(super) upstreams: Mutex<Upstreams>,
     /// Notified when an endpoint was released or the leader sent an update.
     pub(super) upstreams_changed: Condvar,
-    pub(super) retry_budget: Mutex<RetryBudget>,
+    pub(super) retry_budgets: Mutex<RetryBudgets>,
     /// Whether client connections are accepted.
     pub(super) listening: AtomicBool,
     /// Whether the process is shutting down gracefully: each client connection is closed after its
@@ -57,7 +57,7 @@
 #[derive(Default)]
 pub(super) struct Counters {
     pub(super) requests: AtomicU64,
-    /// Retries and hedged requests.
+    /// Retries, hedged requests, and requests that were sent again on a new connection.
     pub(super) retries: AtomicU64,
     /// Requests that no endpoint could take, and that none has executed.
     pub(super) refused: AtomicU64,
@@ -83,10 +83,7 @@
             renewals: Renewals::default(),
             upstreams: Mutex::default(),
             upstreams_changed: Condvar::new(),
-            retry_budget: Mutex::new(RetryBudget::new(
-                bounds.retry_ratio,
-                1_000 * bounds.retry_window_s,
-            )),
+            retry_budgets: Mutex::new(RetryBudgets::new(bounds.retry_ratio)),
             listening: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             closing_idle_clients: AtomicBool::new(false),
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -13,7 +13,7 @@
 };
 use silvertack::gateway::load_balancing::{Candidate, choose_endpoint};
 use silvertack::gateway::outlier_detection::OutlierDetector;
-use silvertack::gateway::retry_budget::RetryBudget;
+use silvertack::gateway::retry_budget::RetryBudgets;
 use silvertack::gateway::subsets::{CapacityRange, assigned_capacities};
 use silvertack::leases::subset_assignments::SubsetAssignments;
 
@@ -203,18 +203,29 @@
 
 #[test]
 fn retries_stay_within_the_ratio_of_requests() {
-    let mut budget = RetryBudget::new(0.2, 10_000);
-    let start = Tick(100_000);
-    assert!(!budget.try_spend(start), "no retries without requests");
-    (0..10).for_each(|_| budget.record_request(start));
-    let retries = (0..10).filter(|_| budget.try_spend(start.plus(100))).count();
-    assert_eq!(retries, 2);
-    assert!(!budget.allows_retry(start.plus(9_000)), "still within the window");
-    (0..5).for_each(|_| budget.record_request(start.plus(10_700)));
-    assert!(
-        budget.allows_retry(start.plus(10_800)),
-        "requests and retries before the window are not counted"
-    );
+    let [service, other] = ["locator", "desk"].map(|name| ServiceName(name.to_owned()));
+    let mut budgets = RetryBudgets::new(0.2);
+    let spend_all = |budgets: &mut RetryBudgets, service: &ServiceName| {
+        (0..1_000).filter(|_| budgets.try_spend(service)).count()
+    };
+    assert_eq!(spend_all(&mut budgets, &service), 0, "no retries without requests");
+    (0..10).for_each(|_| budgets.record_request(&service));
+    assert!(!budgets.allows_retry(&other), "requests of one service earn nothing for another");
+    assert_eq!(spend_all(&mut budgets, &service), 2);
+    assert!(!budgets.allows_retry(&service));
+    (0..5).for_each(|_| budgets.record_request(&service));
+    assert_eq!(spend_all(&mut budgets, &service), 1);
+    // However long there were no retries, what was saved stays within the slack of a node.
+    (0..5_000).for_each(|_| budgets.record_request(&service));
+    assert_eq!(spend_all(&mut budgets, &service), 2);
+    // In every period, retries exceed the ratio by at most what was saved before.
+    let retries: usize = (0..5_000)
+        .map(|_| {
+            budgets.record_request(&service);
+            usize::from(budgets.try_spend(&service))
+        })
+        .sum();
+    assert_eq!(retries, 1_000);
 }
 
 #[test]
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -55,6 +55,15 @@
     more_settings: &str,
     configuration: &str,
     heartbeat: impl Fn(SocketAddr),
+) -> Site {
+    start_with_retry_ratio(1.0, role, more_settings, configuration, heartbeat)
+}
+fn start_with_retry_ratio(
+    retry_ratio: f64,
+    role: &str,
+    more_settings: &str,
+    configuration: &str,
+    heartbeat: impl Fn(SocketAddr),
 ) -> Site {
     let addresses: Vec<SocketAddr> =
         (0..4).map(|_| SocketAddr::from(([127, 0, 0, 1], free_port()))).collect();
@@ -64,7 +73,7 @@
         "node_name = \"one\"\nip_address = \"127.0.0.1\"\nzone = \"here\"\nport_range = [{p}, {p}]\n\
          seed_nodes = [\"{admin}\"]\nbootstrap = true\ndata_path = \"{data}\"\n{more_settings}\n\
          [listeners]\nfrontend = \"{front}\"\nreadiness = \"{ready}\"\nadmin = \"{admin}\"\n\
-         [timing_bounds]\ngrace_s = 3\nretry_ratio = 1.0\n",
+         [timing_bounds]\ngrace_s = 3\nretry_ratio = {retry_ratio}\n",
         p = addresses[0].port(),
         admin = addresses[1],
         front = addresses[2],
@@ -474,6 +483,101 @@
     site
 }
 
+/// Starts a gateway with two services, `query` under `/query/` and `desk` under `/desk/`, both
+/// idempotent.
+fn start_two_services(
+    retry_ratio: f64,
+    query: &Arc<StandInEndpoints>,
+    desk: &Arc<StandInEndpoints>,
+) -> Site {
+    let route = |service: &str| {
+        serde_json::json!({
+            "name": service, "hostname": "shop.example", "path_prefix": format!("/{service}/"),
+            "route_type": "idempotent", "timeout_ms": 4000, "target_latency_ms": 4000,
+            "priority": 1, "target_service": service, "max_attempts": 4,
+        })
+    };
+    let configuration = serde_json::json!({
+        "revision": 1,
+        "route_rules": [route("query"), route("desk")],
+        "services": [{ "name": "query", "max_connections": 64 },
+                     { "name": "desk", "max_connections": 64 }],
+    })
+    .to_string();
+    let site = start_with_retry_ratio(
+        retry_ratio,
+        "gateway",
+        "rollout = \"api\"",
+        &configuration,
+        |admin| {
+            eventually("the heartbeats are accepted", || {
+                query.send_heartbeats(admin, 1) && desk.send_heartbeats(admin, 1)
+            });
+        },
+    );
+    let endpoint_count = query.addresses.len() + desk.addresses.len();
+    eventually("the gateway knows all endpoints", || {
+        let (_, body) = http(site.readiness, "GET", "/status", &[], "").expect("status");
+        let status: serde_json::Value = serde_json::from_str(&body).expect("json");
+        status["databases"].as_array().is_some_and(|listed| listed.len() == endpoint_count)
+    });
+    site
+}
+
+/// Sends requests one after the other, each with these behaviours of the endpoints, and returns how
+/// often they arrived at an endpoint beyond the first time.
+fn repeated_arrivals(
+    site: &Site,
+    endpoints: &Arc<StandInEndpoints>,
+    path: &str,
+    requests: usize,
+    behaviours: &[Behaviour],
+) -> usize {
+    let arrivals_beyond_first = |_| {
+        eventually("the ejections are reset", || endpoints.send_heartbeats(site.admin, 2));
+        endpoints.set_behaviours(behaviours);
+        let id = fresh_id();
+        request(site, "GET", path, Some(&id));
+        endpoints.set_behaviours(&[]);
+        endpoints.received(&id).len().saturating_sub(1)
+    };
+    (0..requests).map(arrivals_beyond_first).sum()
+}
+
+#[test]
+fn retries_of_a_failing_service_do_not_spend_what_requests_of_another_earned() {
+    let query = StandInEndpoints::start("query", 4).expect("endpoints");
+    let desk = StandInEndpoints::start("desk", 4).expect("endpoints");
+    let site = start_two_services(1.0, &query, &desk);
+    assert_eq!(repeated_arrivals(&site, &desk, "/desk/x", 40, &[Behaviour::Serve]), 0);
+    let requests = 5;
+    let failing = [Behaviour::CloseWithoutResponse; 4];
+    let repeated = repeated_arrivals(&site, &query, "/query/x", requests, &failing);
+    assert!(repeated >= requests - 1, "retries within the budget are sent: {repeated}");
+    // The ratio, and what a node may have saved.
+    assert!(repeated <= requests + 2, "{repeated} repeated arrivals of {requests} requests");
+}
+
+#[test]
+fn a_request_that_is_sent_again_to_the_same_endpoint_spends_retry_budget() {
+    let query = StandInEndpoints::start("query", 1).expect("endpoints");
+    let desk = StandInEndpoints::start("desk", 1).expect("endpoints");
+    let site = start_two_services(0.2, &query, &desk);
+    let pairs = 40;
+    // The first of each pair leaves an idle connection behind, on which the second gets no response.
+    let repeated: usize = (0..pairs)
+        .map(|_| {
+            let serve = [Behaviour::Serve];
+            let close_and_serve = [Behaviour::CloseWithoutResponse, Behaviour::Serve];
+            repeated_arrivals(&site, &query, "/query/x", 1, &serve)
+                + repeated_arrivals(&site, &query, "/query/x", 1, &close_and_serve)
+        })
+        .sum();
+    let requests = 2 * pairs;
+    assert!(repeated > 0, "requests are sent again");
+    assert!(repeated <= requests / 5 + 2, "{repeated} repeated arrivals of {requests} requests");
+}
+
 /// Sends one request on a new connection. Returns the status, the head and the body.
 fn request(site: &Site, method: &str, path: &str, id: Option<&str>) -> (u16, String, Vec<u8>) {
     let mut client = TcpStream::connect(site.frontend).expect("frontend");
