--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -1,107 +1,22 @@
 //! Tests of retries by pooler and gateway processes against databases with injected faults: how
 //! often each statement or request reached a database, and that each caller gets its own reply.
+#[path = "support/site.rs"]
+mod site;
 #[path = "support/gateway.rs"]
 mod stand_in_endpoints;
 mod support;
 
 use silvertack::gateway::http1::{ParseError, ParsedHead, parse_response_head};
+use site::{Site, eventually};
 use stand_in_endpoints::{Behaviour, StandInEndpoints};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use support::InjectedFault::*;
-use support::{StandIn, free_port, http};
+use support::StandIn;
 
-struct Process(Child);
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-/// A controller and one pooler or gateway.
-struct Site {
-    folder: PathBuf,
-    admin: SocketAddr,
-    frontend: SocketAddr,
-    readiness: SocketAddr,
-    controller: Option<Process>,
-    _node: Process,
-}
-impl Drop for Site {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-fn eventually(what: &str, mut check: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !check() {
-        assert!(start.elapsed() < Duration::from_secs(20), "never: {what}");
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-fn run(role: &str, settings: &std::path::Path) -> Process {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_silvertack"));
-    command.args([role, "--settings"]).arg(settings).stderr(Stdio::null());
-    Process(command.spawn().expect(role))
-}
-fn start(
-    role: &str,
-    more_settings: &str,
-    configuration: &str,
-    heartbeat: impl Fn(SocketAddr),
-) -> Site {
-    start_with_retry_ratio(1.0, role, more_settings, configuration, heartbeat)
-}
-fn start_with_retry_ratio(
-    retry_ratio: f64,
-    role: &str,
-    more_settings: &str,
-    configuration: &str,
-    heartbeat: impl Fn(SocketAddr),
-) -> Site {
-    let addresses: Vec<SocketAddr> =
-        (0..4).map(|_| SocketAddr::from(([127, 0, 0, 1], free_port()))).collect();
-    let folder = std::env::temp_dir().join(format!("silvertack-retries-{}", addresses[0].port()));
-    std::fs::create_dir_all(&folder).expect("folder");
-    let settings = format!(
-        "node_name = \"one\"\nip_address = \"127.0.0.1\"\nzone = \"here\"\nport_range = [{p}, {p}]\n\
-         seed_nodes = [\"{admin}\"]\nbootstrap = true\ndata_path = \"{data}\"\n{more_settings}\n\
-         [listeners]\nfrontend = \"{front}\"\nreadiness = \"{ready}\"\nadmin = \"{admin}\"\n\
-         [timing_bounds]\ngrace_s = 3\nretry_ratio = {retry_ratio}\n",
-        p = addresses[0].port(),
-        admin = addresses[1],
-        front = addresses[2],
-        ready = addresses[3],
-        data = folder.join("data").display(),
-    );
-    let file = folder.join("node.toml");
-    std::fs::write(&file, settings).expect("settings");
-    let controller = Some(run("controller", &file));
-    let node = run(role, &file);
-    let site = Site {
-        folder,
-        admin: addresses[1],
-        frontend: addresses[2],
-        readiness: addresses[3],
-        controller,
-        _node: node,
-    };
-    eventually("a configuration", || {
-        let base = [("If-Match", "0")];
-        http(site.admin, "PUT", "/configuration", &base, configuration).is_ok_and(|(s, _)| s == 200)
-    });
-    heartbeat(site.admin);
-    eventually("readiness", || {
-        http(site.readiness, "GET", "/readiness", &[], "").is_ok_and(|(s, _)| s == 200)
-    });
-    site
-}
 fn fresh_id() -> String {
     static NEXT: AtomicU64 = AtomicU64::new(1);
     format!("q{}", NEXT.fetch_add(1, Ordering::SeqCst))
@@ -128,7 +43,7 @@
     .to_string();
     let platform = format!("[provider]\naddress = \"{}\"", databases.platform);
     let sender = Arc::clone(databases);
-    let site = start("pooler", &platform, &configuration, move |admin| {
+    let site = Site::start("pooler", &platform, &configuration, move |admin| {
         sender.start_heartbeats(admin, Duration::from_millis(200));
     });
     eventually("the first write", || {
@@ -472,13 +387,11 @@
     })
     .to_string();
     let endpoint_count = endpoints.addresses.len();
-    let site = start("gateway", "rollout = \"api\"", &configuration, |admin| {
+    let site = Site::start("gateway", "rollout = \"api\"", &configuration, |admin| {
         eventually("the heartbeats are accepted", || endpoints.send_heartbeats(admin, 1));
     });
     eventually("the gateway knows all endpoints", || {
-        let (_, body) = http(site.readiness, "GET", "/status", &[], "").expect("status");
-        let status: serde_json::Value = serde_json::from_str(&body).expect("json");
-        status["databases"].as_array().is_some_and(|listed| listed.len() == endpoint_count)
+        site.status()["databases"].as_array().is_some_and(|listed| listed.len() == endpoint_count)
     });
     site
 }
@@ -504,7 +417,7 @@
                      { "name": "desk", "max_connections": 64 }],
     })
     .to_string();
-    let site = start_with_retry_ratio(
+    let site = Site::start_with_retry_ratio(
         retry_ratio,
         "gateway",
         "rollout = \"api\"",
@@ -517,9 +430,7 @@
     );
     let endpoint_count = query.addresses.len() + desk.addresses.len();
     eventually("the gateway knows all endpoints", || {
-        let (_, body) = http(site.readiness, "GET", "/status", &[], "").expect("status");
-        let status: serde_json::Value = serde_json::from_str(&body).expect("json");
-        status["databases"].as_array().is_some_and(|listed| listed.len() == endpoint_count)
+        site.status()["databases"].as_array().is_some_and(|listed| listed.len() == endpoint_count)
     });
     site
 }
