--- a/src/base/errors.rs
+++ b/src/base/errors.rs
@@ -35,6 +35,8 @@
     TimedOut,
     /// It is not known whether the statement was executed.
     Unknown,
+    /// The client's key belongs to no tenant.
+    Denied,
 }
 
 /// The reply that reports an error kind, and what it guarantees.
@@ -60,7 +62,7 @@
 
 /// The reply to each error kind, in the order of the enum. Columns: error code, whether the
 /// statement is guaranteed to have no effect, whether the connection is closed.
-pub const ERROR_REPLIES: [ErrorReply; 13] = [
+pub const ERROR_REPLIES: [ErrorReply; 14] = [
     error_reply(ErrorKind::Malformed, "MALFORMED", false, false),
     error_reply(ErrorKind::TooLarge, "TOOLARGE", false, true),
     error_reply(ErrorKind::NotFound, "NOTFOUND", false, false),
@@ -74,6 +76,7 @@
     error_reply(ErrorKind::Failed, "FAILED", false, false),
     error_reply(ErrorKind::TimedOut, "TIMEDOUT", false, false),
     error_reply(ErrorKind::Unknown, "UNKNOWN", false, false),
+    error_reply(ErrorKind::Denied, "DENIED", false, true),
 ];
 
 impl ErrorKind {
@@ -112,6 +115,10 @@
     BadGateway,
     /// A database may have executed the request, but did not respond within the timeout.
     GatewayTimeout,
+    /// The request has no key of a tenant.
+    Unauthorized,
+    /// The tenant is at its limit; the request has not been executed.
+    TooManyRequests,
 }
 
 /// The response that reports a refusal, and what it guarantees.
@@ -140,7 +147,7 @@
 
 /// The response to each refusal, in the order of the enum. Columns: status code, reason phrase,
 /// whether the request is guaranteed not to be executed, whether the connection is closed.
-pub const REFUSAL_RESPONSES: [RefusalResponse; 8] = [
+pub const REFUSAL_RESPONSES: [RefusalResponse; 10] = [
     refusal_response(Refusal::Malformed, 400, "Bad Request", false, true),
     refusal_response(Refusal::NoRoute, 404, "Not Found", false, false),
     refusal_response(Refusal::RequestTimeout, 408, "Request Timeout", true, true),
@@ -149,6 +156,8 @@
     refusal_response(Refusal::Unavailable, 503, "Service Unavailable", true, false),
     refusal_response(Refusal::BadGateway, 502, "Bad Gateway", false, false),
     refusal_response(Refusal::GatewayTimeout, 504, "Gateway Timeout", false, false),
+    refusal_response(Refusal::Unauthorized, 401, "Unauthorized", true, false),
+    refusal_response(Refusal::TooManyRequests, 429, "Too Many Requests", true, false),
 ];
 
 impl Refusal {
--- a/src/base/ids.rs
+++ b/src/base/ids.rs
@@ -56,6 +56,11 @@
     NodeName
 );
 
+string_id!(
+    /// The name of a tenant, which databases are told.
+    TenantName
+);
+
 number_id!(
     /// The term of a database's log. It increases with each promotion and identifies the primary
     /// that wrote an entry.
--- a/src/config/configuration.rs
+++ b/src/config/configuration.rs
@@ -3,6 +3,7 @@
 //! A controller validates a configuration before putting it in force, and again when it reads it from the
 //! replicated state.
 use crate::base::ids::{Revision, ServiceName};
+use crate::config::tenants::{Tenant, validate_tenants};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use validator::{Validate, ValidationError, ValidationErrors};
@@ -36,6 +37,10 @@
     #[serde(default)]
     #[validate(nested)]
     pub limits: SessionLimits,
+    /// The tenants. If there are any, clients need a key on routes that are not public.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[validate(nested)]
+    pub tenants: Vec<Tenant>,
 }
 
 /// How the statements or requests of a route are handled. The first three types are for poolers,
@@ -46,6 +51,7 @@
     /// All statements run on the primary.
     Primary,
     /// Reads may run on a replica that lags by at most `stale_ms`.
+    #[serde(alias = "bounded_staleness")]
     Bounded,
     /// Reads may run on a replica that has the session's own writes.
     ReadYourWrites,
@@ -100,8 +106,11 @@
     #[validate(range(min = 1))]
     pub max_attempts: u32,
     /// The maximum lag of a replica for reads of a `Bounded` route, in milliseconds.
-    #[serde(default)]
+    #[serde(default, alias = "max_staleness_ms")]
     pub stale_ms: u64,
+    /// Whether clients need no key although there are tenants.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 impl Route {
@@ -200,8 +209,8 @@
     Ok(())
 }
 
-/// Checks that service names are unique, routes refer to existing services, and no two routes have
-/// the same host name and path prefix.
+/// Checks that service names are unique, routes refer to existing services, no two routes have the
+/// same host name and path prefix, and no two tenants have the same name or share a key.
 fn validate_references(config: &Configuration) -> Result<(), ValidationError> {
     let mut services = BTreeSet::new();
     if !config.services.iter().all(|service| services.insert(&service.name)) {
@@ -216,7 +225,7 @@
             return Err(ValidationError::new("same_host_and_prefix"));
         }
     }
-    Ok(())
+    validate_tenants(&config.tenants)
 }
 
 impl Configuration {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,3 +7,4 @@
 pub mod directory;
 pub mod route_table;
 pub mod settings;
+pub mod tenants;
--- a/src/config/route_table.rs
+++ b/src/config/route_table.rs
@@ -4,8 +4,10 @@
 //! the node has an earlier version. Both are encoded by the order of their fields.
 use crate::base::ids::{Revision, ServiceName};
 use crate::config::configuration::{Configuration, Route, RouteType, SessionLimits};
+use crate::config::tenants::{Identity, TenantTable, UnknownKey};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// The part of a route that nodes need. There may be thousands of routes, and links to nodes may be
 /// slow.
@@ -88,6 +90,10 @@
     pub services: Vec<ServiceName>,
     /// Limits of client sessions and requests.
     pub limits: SessionLimits,
+    /// The tenants of the same configuration. Encoded by itself, see
+    /// [`ToPooler::TenantRouteTable`](crate::net::rpc::pooler_messages::ToPooler::TenantRouteTable).
+    #[serde(skip)]
+    pub tenants: Arc<TenantTable>,
 }
 
 impl RouteTable {
@@ -118,9 +124,27 @@
             entries,
             services: config.services.iter().map(|s| s.name.clone()).collect(),
             limits: config.limits.clone(),
+            tenants: Arc::new(TenantTable::of(config)),
         }
     }
 
+    /// Returns this table with other tenants.
+    pub fn with_tenants(self, tenants: TenantTable) -> Self {
+        Self { tenants: Arc::new(tenants), ..self }
+    }
+
+    /// Who the client with this key is on a route of the table.
+    ///
+    /// # Errors
+    /// [`UnknownKey`] if the route demands a key of a tenant and this is none.
+    pub fn identify(
+        &self,
+        entry: &RouteEntry,
+        key: Option<&str>,
+    ) -> Result<Identity<'_>, UnknownKey> {
+        self.tenants.identify(key, &entry.hostname, &entry.path_prefix)
+    }
+
     /// The route entry of a database name, and its service. If several routes have that name, the
     /// one whose path prefix sorts first is used.
     pub fn entry_for_hostname(&self, hostname: &str) -> Option<(&RouteEntry, &ServiceName)> {
@@ -167,6 +191,20 @@
         }
     }
 
+    /// Applies a delta to this version, with the tenants of the new version if they have changed;
+    /// `None` if the delta is based on another version or is not valid.
+    pub fn apply_with_tenants(
+        &self,
+        delta: &RouteTableDelta,
+        tenants: Option<TenantTable>,
+    ) -> Option<RouteTable> {
+        let applied = self.apply(delta)?;
+        Some(match tenants {
+            Some(tenants) => applied.with_tenants(tenants),
+            None => applied,
+        })
+    }
+
     /// Applies a delta to this version; `None` if the delta is based on another version or is not
     /// valid.
     pub fn apply(&self, delta: &RouteTableDelta) -> Option<RouteTable> {
@@ -178,6 +216,7 @@
             entries: apply_runs(&self.entries, &delta.entries)?,
             services: apply_runs(&self.services, &delta.services)?,
             limits: delta.limits.clone(),
+            tenants: Arc::clone(&self.tenants),
         })
     }
 }
--- a/src/controller/committed_entries.rs
+++ b/src/controller/committed_entries.rs
@@ -100,9 +100,14 @@
         self.services = services.map(|s| (s.name.clone(), s.clone())).collect();
         let replicated = self.services.values().filter(|service| service.sync_replicas > 0);
         self.sync_replicas = replicated.map(|s| (s.name.clone(), s.sync_replicas)).collect();
+        let tenants = config.iter().flat_map(|c| &c.tenants);
+        let limited = tenants.filter_map(|t| Some((t.name.clone(), t.operation_limit()?)));
+        self.operation_limits = limited.collect();
         self.config = config;
         self.route_table_frames.clear();
         if let Some(leader_state) = &mut self.leader_state {
+            let limits = &self.operation_limits;
+            leader_state.operation_grants.retain(|tenant| limits.contains_key(tenant));
             leader_state.pending_updates.mark_all_changed();
         }
     }
--- a/src/controller/core.rs
+++ b/src/controller/core.rs
@@ -3,11 +3,12 @@
 //! and uses no sockets, threads, clocks or files. The event loop and the simulation call
 //! `handle_input` for each input, and `step` afterwards.
 use crate::base::errors::Fatal;
-use crate::base::ids::{InstanceId, LogIndex, MemberId, Revision, ServiceName};
+use crate::base::ids::{InstanceId, LogIndex, MemberId, Revision, ServiceName, TenantName};
 use crate::base::time::Tick;
 use crate::config::configuration::{Configuration, Service};
 use crate::config::route_table::RouteTable;
 use crate::config::settings::Settings;
+use crate::config::tenants::OperationLimit;
 use crate::controller::effects::{Effects, Input};
 use crate::controller::failover_driver::DatabaseRequests;
 use crate::controller::leader_lease::LeaderLease;
@@ -55,6 +56,8 @@
     pub(super) services: BTreeMap<ServiceName, Service>,
     /// The `sync_replicas` of the services of the current configuration, where it is not 0.
     pub(super) sync_replicas: BTreeMap<ServiceName, u32>,
+    /// The limits of the tenants of the current configuration, where they have one.
+    pub(super) operation_limits: BTreeMap<TenantName, OperationLimit>,
     /// The most recent route tables, the current one last. Deltas are computed against the others.
     pub(super) route_tables: VecDeque<RouteTable>,
     /// Encoded frames that update a node from the given revision to the current route table.
@@ -127,6 +130,7 @@
             config: None,
             services: BTreeMap::new(),
             sync_replicas: BTreeMap::new(),
+            operation_limits: BTreeMap::new(),
             route_table_frames: HashMap::new(),
             directory_frame: None,
             node_layouts: HashMap::new(),
--- a/src/controller/leader_state.rs
+++ b/src/controller/leader_state.rs
@@ -8,6 +8,7 @@
 use crate::controller::pending_updates::PendingUpdates;
 use crate::failover::Failover;
 use crate::leases::lease_table::LeaseTable;
+use crate::leases::operation_grants::OperationGrants;
 use crate::leases::subset_assignments::SubsetAssignments;
 use crate::leases::watermarks::ReplicationWatermarks;
 use crate::net::http::Response;
@@ -39,6 +40,8 @@
     pub(super) sealed: BTreeSet<ServiceName>,
     /// Replication watermarks, from the positions that poolers observed at primaries.
     pub(super) watermarks: ReplicationWatermarks,
+    /// The operations of tenants granted to poolers and gateways.
+    pub(super) operation_grants: OperationGrants,
     /// The subset of each service's endpoints assigned to each gateway.
     pub(super) subset_assignments: SubsetAssignments,
     /// Whether all leases and quotas granted before the election have expired.
@@ -60,6 +63,7 @@
             pending_updates: PendingUpdates::default(),
             sealed: BTreeSet::new(),
             watermarks: ReplicationWatermarks::default(),
+            operation_grants: OperationGrants::new(now),
             subset_assignments: SubsetAssignments::new(now),
             earlier_quotas_expired: false,
         }
--- a/src/controller/lease_renewals.rs
+++ b/src/controller/lease_renewals.rs
@@ -9,7 +9,8 @@
 use crate::leases::lease_table::LEASE_MS;
 use crate::net::rpc::Frame;
 use crate::net::rpc::pooler_messages::{
-    LeaseGrant, ObservedPosition, PrimaryStatus, ToController, ToPooler,
+    LeaseGrant, ObservedPosition, OperationGrant, OperationRequest, PrimaryStatus, ToController,
+    ToPooler,
 };
 use crate::state_machine::PrimaryRecord;
 use std::collections::BTreeSet;
@@ -82,6 +83,30 @@
         }
     }
 
+    /// Grants a node operations of tenants, unless this controller may not be the leader any more.
+    pub(super) fn grant_operations(
+        &mut self,
+        conn: u64,
+        requests: Vec<OperationRequest>,
+        now: Tick,
+    ) {
+        if !self.raft.holds_leader_lease(now) {
+            return;
+        }
+        let Some(leader_state) = &mut self.leader_state else { return };
+        let grants = requests.into_iter().map(|OperationRequest { tenant, count }| {
+            let Some(limit) = self.operation_limits.get(&tenant).copied() else {
+                // The node's configuration is older or newer, and has a limit that this has not.
+                return OperationGrant { tenant, count, retry_after_ms: 0 };
+            };
+            let granted = leader_state.operation_grants.grant(&tenant, limit, count, now);
+            let (count, retry_after_ms) = (granted.count, granted.retry_after_ms);
+            OperationGrant { tenant, count, retry_after_ms }
+        });
+        let grants = grants.collect();
+        self.send_frame(conn, &Frame::Controller(ToPooler::GrantOperations(grants)));
+    }
+
     /// Responds to a renewal. The response renews all grants sent on this connection and contains
     /// those that changed.
     pub(super) fn send_lease_grants(&mut self, conn: u64, renewal: &PendingRenewal, now: Tick) {
--- a/src/controller/pooler_subscriptions.rs
+++ b/src/controller/pooler_subscriptions.rs
@@ -7,10 +7,14 @@
 use crate::base::ids::{InstanceId, NodeName, Revision, ServiceName};
 use crate::base::time::Tick;
 use crate::config::directory::DirectoryEntry;
+use crate::config::route_table::RouteTable;
+use crate::config::tenants::TenantTable;
 use crate::controller::core::Controller;
 use crate::controller::effects::Effects;
 use crate::net::rpc::pooler_messages::{ToController, ToPooler};
-use crate::net::rpc::{FIRST_LAYOUT, Frame, HANDOVER_LAYOUT, SYNC_REPLICAS_LAYOUT, encode};
+use crate::net::rpc::{
+    FIRST_LAYOUT, Frame, HANDOVER_LAYOUT, SYNC_REPLICAS_LAYOUT, TENANTS_LAYOUT, encode,
+};
 use log::{debug, info};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -221,13 +225,14 @@
         if subscriber.revision >= current.revision {
             return;
         }
+        // A node that does not know tenants would serve clients without a key.
+        if !current.tenants.is_empty() && subscriber.layout < TENANTS_LAYOUT {
+            return;
+        }
         let from = std::mem::replace(&mut subscriber.revision, current.revision);
         let frame = self.route_table_frames.entry(from).or_insert_with(|| {
             let base = self.route_tables.iter().find(|table| table.revision == from);
-            encode(&Frame::Controller(match base {
-                Some(base) => ToPooler::RouteTableDelta(Box::new(current.delta_from(base))),
-                None => ToPooler::RouteTable(Box::new(current.clone())),
-            }))
+            encode(&Frame::Controller(route_table_message(current, base)))
         });
         self.effects.send(conn, Arc::clone(frame));
     }
@@ -282,6 +287,9 @@
                     leader_state.leases.acknowledge_handover(&node, &service, handover, highest);
                 }
             }
+            ToController::RequestOperations(requests) => {
+                self.grant_operations(conn, requests, now);
+            }
             ToController::Goodbye => {
                 if let Some(leader_state) = &mut self.leader_state {
                     leader_state.leases.withdraw_all_grants(&node);
@@ -358,3 +366,23 @@
         }
     }
 }
+
+/// The message that brings a node from the route table `base` to the current one; `None` stands for
+/// a revision whose table is not known.
+fn route_table_message(current: &RouteTable, base: Option<&RouteTable>) -> ToPooler {
+    let has_tenants = |table: &RouteTable| !table.tenants.is_empty();
+    let tenants = || Box::new(TenantTable::clone(&current.tenants));
+    match base {
+        Some(base) if has_tenants(base) || has_tenants(current) => {
+            ToPooler::TenantRouteTableDelta {
+                delta: Box::new(current.delta_from(base)),
+                tenants: (base.tenants != current.tenants).then(tenants),
+            }
+        }
+        Some(base) => ToPooler::RouteTableDelta(Box::new(current.delta_from(base))),
+        None if has_tenants(current) => {
+            ToPooler::TenantRouteTable { table: Box::new(current.clone()), tenants: tenants() }
+        }
+        None => ToPooler::RouteTable(Box::new(current.clone())),
+    }
+}
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -16,9 +16,11 @@
 use crate::gateway::endpoint_access::AbandonReason;
 use crate::gateway::endpoint_attempt::{Attempt, AttemptProgress, wait_readable};
 use crate::gateway::http1::BodyDecoder;
-use crate::gateway::request_context::RequestContext;
+use crate::gateway::request_context::{MIN_OPERATION_WAIT_MS, RequestContext};
 use crate::gateway::server::{Gateway, increment};
 use crate::gateway::upstreams::AcquiredEndpoint;
+use crate::net::rpc::pooler_messages::ToController;
+use crate::node::operation_allowance::OperationRefused;
 use std::io;
 use std::ops::ControlFlow;
 
@@ -120,6 +122,16 @@
 
     fn start_next_attempt(&mut self, client: &mut ClientStream<'_>) -> io::Result<Flow> {
         let is_retry = self.policy.is_retry();
+        let operation = if is_retry {
+            Ok(())
+        } else {
+            self.acquire_operation(self.request.operation_wait_ms())
+        };
+        if let Err(OperationRefused { retry_after_ms }) = operation {
+            increment(&self.gateway.counters.over_limit);
+            let refusal = Refusal::TooManyRequests;
+            return Ok(Flow::Break(ForwardResult::Refused { refusal, retry_after_ms }));
+        }
         let Some(endpoint) = self.acquire_next_endpoint(is_retry) else {
             return Ok(self.handle_no_endpoint());
         };
@@ -142,6 +154,18 @@
         }
     }
 
+    /// Takes one operation of the tenant's limit, if it has one. Waits for at most `wait_ms`
+    /// milliseconds.
+    fn acquire_operation(&self, wait_ms: u64) -> Result<(), OperationRefused> {
+        let Some(tenant) = self.request.limited_tenant() else { return Ok(()) };
+        let deadline = Tick::now().plus(wait_ms).min(self.request.deadline);
+        let gateway = self.gateway;
+        let acquired = gateway.allowance.acquire(&tenant.name, deadline, |request| {
+            gateway.leader.send(ToController::RequestOperations(vec![request]));
+        });
+        acquired.map(drop)
+    }
+
     /// Acquires an endpoint for the next attempt. The first attempt waits for an endpoint whose
     /// queue has room. A retry doesn't wait, and spends retry budget even if no endpoint is left
     /// for it.
@@ -169,6 +193,10 @@
 
     /// Spends retry budget for sending the request once more; false if there is none.
     fn try_spend_retry(&self) -> bool {
+        // Sent once more, the request also counts once more for the limit of its tenant.
+        if self.acquire_operation(MIN_OPERATION_WAIT_MS).is_err() {
+            return false;
+        }
         lock(&self.gateway.retry_budgets).try_spend(self.request.service)
     }
 
--- a/src/gateway/http1/request_head.rs
+++ b/src/gateway/http1/request_head.rs
@@ -27,14 +27,47 @@
     pub expects_continue: bool,
     /// The headers that are forwarded, as lines that end in CR LF.
     pub forwarded_headers: Vec<u8>,
+    /// `Authorization` and `Tenant-Id`, as such lines. They are forwarded only if the configuration
+    /// has no tenants; otherwise the gateway sets the tenant itself.
+    pub identity_headers: Vec<u8>,
+    /// The keys in `Authorization` headers; with more than one, it is not clear who the client is.
+    pub api_keys: Vec<String>,
 }
 
+/// The scheme of an `Authorization` header with a key.
+const KEY_SCHEME: &str = "Token";
+
 impl RequestHead {
     /// The target without its query.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
     }
 
+    /// The client's key, if it sent exactly one.
+    pub fn api_key(&self) -> Option<&str> {
+        match self.api_keys.as_slice() {
+            [key] => Some(key),
+            _ => None,
+        }
+    }
+
+    /// Reads a header that says who the client is. Returns false for other headers.
+    fn read_identity(&mut self, header: &httparse::Header<'_>) -> bool {
+        let is_authorization = header.name.eq_ignore_ascii_case("authorization");
+        if !is_authorization && !header.name.eq_ignore_ascii_case("tenant-id") {
+            return false;
+        }
+        append_header(&mut self.identity_headers, header.name, header.value);
+        let text = header_text(header).unwrap_or_default();
+        if is_authorization
+            && let Some((scheme, key)) = text.split_once(' ')
+            && scheme.eq_ignore_ascii_case(KEY_SCHEME)
+        {
+            self.api_keys.push(key.trim().to_owned());
+        }
+        true
+    }
+
     /// Applies one header, and adds it to the forwarded headers if it is end-to-end. `host` holds
     /// the value of `Host` until all headers are read.
     fn read_header(
@@ -66,7 +99,7 @@
             }
             self.expects_continue = self.accepts_chunked;
         }
-        if framing.is_end_to_end(header.name) {
+        if framing.is_end_to_end(header.name) && !self.read_identity(header) {
             append_header(&mut self.forwarded_headers, header.name, header.value);
         }
         Ok(())
@@ -147,6 +180,8 @@
         accepts_chunked: is_http_1_1,
         expects_continue: false,
         forwarded_headers: Vec::with_capacity(length),
+        identity_headers: Vec::new(),
+        api_keys: Vec::new(),
     })
 }
 
--- a/src/gateway/leader_messages.rs
+++ b/src/gateway/leader_messages.rs
@@ -4,6 +4,7 @@
 use crate::base::sync::lock;
 use crate::base::time::Tick;
 use crate::config::route_table::{RouteTable, RouteTableDelta};
+use crate::config::tenants::TenantTable;
 use crate::gateway::server::Gateway;
 use crate::gateway::subsets::CapacityRange;
 use crate::net::leader_connection::LeaderSubscriber;
@@ -87,8 +88,8 @@
     }
 
     /// Applies a delta, or requests the full route table if the delta has another base revision.
-    fn apply_route_table_delta(&self, delta: &RouteTableDelta) {
-        match self.route_table().and_then(|known| known.apply(delta)) {
+    fn apply_route_table_delta(&self, delta: &RouteTableDelta, tenants: Option<TenantTable>) {
+        match self.route_table().and_then(|known| known.apply_with_tenants(delta, tenants)) {
             Some(route_table) => self.apply_route_table(route_table),
             None => self.leader.send(ToController::RequestFullTable),
         }
@@ -115,6 +116,7 @@
 
     fn on_connected(&self) {
         self.renewals.last_acknowledged.store(0, Ordering::Relaxed);
+        self.allowance.reset_requests();
         for service in lock(&self.upstreams).services.values_mut() {
             service.demand.clear_reported();
         }
@@ -133,8 +135,19 @@
             | ToPooler::SyncReplicas(_) => {}
             ToPooler::RouteTable(route_table) => self.apply_route_table(*route_table),
             // Nothing changes, so the requests that wait for an endpoint need not be woken.
-            ToPooler::RouteTableDelta(delta) if self.has_revision(delta.revision) => return,
-            ToPooler::RouteTableDelta(delta) => self.apply_route_table_delta(&delta),
+            ToPooler::RouteTableDelta(delta) | ToPooler::TenantRouteTableDelta { delta, .. }
+                if self.has_revision(delta.revision) =>
+            {
+                return;
+            }
+            ToPooler::RouteTableDelta(delta) => self.apply_route_table_delta(&delta, None),
+            ToPooler::TenantRouteTable { table, tenants } => {
+                self.apply_route_table(table.with_tenants(*tenants));
+            }
+            ToPooler::TenantRouteTableDelta { delta, tenants } => {
+                self.apply_route_table_delta(&delta, tenants.map(|tenants| *tenants));
+            }
+            ToPooler::GrantOperations(grants) => return self.allowance.apply(grants),
             ToPooler::Directory(entries) => {
                 lock(&self.upstreams).replace_directory(entries, &self.zone);
             }
--- a/src/gateway/request_context.rs
+++ b/src/gateway/request_context.rs
@@ -3,6 +3,7 @@
 use crate::base::ids::{InstanceId, ServiceName};
 use crate::base::time::Tick;
 use crate::config::route_table::RouteEntry;
+use crate::config::tenants::{Identity, TenantEntry};
 use crate::gateway::attempts::Idempotency;
 use crate::gateway::http1::{BodyDecoder, BodyFraming, RequestHead, append_header};
 
@@ -10,10 +11,26 @@
 /// The endpoint gets a deadline that is earlier by the same time.
 pub(super) const DEADLINE_MARGIN_MS: u64 = 5;
 
+/// A request waits for a granted operation of its tenant for at most the latency target of its route
+/// divided by this.
+const OPERATION_WAIT_DIVISOR: u64 = 6;
+
+/// The least time that a request waits for a granted operation, in milliseconds.
+pub(super) const MIN_OPERATION_WAIT_MS: u64 = 20;
+
 /// The capacity that is reserved for the request line and the headers that the gateway adds, in
 /// bytes.
 const ADDED_HEADERS_BYTES: usize = 256;
 
+/// What endpoints are told of the client.
+#[derive(Clone, Copy)]
+pub(super) enum ForwardedIdentity<'a> {
+    /// What the client sent: the configuration has no tenants.
+    AsReceived,
+    /// The tenant of the client's key, or nothing.
+    Identified(Identity<'a>),
+}
+
 /// One request while it is forwarded: its head and route, its deadline and its body.
 pub(super) struct RequestContext<'a> {
     pub(super) head: &'a RequestHead,
@@ -21,6 +38,7 @@
     pub(super) route: &'a RouteEntry,
     /// The service that the route selects.
     pub(super) service: &'a ServiceName,
+    pub(super) identity: ForwardedIdentity<'a>,
     /// When the head of the request was complete.
     pub(super) arrived: Tick,
     /// When the client stops waiting for a response.
@@ -41,6 +59,22 @@
         }
     }
 
+    /// The tenant whose operations are limited, if the client's are.
+    pub(super) fn limited_tenant(&self) -> Option<&TenantEntry> {
+        match self.identity {
+            ForwardedIdentity::Identified(Identity::Tenant(tenant)) if tenant.limited => {
+                Some(tenant)
+            }
+            _ => None,
+        }
+    }
+
+    /// How long the first attempt may wait for the leader to grant an operation of the tenant, in
+    /// milliseconds.
+    pub(super) fn operation_wait_ms(&self) -> u64 {
+        (self.route.target_latency_ms / OPERATION_WAIT_DIVISOR).max(MIN_OPERATION_WAIT_MS)
+    }
+
     /// Until when the request may wait for an endpoint whose queue has room: for a quarter of the
     /// latency target, because a later refusal would be of little use to the client.
     pub(super) fn acquire_deadline(&self) -> Tick {
@@ -65,6 +99,13 @@
             format!("{} {} HTTP/1.1\r\n", self.head.method, self.head.target).as_bytes(),
         );
         head.extend_from_slice(forwarded);
+        match self.identity {
+            ForwardedIdentity::AsReceived => head.extend_from_slice(&self.head.identity_headers),
+            ForwardedIdentity::Identified(Identity::Tenant(tenant)) => {
+                append_header(&mut head, "Tenant-Id", tenant.name.0.as_bytes());
+            }
+            ForwardedIdentity::Identified(Identity::Anyone) => {}
+        }
         append_header(&mut head, "Deadline-Ms", self.time_left_ms(now).to_string().as_bytes());
         append_header(&mut head, "Target-Instance", endpoint.0.as_bytes());
         self.append_framing(&mut head);
--- a/src/gateway/request_handling.rs
+++ b/src/gateway/request_handling.rs
@@ -15,7 +15,7 @@
 use crate::gateway::http1::{
     BodyDecoder, BodyFraming, ParsedHead, RequestHead, encode_chunk, parse_request_head,
 };
-use crate::gateway::request_context::RequestContext;
+use crate::gateway::request_context::{ForwardedIdentity, RequestContext};
 use crate::gateway::responses::AfterResponse;
 use crate::gateway::server::{Gateway, increment};
 use crate::gateway::subsets::stable_hash;
@@ -98,6 +98,17 @@
             self.refuse(client, Refusal::NoRoute, 0, after)?;
             return Ok(after);
         };
+        let identity = if route_table.tenants.is_empty() {
+            ForwardedIdentity::AsReceived
+        } else {
+            let Ok(identity) = route_table.identify(route, head.api_key()) else {
+                increment(&self.counters.denied);
+                let after = after.or_close_if(head.framing != BodyFraming::Length(0));
+                self.refuse(client, Refusal::Unauthorized, 0, after)?;
+                return Ok(after);
+            };
+            ForwardedIdentity::Identified(identity)
+        };
         let timeout_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
         let deadline = arrived.plus(timeout_ms);
         let ReceivedBody { buffered, remaining } = receive_body(head, client, deadline)?;
@@ -105,6 +116,7 @@
             head,
             route,
             service,
+            identity,
             arrived,
             deadline,
             body: &buffered,
--- a/src/gateway/responses.rs
+++ b/src/gateway/responses.rs
@@ -182,7 +182,7 @@
         let response = refusal.response();
         let mut out = format!("HTTP/1.1 {} {}\r\n", response.status, response.reason).into_bytes();
         append_header(&mut out, "Content-Length", b"0");
-        if refusal == Refusal::Unavailable {
+        if matches!(refusal, Refusal::Unavailable | Refusal::TooManyRequests) {
             let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
             append_header(&mut out, "Retry-After", seconds.as_bytes());
         }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -14,6 +14,7 @@
 use crate::gateway::upstreams::Upstreams;
 use crate::net::idle_connections::IdleConnections;
 use crate::net::leader_connection::LeaderConnection;
+use crate::node::operation_allowance::OperationAllowance;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -32,6 +33,8 @@
     pub(super) incarnation: u64,
     pub(super) leader: LeaderConnection,
     pub(super) renewals: Renewals,
+    /// The operations that the leader granted for tenants with a limit.
+    pub(super) allowance: OperationAllowance,
     pub(super) upstreams: Mutex<Upstreams>,
     /// Notified when an endpoint was released or the leader sent an update.
     pub(super) upstreams_changed: Condvar,
@@ -61,6 +64,10 @@
     pub(super) retries: AtomicU64,
     /// Requests that no endpoint could take, and that none has executed.
     pub(super) refused: AtomicU64,
+    /// Requests without a key of a tenant.
+    pub(super) denied: AtomicU64,
+    /// Requests beyond the limit of their tenant.
+    pub(super) over_limit: AtomicU64,
     /// Requests without a usable response in time, which an endpoint may have executed.
     pub(super) lost: AtomicU64,
 }
@@ -81,6 +88,7 @@
             incarnation: rand::random(),
             leader: LeaderConnection::new("gateway", settings.seed_peers()),
             renewals: Renewals::default(),
+            allowance: OperationAllowance::default(),
             upstreams: Mutex::default(),
             upstreams_changed: Condvar::new(),
             retry_budgets: Mutex::new(RetryBudgets::new(bounds.retry_ratio)),
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -30,6 +30,8 @@
             "sent_again": value(&self.counters.retries),
             "refused": value(&self.counters.refused),
             "lost": value(&self.counters.lost),
+            "denied": value(&self.counters.denied),
+            "over_limit": value(&self.counters.over_limit),
             "databases": databases,
         })
     }
--- a/src/net/rpc/frame.rs
+++ b/src/net/rpc/frame.rs
@@ -8,7 +8,7 @@
 use crate::net::rpc::error::RpcError;
 use crate::net::rpc::layout::{
     CHUNKS_LAYOUT, FIRST_LAYOUT, HANDOVER_LAYOUT, LAYOUT, MIN_STRUCTURE_BYTE, NO_REQUIRED_LAYOUT,
-    SYNC_REPLICAS_LAYOUT,
+    SYNC_REPLICAS_LAYOUT, TENANTS_LAYOUT,
 };
 use crate::net::rpc::pooler_messages::{LeaseGrant, PrimaryStatus, ToController, ToPooler};
 use crate::net::rpc::raft_messages::{JoinResponse, Member, RaftMessage, RaftMessageKind};
@@ -66,6 +66,12 @@
             Frame::Controller(ToPooler::HandOver { .. })
             | Frame::Pooler(ToController::HandOverAck { .. }) => HANDOVER_LAYOUT,
             Frame::Controller(ToPooler::SyncReplicas(_)) => SYNC_REPLICAS_LAYOUT,
+            Frame::Controller(
+                ToPooler::TenantRouteTable { .. }
+                | ToPooler::TenantRouteTableDelta { .. }
+                | ToPooler::GrantOperations(_),
+            )
+            | Frame::Pooler(ToController::RequestOperations(_)) => TENANTS_LAYOUT,
             Frame::Controller(ToPooler::LeaseGrants { grants, .. }) => {
                 let handed_over =
                     |grant: &LeaseGrant| matches!(grant.status, PrimaryStatus::HandingOver { .. });
--- a/src/net/rpc/layout.rs
+++ b/src/net/rpc/layout.rs
@@ -6,7 +6,7 @@
 //! support and sends them only frames that they can decode.
 
 /// The newest layout that this program supports.
-pub const LAYOUT: u8 = 4;
+pub const LAYOUT: u8 = 5;
 
 /// The layout of releases that did not number layouts yet; their frames contain no layout.
 pub const FIRST_LAYOUT: u8 = 1;
@@ -23,6 +23,10 @@
 /// [`ToPooler::SyncReplicas`](crate::net::rpc::pooler_messages::ToPooler::SyncReplicas).
 pub const SYNC_REPLICAS_LAYOUT: u8 = 4;
 
+/// The first layout in which nodes know tenants, see
+/// [`ToPooler::TenantRouteTable`](crate::net::rpc::pooler_messages::ToPooler::TenantRouteTable).
+pub const TENANTS_LAYOUT: u8 = 5;
+
 /// The required layout of a frame that every release can decode. The first layout wrote a zero
 /// here.
 pub(super) const NO_REQUIRED_LAYOUT: u8 = 0;
--- a/src/net/rpc/mod.rs
+++ b/src/net/rpc/mod.rs
@@ -14,4 +14,6 @@
 pub use codec::{pack, unpack};
 pub use error::RpcError;
 pub use frame::{Frame, ReceivedFrame, encode, receive, receive_with_layout, send};
-pub use layout::{CHUNKS_LAYOUT, FIRST_LAYOUT, HANDOVER_LAYOUT, LAYOUT, SYNC_REPLICAS_LAYOUT};
+pub use layout::{
+    CHUNKS_LAYOUT, FIRST_LAYOUT, HANDOVER_LAYOUT, LAYOUT, SYNC_REPLICAS_LAYOUT, TENANTS_LAYOUT,
+};
--- a/src/net/rpc/pooler_messages.rs
+++ b/src/net/rpc/pooler_messages.rs
@@ -9,9 +9,10 @@
 //! fields, so their order and number must not change; field names are not written. It writes an
 //! enum variant by its name, so a renamed variant keeps its name on the wire with
 //! `#[serde(rename)]`.
-use crate::base::ids::{DbTerm, InstanceId, NodeName, Position, Revision, ServiceName};
+use crate::base::ids::{DbTerm, InstanceId, NodeName, Position, Revision, ServiceName, TenantName};
 use crate::config::directory::DirectoryEntry;
 use crate::config::route_table::{RouteTable, RouteTableDelta};
+use crate::config::tenants::TenantTable;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -96,6 +97,8 @@
     /// revision that the node does not have.
     #[serde(rename = "Whole")]
     RequestFullTable,
+    /// Requests operations of tenants; the response is [`ToPooler::GrantOperations`].
+    RequestOperations(Vec<OperationRequest>),
     /// Announces that the node shuts down gracefully. Before it, the node sends a `RevokeAck` with
     /// the highest commit that it forwarded for each lease; for a lease without one, that position
     /// is unknown.
@@ -121,6 +124,22 @@
     /// The changes from a revision that the node has.
     #[serde(rename = "Changed")]
     RouteTableDelta(Box<RouteTableDelta>),
+    /// The complete configuration, if it has tenants.
+    TenantRouteTable {
+        /// The routes.
+        table: Box<RouteTable>,
+        /// The tenants of the same revision.
+        tenants: Box<TenantTable>,
+    },
+    /// The changes from a revision that the node has, if that or the new one has tenants.
+    TenantRouteTableDelta {
+        /// The changes of the routes.
+        delta: Box<RouteTableDelta>,
+        /// The tenants of the new revision; `None` if they are those of the base.
+        tenants: Option<Box<TenantTable>>,
+    },
+    /// The response to [`ToController::RequestOperations`].
+    GrantOperations(Vec<OperationGrant>),
     /// The complete directory of databases. Sent once at the beginning of a connection.
     Directory(Vec<DirectoryEntry>),
     /// Changes of the directory, batched over a short period.
@@ -176,6 +195,27 @@
     RenewNow,
 }
 
+/// A node's request for operations of a tenant.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperationRequest {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// How many operations the node could make while the grant is valid.
+    pub count: u32,
+}
+
+/// Operations of a tenant that a node may make within
+/// [`GRANT_VALID_MS`](crate::leases::operation_grants::GRANT_VALID_MS) of its request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperationGrant {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// The number of operations; 0 if the tenant is at its limit.
+    pub count: u32,
+    /// After how many milliseconds the node may ask again, if it got none.
+    pub retry_after_ms: u64,
+}
+
 /// A log position that the primary of a term reported under a valid lease. It covers every commit
 /// acknowledged before the statement that obtained it was sent.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/net/statement_protocol.rs
+++ b/src/net/statement_protocol.rs
@@ -91,6 +91,8 @@
     Connect {
         /// The name of the requested database, which the routes map to a service.
         database: &'a str,
+        /// Who the client is: its API key, if the configuration has tenants.
+        user: &'a str,
     },
     /// Carries a statement.
     Query {
@@ -125,7 +127,7 @@
             if database.is_empty() || user.is_empty() {
                 return Err(ErrorKind::Malformed);
             }
-            Ok(Line::Connect { database })
+            Ok(Line::Connect { database, user })
         }
         "QUERY" => {
             let (id, text) = rest.split_once(' ').ok_or(ErrorKind::Malformed)?;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,4 +1,5 @@
-//! Code shared by the nodes that serve clients (poolers and gateways): accepting clients, and the
-//! timing of a graceful shutdown. Used by their `process` modules.
+//! Code shared by the nodes that serve clients (poolers and gateways): accepting clients, the
+//! operations granted for tenants, and the timing of a graceful shutdown.
 pub(crate) mod grace_period;
 pub(crate) mod listeners;
+pub mod operation_allowance;
--- /dev/null
+++ b/src/node/operation_allowance.rs
@@ -0,0 +1,168 @@
+//! The operations that this node may make for each tenant, as the leader granted them.
+//!
+//! Every operation of a tenant with a limit takes one. A node that has none left asks the leader at
+//! once, and the client waits for the answer. Poolers and gateways own one [`OperationAllowance`];
+//! the caller sends the requests and hands in the answers.
+use crate::base::ids::TenantName;
+use crate::base::sync::lock;
+use crate::base::time::Tick;
+use crate::leases::operation_grants::GRANT_VALID_MS;
+use crate::net::rpc::pooler_messages::{OperationGrant, OperationRequest};
+use std::collections::HashMap;
+use std::sync::{Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+/// A request that is not answered for this long is sent again, in milliseconds.
+const REQUEST_TIMEOUT_MS: u64 = 300;
+
+/// After how many milliseconds a client may retry if the leader does not answer.
+const RETRY_WITHOUT_LEADER_MS: u64 = 100;
+
+/// Permission to make one operation of a tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OperationPermit {
+    /// The operation must be sent to a database before this tick.
+    pub expires_at: Tick,
+}
+
+/// No operation of the tenant is allowed now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the tenant is at its limit; retry after {retry_after_ms} ms")]
+pub struct OperationRefused {
+    /// After how many milliseconds the client may retry.
+    pub retry_after_ms: u64,
+}
+
+/// What this node may do for one tenant.
+#[derive(Debug, Default)]
+struct TenantAllowance {
+    /// Granted operations that are left.
+    left: u32,
+    expires_at: Tick,
+    /// When the unanswered request was sent.
+    requested_at: Option<Tick>,
+    /// The number of clients that wait for the answer.
+    waiting: u32,
+    /// Nothing is requested before this tick, because the tenant is at its limit.
+    refused_until: Tick,
+    /// The operations made since `period_start`, and in the period before it.
+    made: u32,
+    made_before: u32,
+    period_start: Tick,
+}
+
+impl TenantAllowance {
+    /// Takes one of the operations that are left.
+    fn take(&mut self, now: Tick) -> Option<OperationPermit> {
+        if self.left == 0 || now >= self.expires_at {
+            return None;
+        }
+        self.left -= 1;
+        self.record_operation(now);
+        Some(OperationPermit { expires_at: self.expires_at })
+    }
+
+    fn record_operation(&mut self, now: Tick) {
+        let elapsed_ms = now.since(self.period_start);
+        if elapsed_ms >= GRANT_VALID_MS {
+            self.made_before = if elapsed_ms < 2 * GRANT_VALID_MS { self.made } else { 0 };
+            self.made = 0;
+            self.period_start = now;
+        }
+        self.made += 1;
+    }
+
+    /// Whether a request is due, and records it as sent.
+    fn begin_request(&mut self, now: Tick) -> Option<u32> {
+        let unanswered = self.requested_at.is_some_and(|at| now.since(at) < REQUEST_TIMEOUT_MS);
+        if unanswered {
+            return None;
+        }
+        self.requested_at = Some(now);
+        // Those that wait, and what a tenant of this rate will need while the grant is valid.
+        Some(self.waiting.max(1) + self.made_before.saturating_sub(1))
+    }
+}
+
+/// The granted operations of all tenants at this node.
+#[derive(Default)]
+pub struct OperationAllowance {
+    tenants: Mutex<HashMap<TenantName, TenantAllowance>>,
+    answered: Condvar,
+}
+
+impl OperationAllowance {
+    /// Takes one operation of a tenant. If none is left, asks the leader with `send` and waits for
+    /// its answer until `deadline`.
+    ///
+    /// # Errors
+    /// [`OperationRefused`] if the tenant is at its limit, or the leader did not answer in time.
+    pub fn acquire(
+        &self,
+        tenant: &TenantName,
+        deadline: Tick,
+        send: impl Fn(OperationRequest),
+    ) -> Result<OperationPermit, OperationRefused> {
+        let mut tenants = lock(&self.tenants);
+        let mut waits = false;
+        let outcome = loop {
+            let now = Tick::now();
+            let allowance = match tenants.get_mut(tenant) {
+                Some(allowance) => allowance,
+                None => tenants.entry(tenant.clone()).or_default(),
+            };
+            if let Some(permit) = allowance.take(now) {
+                break Ok(permit);
+            }
+            if now < allowance.refused_until {
+                break Err(OperationRefused { retry_after_ms: allowance.refused_until.since(now) });
+            }
+            if now >= deadline {
+                break Err(OperationRefused { retry_after_ms: RETRY_WITHOUT_LEADER_MS });
+            }
+            if !waits {
+                waits = true;
+                allowance.waiting += 1;
+            }
+            if let Some(count) = allowance.begin_request(now) {
+                drop(tenants);
+                send(OperationRequest { tenant: tenant.clone(), count });
+                tenants = lock(&self.tenants);
+                continue;
+            }
+            let wait = Duration::from_millis(deadline.since(now).clamp(1, REQUEST_TIMEOUT_MS));
+            let waited = self.answered.wait_timeout(tenants, wait);
+            tenants = waited.unwrap_or_else(PoisonError::into_inner).0;
+        };
+        if waits && let Some(allowance) = tenants.get_mut(tenant) {
+            allowance.waiting -= 1;
+        }
+        outcome
+    }
+
+    /// Applies the leader's answer to a request.
+    pub fn apply(&self, grants: Vec<OperationGrant>) {
+        let now = Tick::now();
+        let mut tenants = lock(&self.tenants);
+        for OperationGrant { tenant, count, retry_after_ms } in grants {
+            let Some(allowance) = tenants.get_mut(&tenant) else { continue };
+            // The answer to a request of an earlier connection has no known age.
+            let Some(requested_at) = allowance.requested_at.take() else { continue };
+            allowance.left = count;
+            allowance.expires_at = requested_at.plus(GRANT_VALID_MS);
+            if count == 0 {
+                allowance.refused_until = now.plus(retry_after_ms);
+            }
+        }
+        drop(tenants);
+        self.answered.notify_all();
+    }
+
+    /// Forgets unanswered requests, because a connection to another leader began.
+    pub fn reset_requests(&self) {
+        for allowance in lock(&self.tenants).values_mut() {
+            allowance.requested_at = None;
+        }
+        self.answered.notify_all();
+    }
+}
--- a/src/pooler/admission.rs
+++ b/src/pooler/admission.rs
@@ -17,11 +17,20 @@
     Exhausted,
 }
 
+/// How urgent a waiter is; the lowest is served first. The priority of a tenant goes before that of
+/// a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Priority {
+    /// The priority of the client's tenant; 0 for clients without one.
+    pub tenant: u8,
+    /// The priority of the client's route.
+    pub route: u8,
+}
+
 /// A waiter's place in the queue. Tickets are ordered as they are served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueTicket {
-    /// The lowest value is served first.
-    priority: u8,
+    priority: Priority,
     /// At equal priority, the earliest deadline is served first.
     deadline: Tick,
     /// At equal deadline, the first waiter in the queue is served first.
@@ -54,7 +63,7 @@
     }
 
     /// Adds a waiter to the queue.
-    pub fn enqueue(&mut self, priority: u8, deadline: Tick) -> QueueTicket {
+    pub fn enqueue(&mut self, priority: Priority, deadline: Tick) -> QueueTicket {
         self.last_sequence += 1;
         let ticket = QueueTicket { priority, deadline, sequence: self.last_sequence };
         self.queue.insert(ticket);
--- a/src/pooler/client_session.rs
+++ b/src/pooler/client_session.rs
@@ -4,14 +4,15 @@
 //! for its client needs no thread. Statements that a database has to run are handled by
 //! `statement_execution`; the pooler replies to all others here.
 use crate::base::errors::ErrorKind;
-use crate::base::ids::{Position, ServiceName};
+use crate::base::ids::Position;
 use crate::base::time::Tick;
-use crate::config::route_table::{RouteEntry, RouteTable};
+use crate::config::route_table::RouteTable;
 use crate::net::statement_protocol::{
     self, Line, ReadBuffer, ReadLineError, Reply, Statement, TransactionState,
 };
 use crate::pooler::reroute::{SessionReroute, StatementDecision, StatementPlan};
 use crate::pooler::server::{CheckedOutConnection, Pooler};
+use crate::pooler::session_target::{Credentials, SessionTarget};
 use crate::pooler::sessions::SessionHandle;
 use std::fmt::Arguments;
 use std::io::{self, Write};
@@ -44,12 +45,10 @@
     pub(super) reroute: SessionReroute,
     /// The connection to a database that the session currently holds.
     pub(super) checked_out: Option<CheckedOutConnection>,
-    /// The hostname in the client's CONNECT.
-    database: String,
-    /// The route table that `route` and `service` were taken from.
+    credentials: Credentials,
+    /// The route table that `target` was taken from.
     route_table: Arc<RouteTable>,
-    pub(super) route: RouteEntry,
-    pub(super) service: ServiceName,
+    pub(super) target: SessionTarget,
     /// The position of this session's last commit.
     pub(super) own_position: Option<Position>,
     /// The last position that was sent to the client.
@@ -94,8 +93,8 @@
     Reply(ClientReply),
     /// The client ended the session.
     Closed,
-    /// The client's hostname no longer has a route.
-    DatabaseGone,
+    /// The configuration no longer admits the client: its route or its key is gone.
+    NotAdmitted(ErrorKind),
 }
 
 impl ClientReply {
@@ -121,9 +120,11 @@
     /// Handles the client's CONNECT. Returns `None` if the session has begun and may be served.
     fn receive_connect(&mut self) -> io::Result<Option<NextStep>> {
         let mut stream = &self.handle.stream;
-        let database = match self.buffer.read_line(&mut stream) {
+        let credentials = match self.buffer.read_line(&mut stream) {
             Ok(line) => match statement_protocol::parse_line(line) {
-                Ok(Line::Connect { database }) => database.to_owned(),
+                Ok(Line::Connect { database, user }) => {
+                    Credentials { database: database.to_owned(), key: user.to_owned() }
+                }
                 Ok(Line::Close) => return Ok(Some(NextStep::End)),
                 _ => return self.reject(ErrorKind::Malformed, "CONNECT comes first"),
             },
@@ -131,8 +132,9 @@
             Err(ReadLineError::TimedOut) => return Ok(Some(NextStep::Park)),
             Err(ReadLineError::Closed | ReadLineError::Io(_)) => return Ok(Some(NextStep::End)),
         };
-        let Some(client) = self.begin(database) else {
-            return self.reject(ErrorKind::NoDatabase, "no such database");
+        let client = match self.begin(credentials) {
+            Ok(client) => client,
+            Err(kind) => return self.reject(kind, rejection_text(kind)),
         };
         stream.write_all(b"READY I -\r\n")?;
         self.handle.connected.store(true, Ordering::Relaxed);
@@ -140,20 +142,19 @@
         Ok(None)
     }
 
-    fn begin(&self, database: String) -> Option<ClientSession> {
-        let route_table = self.pooler.route_table()?;
-        let (route, service) = route_table.entry_for_hostname(&database)?;
-        let (route, service) = (route.clone(), service.clone());
-        Some(ClientSession {
+    fn begin(&self, credentials: Credentials) -> Result<ClientSession, ErrorKind> {
+        let route_table = self.pooler.route_table().ok_or(ErrorKind::NoDatabase)?;
+        let target = SessionTarget::look_up(&route_table, &credentials)
+            .inspect_err(|kind| self.pooler.count_denial(*kind))?;
+        Ok(ClientSession {
             pooler: Arc::clone(&self.pooler),
             handle: Arc::clone(&self.handle),
             id: self.id,
             reroute: SessionReroute::default(),
             checked_out: None,
-            database,
+            credentials,
             route_table,
-            route,
-            service,
+            target,
             own_position: None,
             last_position: None,
         })
@@ -211,8 +212,9 @@
             let reply = match self.handle_line(line) {
                 LineOutcome::Reply(reply) => reply,
                 LineOutcome::Closed => return Ok(NextStep::End),
-                LineOutcome::DatabaseGone => {
-                    stream.write_all(b"ERROR NODATABASE no such database any more\r\n")?;
+                LineOutcome::NotAdmitted(kind) => {
+                    let text = rejection_text(kind);
+                    stream.write_all(format!("ERROR {kind} {text} any more\r\n").as_bytes())?;
                     return Ok(NextStep::End);
                 }
             };
@@ -235,8 +237,8 @@
         match statement_protocol::parse_line(line) {
             Ok(Line::Close) => LineOutcome::Closed,
             Ok(Line::Query { id, text, statement }) => {
-                if self.reroute.state() == TransactionState::Idle && !self.refresh_route() {
-                    return LineOutcome::DatabaseGone;
+                if let Err(kind) = self.refresh_target() {
+                    return LineOutcome::NotAdmitted(kind);
                 }
                 LineOutcome::Reply(self.handle_statement(id, text, statement, arrived_at))
             }
@@ -275,20 +277,27 @@
         }
     }
 
-    /// Applies changes of the client's route; called between transactions. Returns false if the
-    /// route no longer exists.
-    fn refresh_route(&mut self) -> bool {
-        let Some(route_table) = self.pooler.route_table() else {
-            return false;
-        };
-        if !Arc::ptr_eq(&route_table, &self.route_table) {
-            let Some((route, service)) = route_table.entry_for_hostname(&self.database) else {
-                return false;
-            };
-            (self.route, self.service) = (route.clone(), service.clone());
+    /// Applies a new version of the configuration. The route changes only between transactions; the
+    /// key is checked before every statement.
+    ///
+    /// # Errors
+    /// The configuration does not admit the client any more.
+    fn refresh_target(&mut self) -> Result<(), ErrorKind> {
+        let route_table = self.pooler.route_table().ok_or(ErrorKind::NoDatabase)?;
+        if Arc::ptr_eq(&route_table, &self.route_table) {
+            return Ok(());
+        }
+        if self.reroute.state() == TransactionState::Idle {
+            self.target = SessionTarget::look_up(&route_table, &self.credentials)
+                .inspect_err(|kind| self.pooler.count_denial(*kind))?;
             self.route_table = route_table;
+            return Ok(());
+        }
+        if self.target.is_admitted(&route_table, &self.credentials) {
+            return Ok(());
         }
-        true
+        self.pooler.count_denial(ErrorKind::Denied);
+        Err(ErrorKind::Denied)
     }
 
     fn send_reply(&mut self, stream: &TcpStream, reply: ClientReply) -> io::Result<()> {
@@ -349,6 +358,8 @@
 
 fn rejection_text(kind: ErrorKind) -> &'static str {
     match kind {
+        ErrorKind::NoDatabase => "no such database",
+        ErrorKind::Denied => "no such key",
         ErrorKind::NotFound => "no such prepared name",
         ErrorKind::RolledBack => "the transaction had failed",
         _ => "not here, or not now",
--- a/src/pooler/commit_forwarding.rs
+++ b/src/pooler/commit_forwarding.rs
@@ -8,11 +8,12 @@
 use crate::base::sync::lock;
 use crate::base::time::Tick;
 use crate::net::statement_protocol::{Outcome, Reply, TransactionState};
+use crate::pooler::admission::Priority;
 use crate::pooler::cluster_view::{ClusterView, PrimaryPosition, ServiceView};
 use crate::pooler::commit_confirmation::{
     AcknowledgedCommit, CommitDecision, ReplicaQuery, ReplicaQuestion, ReplicaReply,
 };
-use crate::pooler::pool::{CheckOutRequest, ConnectionPool};
+use crate::pooler::pool::{CheckOutRequest, ConnectionPool, ConnectionUser};
 use crate::pooler::reroute::SessionReroute;
 use crate::pooler::server::Pooler;
 use crate::pooler::server_connection::{Loss, ServerConnection};
@@ -24,7 +25,7 @@
 
 /// The priority of a query in the queue for a connection to the replica, equal to that of the most
 /// urgent client statement.
-const QUERY_PRIORITY: u8 = 0;
+const QUERY_PRIORITY: Priority = Priority { tenant: 0, route: 0 };
 
 /// A commit that the primary acknowledged.
 #[derive(Clone, Copy, Debug)]
@@ -182,8 +183,13 @@
         deadline: Tick,
     ) -> Option<ReplicaReply> {
         let reroute = SessionReroute::default();
-        let request =
-            CheckOutRequest { reroute: &reroute, session: 0, priority: QUERY_PRIORITY, deadline };
+        let request = CheckOutRequest {
+            reroute: &reroute,
+            session: 0,
+            user: ConnectionUser::Pooler,
+            priority: QUERY_PRIORITY,
+            deadline,
+        };
         let mut connection = pool.check_out(&request, || self.renew_soon(Tick::now())).ok()?;
         let reply = match question {
             ReplicaQuestion::Describe => describe(&mut connection, deadline),
--- a/src/pooler/leader_messages.rs
+++ b/src/pooler/leader_messages.rs
@@ -4,6 +4,7 @@
 use crate::base::sync::lock;
 use crate::base::time::Tick;
 use crate::config::route_table::{RouteTable, RouteTableDelta};
+use crate::config::tenants::TenantTable;
 use crate::net::leader_connection::{LeaderConnection, LeaderSubscriber};
 use crate::net::rpc::pooler_messages::{
     LeaseGrant, ObservedPosition, PositionBound, PrimaryStatus, SuspicionReason, ToController,
@@ -101,6 +102,7 @@
             service.quota.clear_reported();
         }
         *lock(&self.renewals.last_answer) = None;
+        self.allowance.reset_requests();
     }
 
     fn on_ready(&self) {
@@ -111,7 +113,14 @@
         match message {
             ToPooler::NotLeader(_) | ToPooler::Welcome { .. } => {}
             ToPooler::RouteTable(table) => self.apply_route_table(*table),
-            ToPooler::RouteTableDelta(delta) => self.apply_route_table_delta(&delta),
+            ToPooler::RouteTableDelta(delta) => self.apply_route_table_delta(&delta, None),
+            ToPooler::TenantRouteTable { table, tenants } => {
+                self.apply_route_table(table.with_tenants(*tenants));
+            }
+            ToPooler::TenantRouteTableDelta { delta, tenants } => {
+                self.apply_route_table_delta(&delta, tenants.map(|tenants| *tenants));
+            }
+            ToPooler::GrantOperations(grants) => self.allowance.apply(grants),
             ToPooler::Directory(entries) => {
                 lock(&self.view).set_directory(entries, Tick::now());
             }
@@ -278,12 +287,12 @@
     }
 
     /// Applies a delta, or requests the full route table if the delta has an unknown base.
-    fn apply_route_table_delta(&self, delta: &RouteTableDelta) {
+    fn apply_route_table_delta(&self, delta: &RouteTableDelta, tenants: Option<TenantTable>) {
         let table = self.route_table();
         if table.as_ref().is_some_and(|table| table.revision >= delta.revision) {
             return;
         }
-        match table.and_then(|table| table.apply(delta)) {
+        match table.and_then(|table| table.apply_with_tenants(delta, tenants)) {
             Some(table) => self.apply_route_table(table),
             None => self.send_to_leader(ToController::RequestFullTable),
         }
--- a/src/pooler/mod.rs
+++ b/src/pooler/mod.rs
@@ -22,6 +22,7 @@
 pub mod reroute;
 mod server;
 mod server_connection;
+mod session_target;
 mod sessions;
 mod statement_execution;
 mod status;
--- a/src/pooler/pool.rs
+++ b/src/pooler/pool.rs
@@ -5,12 +5,12 @@
 //! that wait for one, and records when its database failed, lagged behind or began to drain. The
 //! cluster view owns one for each database in the directory.
 use crate::base::errors::ErrorKind;
-use crate::base::ids::{InstanceId, ServiceName};
+use crate::base::ids::{InstanceId, ServiceName, TenantName};
 use crate::base::sync::lock;
 use crate::base::time::Tick;
 use crate::config::configuration::RouteType;
 use crate::config::directory::DirectoryEntry;
-use crate::pooler::admission::{Admission, CheckOutError, QueueTicket};
+use crate::pooler::admission::{Admission, CheckOutError, Priority, QueueTicket};
 use crate::pooler::latency::LatencyEstimator;
 use crate::pooler::reroute::SessionReroute;
 use crate::pooler::server_connection::{
@@ -42,6 +42,32 @@
     since.0 > 0 && now.plus(DRAIN_MARGIN_MS) > since.plus(drain_ms)
 }
 
+/// On whose behalf a connection is used. A database is told the tenant when a connection is opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionUser<'a> {
+    /// A client, with its tenant if it has one; other tenants' connections can't be used.
+    Client(Option<&'a TenantName>),
+    /// The pooler itself, which may use every connection.
+    Pooler,
+}
+
+impl ConnectionUser<'_> {
+    fn may_use(self, connection: &ServerConnection) -> bool {
+        match self {
+            ConnectionUser::Client(tenant) => connection.tenant() == tenant,
+            ConnectionUser::Pooler => true,
+        }
+    }
+
+    /// The tenant that is named when a connection is opened.
+    fn tenant(self) -> Option<TenantName> {
+        match self {
+            ConnectionUser::Client(tenant) => tenant.cloned(),
+            ConnectionUser::Pooler => None,
+        }
+    }
+}
+
 /// A session's request for a connection.
 pub(crate) struct CheckOutRequest<'a> {
     /// The session state that the connection has to be synced to; the idle connection with the
@@ -49,8 +75,10 @@
     pub(crate) reroute: &'a SessionReroute,
     /// The id of the session.
     pub(crate) session: u64,
-    /// The lowest value is served first.
-    pub(crate) priority: u8,
+    /// Who uses the connection.
+    pub(crate) user: ConnectionUser<'a>,
+    /// The lowest is served first.
+    pub(crate) priority: Priority,
     /// When to stop waiting.
     pub(crate) deadline: Tick,
 }
@@ -139,7 +167,7 @@
                 return Some(Slot::Closed);
             }
             Slot::Idle(connection)
-        } else if self.admission.try_open() {
+        } else if self.admission.try_open() || self.close_oldest_idle() {
             Slot::Open
         } else {
             return None;
@@ -151,12 +179,25 @@
     }
 }
 
-/// The index of the idle connection with the lowest sync cost for the session.
+impl PoolState {
+    /// Closes the connection that has been idle for longest, so that its slot can be used for
+    /// another one. Returns false if there is none.
+    fn close_oldest_idle(&mut self) -> bool {
+        if self.idle.is_empty() || self.admission.over_limit() {
+            return false;
+        }
+        drop(self.idle.remove(0));
+        true
+    }
+}
+
+/// The index of the idle connection with the lowest sync cost, of those that the session may use.
 fn best_fit(idle: &[ServerConnection], request: &CheckOutRequest<'_>) -> Option<usize> {
     // Among equals the most recently used one wins, as it is the most likely to be alive.
     idle.iter()
         .enumerate()
         .rev()
+        .filter(|(_, connection)| request.user.may_use(connection))
         .min_by_key(|(_, connection)| connection.sync_cost(request.reroute, request.session))
         .map(|(index, _)| index)
 }
@@ -333,7 +374,7 @@
                 Some(Slot::Idle(connection)) => return Ok(connection),
                 Some(Slot::Open) => {
                     drop(state);
-                    let opened = self.open(now, request.deadline);
+                    let opened = self.open(now, request);
                     return opened.inspect_err(|_| self.release_slot());
                 }
                 Some(Slot::Closed) => continue,
@@ -376,9 +417,14 @@
 
     /// Opens a connection within the handshake timeout, or at most `CONNECT_TIMEOUT_MS` beyond the
     /// session's deadline.
-    fn open(&self, now: Tick, deadline: Tick) -> Result<ServerConnection, CheckOutError> {
-        let limit = now.plus(HANDSHAKE_TIMEOUT_MS).min(deadline.plus(CONNECT_TIMEOUT_MS));
-        match ServerConnection::connect(self.address, &self.service, &self.id, limit) {
+    fn open(
+        &self,
+        now: Tick,
+        request: &CheckOutRequest<'_>,
+    ) -> Result<ServerConnection, CheckOutError> {
+        let limit = now.plus(HANDSHAKE_TIMEOUT_MS).min(request.deadline.plus(CONNECT_TIMEOUT_MS));
+        let tenant = request.user.tenant();
+        match ServerConnection::connect(self.address, &self.service, &self.id, tenant, limit) {
             Ok(connection) => {
                 self.failures.store(0, Ordering::Relaxed);
                 self.record_reply(Tick::now());
--- a/src/pooler/server.rs
+++ b/src/pooler/server.rs
@@ -3,7 +3,7 @@
 //! `process` creates the one `Pooler` of the program and runs its loops. Other parts of its
 //! implementation are in modules of their own: `leader_messages` (messages to and from the leader),
 //! `sessions` (client sessions and worker threads), `handover` and `status`.
-use crate::base::errors::Fatal;
+use crate::base::errors::{ErrorKind, Fatal};
 use crate::base::ids::{DbTerm, InstanceId, NodeName, Position, ServiceName};
 use crate::base::sync::lock;
 use crate::base::time::Tick;
@@ -11,6 +11,7 @@
 use crate::config::settings::Settings;
 use crate::net::idle_connections::IdleConnections;
 use crate::net::leader_connection::LeaderConnection;
+use crate::node::operation_allowance::OperationAllowance;
 use crate::pooler::client_session::Session;
 use crate::pooler::cluster_view::{ClusterView, PrimaryPosition};
 use crate::pooler::leader_messages::Renewals;
@@ -53,6 +54,8 @@
     pub(super) commit_confirmed: Condvar,
     pub(super) leader: LeaderConnection,
     pub(super) renewals: Renewals,
+    /// The operations that the leader granted for tenants with a limit.
+    pub(super) allowance: OperationAllowance,
     /// When each suspected database was last reported to the leader.
     pub(super) suspicions: Mutex<HashMap<InstanceId, Tick>>,
     /// Whether clients are accepted.
@@ -64,6 +67,10 @@
     pub(super) drain_ms: AtomicU64,
     pub(super) max_sessions: usize,
     pub(super) next_session_id: AtomicU64,
+    /// Sessions whose key belongs to no tenant, since the start of the process.
+    pub(super) denied: AtomicU64,
+    /// Statements beyond the limit of their tenant, since the start of the process.
+    pub(super) over_limit: AtomicU64,
     pub(super) sessions: Mutex<HashMap<u64, Arc<SessionHandle>>>,
     pub(super) workers: SessionWorkers,
     /// The sessions that wait for their clients without a thread.
@@ -103,6 +110,7 @@
             commit_confirmed: Condvar::new(),
             leader: LeaderConnection::new("pooler", settings.seed_peers()),
             renewals: Renewals::default(),
+            allowance: OperationAllowance::default(),
             suspicions: Mutex::default(),
             listening: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -110,6 +118,8 @@
             drain_ms: AtomicU64::new(settings.timing_bounds.drain_ms),
             max_sessions: max_sessions as usize,
             next_session_id: AtomicU64::new(1),
+            denied: AtomicU64::new(0),
+            over_limit: AtomicU64::new(0),
             sessions: Mutex::default(),
             workers: SessionWorkers::default(),
             parked: IdleConnections::new("session").map_err(|e| Fatal::Startup(e.to_string()))?,
@@ -117,6 +127,13 @@
         })
     }
 
+    /// Counts a session that was rejected because of its key.
+    pub(super) fn count_denial(&self, kind: ErrorKind) {
+        if kind == ErrorKind::Denied {
+            self.denied.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
     /// Applies the settings that may change while the process runs.
     pub(super) fn apply_settings(&self, settings: &Settings) {
         self.leader.set_seeds(settings.seed_peers());
--- a/src/pooler/server_connection.rs
+++ b/src/pooler/server_connection.rs
@@ -4,7 +4,7 @@
 //! settings and prepared statements the database holds for it. `pool` opens and keeps connections
 //! and hands them out; `statement_execution` runs a session's statements on them.
 use crate::base::errors::ErrorKind;
-use crate::base::ids::{InstanceId, ServiceName};
+use crate::base::ids::{InstanceId, ServiceName, TenantName};
 use crate::base::time::Tick;
 use crate::net::idle_connections::is_readable;
 use crate::net::sockets::connect_stream;
@@ -46,7 +46,7 @@
 /// settings.
 const RESET_COST: usize = 100;
 
-/// The client name in a pooler's CONNECT to a database. It is part of the wire format and appears
+/// The client name in a pooler's CONNECT to a database if there is no tenant. It is part of the wire format and appears
 /// in the databases' logs.
 const CLIENT_NAME_ON_THE_WIRE: &str = "stile";
 
@@ -108,6 +108,8 @@
 pub(crate) struct ServerConnection {
     stream: TcpStream,
     buffer: ReadBuffer,
+    /// The tenant that the database was told.
+    tenant: Option<TenantName>,
     /// The number of replies that are still pending. Replies carry no id, so only this count tells
     /// which statement a reply belongs to.
     pending_replies: u32,
@@ -138,12 +140,13 @@
 }
 
 impl ServerConnection {
-    /// Opens a connection to the database `id` of a service, and waits for its reply to CONNECT
-    /// until `deadline`.
+    /// Opens a connection to the database `id` of a service on behalf of a tenant, and waits for
+    /// its reply to CONNECT until `deadline`.
     pub(crate) fn connect(
         address: SocketAddr,
         service: &ServiceName,
         id: &InstanceId,
+        tenant: Option<TenantName>,
         deadline: Tick,
     ) -> Result<Self, ConnectError> {
         let stream = connect_stream(
@@ -156,6 +159,7 @@
         let mut connection = Self {
             stream,
             buffer: ReadBuffer::default(),
+            tenant,
             pending_replies: 0,
             settings: BTreeMap::new(),
             prepared: HashSet::new(),
@@ -163,7 +167,8 @@
             in_transaction: false,
             synced_in_transaction: false,
         };
-        let connect = format!("CONNECT {service} {CLIENT_NAME_ON_THE_WIRE} {id}\r\n");
+        let user = connection.tenant.as_ref().map_or(CLIENT_NAME_ON_THE_WIRE, |t| t.0.as_str());
+        let connect = format!("CONNECT {service} {user} {id}\r\n");
         connection.stream.write_all(connect.as_bytes())?;
         connection.receive_connect_reply(deadline)?;
         Ok(connection)
@@ -201,6 +206,11 @@
         }
     }
 
+    /// The tenant on whose behalf the connection was opened.
+    pub(crate) fn tenant(&self) -> Option<&TenantName> {
+        self.tenant.as_ref()
+    }
+
     /// Whether no reply is pending and the buffer is empty.
     pub(crate) fn is_settled(&self) -> bool {
         self.pending_replies == 0 && self.buffer.is_empty()
--- a/src/pooler/statement_execution.rs
+++ b/src/pooler/statement_execution.rs
@@ -5,19 +5,21 @@
 use crate::base::time::Tick;
 use crate::config::configuration::RouteType;
 use crate::config::route_table::RouteEntry;
-use crate::net::rpc::pooler_messages::SuspicionReason;
+use crate::net::rpc::pooler_messages::{SuspicionReason, ToController};
 use crate::net::statement_protocol::{Outcome, Reply, TransactionState};
-use crate::pooler::admission::CheckOutError;
+use crate::node::operation_allowance::{OperationPermit, OperationRefused};
+use crate::pooler::admission::{CheckOutError, Priority};
 use crate::pooler::client_session::{ClientReply, ClientSession, ClientStatement};
 use crate::pooler::commit_forwarding::Commit;
 use crate::pooler::exchange::{Exchange, ExchangeReply};
-use crate::pooler::pool::{CheckOutRequest, ConnectionPool};
+use crate::pooler::pool::{CheckOutRequest, ConnectionPool, ConnectionUser};
 use crate::pooler::replica_reads::{LAGGING_SKIP_MS, PRIMARY_FALLBACK_PENALTY};
 use crate::pooler::reroute::{LossOutcome, StatementKind, StatementPlan};
 use crate::pooler::server::CheckedOutConnection;
 use crate::pooler::server_connection::{ExchangeError, Loss, ServerConnection};
 use log::warn;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// The maximum number of retries of one statement; retries are not visible to the client.
@@ -45,6 +47,19 @@
 /// Multiplies the reply timeout of statements whose loss would cost the client its transaction.
 const TRANSACTION_TIMEOUT_FACTOR: u64 = 2;
 
+/// A statement waits for the leader to grant an operation of its tenant for at most the latency
+/// target of its route divided by this.
+const OPERATION_WAIT_DIVISOR: u64 = 6;
+
+/// The least time that a statement waits for a granted operation, in ms.
+const MIN_OPERATION_WAIT_MS: u64 = 20;
+
+/// A statement is rejected because of load or a limit; it did not run.
+struct Throttled {
+    /// After how many milliseconds the client may retry.
+    retry_after_ms: u64,
+}
+
 /// What is known from the previous attempts to run one statement.
 #[derive(Default)]
 struct Attempts {
@@ -58,7 +73,7 @@
 impl ClientSession {
     /// Runs the statement at a database and retries it as the reroute rules allow.
     pub(super) fn run(&mut self, statement: &ClientStatement<'_>) -> ClientReply {
-        let deadline = statement.arrived_at.plus(self.route.timeout_ms);
+        let deadline = statement.arrived_at.plus(self.target.route.timeout_ms);
         let mut attempts = Attempts::default();
         loop {
             if let Some(reply) = self.attempt(statement, deadline, &mut attempts) {
@@ -66,7 +81,7 @@
             }
             attempts.retries += 1;
             if attempts.retries > MAX_RETRIES || Tick::now() >= deadline {
-                return self.throttle(ErrorKind::Throttled);
+                return self.throttle(self.overload());
             }
             if attempts.retries > 1 {
                 let pause_ms = RETRY_BACKOFF_MS * u64::from(attempts.retries);
@@ -89,9 +104,9 @@
                 self.reroute.abandon();
                 return Some(ClientReply::error(ErrorKind::RolledBack, "connection lost"));
             }
-            match self.check_out(statement, &mut attempts.excluded) {
+            match self.check_out_permitted(statement, &mut attempts.excluded) {
                 Ok(checked_out) => self.checked_out = Some(checked_out),
-                Err(kind) => return Some(self.throttle(kind)),
+                Err(rejection) => return Some(self.throttle(rejection)),
             }
         }
         let error = match self.exchange(statement, deadline, attempts.wait_until_deadline) {
@@ -133,11 +148,48 @@
 
     /// Rejects a statement that did not run and committed nothing, and tells the client when to
     /// retry.
-    fn throttle(&mut self, kind: ErrorKind) -> ClientReply {
+    fn throttle(&mut self, rejection: Throttled) -> ClientReply {
         self.reroute.abandon();
         self.release();
-        let retry_after_ms = self.pooler.retry_after_ms(&self.service);
-        ClientReply::Error { kind, text: format!("retry_after_ms={retry_after_ms}") }
+        let text = format!("retry_after_ms={}", rejection.retry_after_ms);
+        ClientReply::Error { kind: ErrorKind::Throttled, text }
+    }
+
+    /// No database can serve the statement now.
+    fn overload(&self) -> Throttled {
+        Throttled { retry_after_ms: self.pooler.retry_after_ms(&self.target.service) }
+    }
+
+    /// Checks out a connection for an operation that the tenant's limit allows. An operation that
+    /// is run again counts again.
+    fn check_out_permitted(
+        &self,
+        statement: &ClientStatement<'_>,
+        excluded: &mut Vec<InstanceId>,
+    ) -> Result<CheckedOutConnection, Throttled> {
+        loop {
+            let permit = self.acquire_operation()?;
+            let checked_out = self.check_out(statement, excluded)?;
+            if permit.is_none_or(|permit| Tick::now() < permit.expires_at) {
+                return Ok(checked_out);
+            }
+            // The wait for the connection took longer than the permit is valid.
+            checked_out.pool.release(checked_out.connection);
+        }
+    }
+
+    /// Takes one operation of the tenant's limit; `None` if the tenant has no limit.
+    fn acquire_operation(&self) -> Result<Option<OperationPermit>, Throttled> {
+        let Some(tenant) = self.target.limited_tenant() else { return Ok(None) };
+        let wait_ms = self.target.route.target_latency_ms / OPERATION_WAIT_DIVISOR;
+        let deadline = Tick::now().plus(wait_ms.max(MIN_OPERATION_WAIT_MS));
+        let acquired = self.pooler.allowance.acquire(tenant, deadline, |request| {
+            self.pooler.send_to_leader(ToController::RequestOperations(vec![request]));
+        });
+        acquired.map(Some).map_err(|OperationRefused { retry_after_ms }| {
+            self.pooler.over_limit.fetch_add(1, Ordering::Relaxed);
+            Throttled { retry_after_ms }
+        })
     }
 
     /// Selects a database and checks out a connection to it, for which it waits at most
@@ -146,12 +198,12 @@
         &self,
         statement: &ClientStatement<'_>,
         excluded: &mut Vec<InstanceId>,
-    ) -> Result<CheckedOutConnection, ErrorKind> {
-        let queue_ms = self.route.timeout_ms * MAX_QUEUE_PERCENT / 100;
+    ) -> Result<CheckedOutConnection, Throttled> {
+        let queue_ms = self.target.route.timeout_ms * MAX_QUEUE_PERCENT / 100;
         let deadline = statement.arrived_at.plus(queue_ms);
         let started_at = self.reroute.started_at(statement.arrived_at);
         let reads_replicas =
-            statement.plan.read_only && self.route.route_type != RouteType::Primary;
+            statement.plan.read_only && self.target.route.route_type != RouteType::Primary;
         loop {
             let now = Tick::now();
             if reads_replicas
@@ -165,7 +217,7 @@
             }
             let now = Tick::now();
             if now >= deadline {
-                return Err(ErrorKind::Throttled);
+                return Err(self.overload());
             }
             if reads_replicas {
                 self.pooler.renew_soon(now);
@@ -182,11 +234,11 @@
         deadline: Tick,
         excluded: &[InstanceId],
     ) -> Option<CheckedOutConnection> {
-        for pool in self.pooler.replicas(&self.service, now) {
+        for pool in self.pooler.replicas(&self.target.service, now) {
             if excluded.contains(&pool.id) {
                 continue;
             }
-            if let Ok(connection) = self.check_out_from(&pool, self.route.priority, deadline) {
+            if let Ok(connection) = self.check_out_from(&pool, self.target.priority(), deadline) {
                 return Some(CheckedOutConnection { connection, pool, term: None });
             }
         }
@@ -201,12 +253,14 @@
         deadline: Tick,
         fallback: bool,
     ) -> Option<CheckedOutConnection> {
-        let primary = self.pooler.primary(&self.service, now)?;
+        let primary = self.pooler.primary(&self.target.service, now)?;
         let (term, pool) = (primary.term, primary.pool);
         let penalty = if fallback { PRIMARY_FALLBACK_PENALTY } else { 0 };
-        match self.check_out_from(&pool, self.route.priority.saturating_add(penalty), deadline) {
+        let mut priority = self.target.priority();
+        priority.route = priority.route.saturating_add(penalty);
+        match self.check_out_from(&pool, priority, deadline) {
             // The lease may have expired while waiting for the connection.
-            Ok(connection) if self.pooler.holds_lease(&self.service, term, Tick::now()) => {
+            Ok(connection) if self.pooler.holds_lease(&self.target.service, term, Tick::now()) => {
                 return Some(CheckedOutConnection { connection, pool, term: Some(term) });
             }
             Ok(connection) => pool.release(connection),
@@ -222,20 +276,28 @@
     fn check_out_from(
         &self,
         pool: &ConnectionPool,
-        priority: u8,
+        priority: Priority,
         deadline: Tick,
     ) -> Result<ServerConnection, CheckOutError> {
-        let request =
-            CheckOutRequest { reroute: &self.reroute, session: self.id, priority, deadline };
+        let request = CheckOutRequest {
+            reroute: &self.reroute,
+            session: self.id,
+            user: ConnectionUser::Client(self.target.tenant_name()),
+            priority,
+            deadline,
+        };
         pool.check_out(&request, || self.pooler.renew_soon(Tick::now()))
     }
 
     /// The position that a replica must have reached to serve a read that started at `started_at`.
     /// Returns `None` if it is not known.
     fn required_position(&self, started_at: Tick) -> Option<Position> {
-        let position =
-            self.pooler.required_position(&self.service, started_at, self.route.stale_ms)?;
-        Some(match self.route.route_type {
+        let position = self.pooler.required_position(
+            &self.target.service,
+            started_at,
+            self.target.route.stale_ms,
+        )?;
+        Some(match self.target.route.route_type {
             RouteType::ReadYourWrites => self.own_position.map_or(position, |p| p.max(position)),
             _ => position,
         })
@@ -265,8 +327,8 @@
         let first_read = plan.kind == StatementKind::Read && plan.first_in_transaction;
         let exchange = Exchange {
             pooler: &self.pooler,
-            service: &self.service,
-            route_type: self.route.route_type,
+            service: &self.target.service,
+            route_type: self.target.route.route_type,
             pool,
             term: *term,
             deadline,
@@ -274,7 +336,7 @@
             first_read,
             reply_timeout_ms: reply_timeout_ms(
                 plan,
-                &self.route,
+                &self.target.route,
                 pool,
                 first_read,
                 wait_until_deadline,
@@ -308,7 +370,7 @@
         connection.in_transaction = false;
         connection.synced_in_transaction = false;
         self.release();
-        if self.pooler.await_confirmation(&self.service, commit, deadline).is_err() {
+        if self.pooler.await_confirmation(&self.target.service, commit, deadline).is_err() {
             self.reroute.abandon();
             return ClientReply::error(ErrorKind::Unknown, "commit not confirmed");
         }
@@ -327,13 +389,13 @@
                 target: "pool",
                 "{}: database replied with transaction state {:?}, expected {state:?}; \
                  closing the connection",
-                self.service,
+                self.target.service,
                 reply.state
             );
             self.discard();
             return match self.reroute.handle_loss(plan, true) {
                 LossOutcome::Report(kind) => ClientReply::error(kind, "out of step"),
-                LossOutcome::Retry => self.throttle(ErrorKind::Throttled),
+                LossOutcome::Retry => self.throttle(self.overload()),
             };
         }
         if commits(plan) {
--- a/src/pooler/status.rs
+++ b/src/pooler/status.rs
@@ -28,6 +28,8 @@
             "sessions": lock(&self.sessions).len(),
             "sessions_allowed": self.max_sessions,
             "resting": self.parked.len(),
+            "denied": self.denied.load(Ordering::Relaxed),
+            "over_limit": self.over_limit.load(Ordering::Relaxed),
             "services": services,
             "databases": databases,
         })
--- a/src/simulation/nodes.rs
+++ b/src/simulation/nodes.rs
@@ -3,7 +3,8 @@
 use crate::base::ids::{DbTerm, InstanceId, NodeName, Position, Revision, ServiceName};
 use crate::base::time::Tick;
 use crate::config::directory::DirectoryEntry;
-use crate::config::route_table::RouteTable;
+use crate::config::route_table::{RouteTable, RouteTableDelta};
+use crate::config::tenants::TenantTable;
 use crate::controller::effects::Input;
 use crate::leases::lease_table::LEASE_MS;
 use crate::net::rpc::pooler_messages::{
@@ -280,12 +281,15 @@
                 self.close(connection);
             }
             ToPooler::RouteTable(route_table) => self.apply_route_table(number, *route_table),
-            ToPooler::RouteTableDelta(delta) => {
-                match node.route_table.as_ref().and_then(|c| c.apply(&delta)) {
-                    Some(route_table) => self.apply_route_table(number, route_table),
-                    None => self.send_to_controller(number, ToController::RequestFullTable),
-                }
+            ToPooler::TenantRouteTable { table, tenants } => {
+                self.apply_route_table(number, table.with_tenants(*tenants));
+            }
+            ToPooler::RouteTableDelta(delta) => self.apply_delta(number, &delta, None),
+            ToPooler::TenantRouteTableDelta { delta, tenants } => {
+                self.apply_delta(number, &delta, tenants.map(|tenants| *tenants));
             }
+            // Simulated nodes have no clients with a tenant.
+            ToPooler::GrantOperations(_) => {}
             ToPooler::Directory(entries) => {
                 node.listed_databases.clear();
                 node.update_directory(entries, &[]);
@@ -340,6 +344,19 @@
         self.check_single_leased_term();
     }
 
+    fn apply_delta(
+        &mut self,
+        number: usize,
+        delta: &RouteTableDelta,
+        tenants: Option<TenantTable>,
+    ) {
+        let known = self.nodes[number].route_table.as_ref();
+        match known.and_then(|known| known.apply_with_tenants(delta, tenants)) {
+            Some(route_table) => self.apply_route_table(number, route_table),
+            None => self.send_to_controller(number, ToController::RequestFullTable),
+        }
+    }
+
     fn apply_route_table(&mut self, number: usize, route_table: RouteTable) {
         if !self
             .committed_configurations
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -4,19 +4,20 @@
 //! Two files were written by the program of commit e679ba0: the frames with `encode` of `frames()`,
 //! concatenated, and the state with `RaftStorage::open_or_initialize` of `persistent_state()`,
 //! converted to SQL by `dump`. The frames that layout 3 added were written by the program that
-//! introduced it, with `encode` of `frames_of_layout_3()`.
+//! introduced it, with `encode` of `frames_of_layout_3()`; those of layout 5 likewise.
 use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
 use serde_bytes::ByteBuf;
 use sha2::{Digest as _, Sha256};
 use silvertack::base::ids::{
-    DbTerm, LogIndex, MemberId, NodeName, Position, Revision, ServiceName, Term,
+    DbTerm, LogIndex, MemberId, NodeName, Position, Revision, ServiceName, TenantName, Term,
 };
 use silvertack::config::configuration::{Configuration, SessionLimits};
 use silvertack::config::directory::{DirectoryEntry, Instance, Lifecycle, Role};
 use silvertack::config::route_table::{DeltaRun, RouteTable};
+use silvertack::config::tenants::TenantTable;
 use silvertack::net::rpc::pooler_messages::{
-    Handover, LeaseGrant, ObservedPosition, PositionBound, PrimaryStatus, SubsetRange,
-    SuspicionReason, ToController, ToPooler,
+    Handover, LeaseGrant, ObservedPosition, OperationGrant, OperationRequest, PositionBound,
+    PrimaryStatus, SubsetRange, SuspicionReason, ToController, ToPooler,
 };
 use silvertack::net::rpc::raft_messages::{
     EntryPayload, JoinResponse, LogEntry, LogPosition, Member, RaftMessage, RaftMessageKind,
@@ -35,6 +36,7 @@
 
 const FRAMES: &[u8] = include_bytes!("data/frames-e679ba0.bin");
 const FRAMES_OF_LAYOUT_3: &[u8] = include_bytes!("data/frames-layout-3.bin");
+const FRAMES_OF_LAYOUT_5: &[u8] = include_bytes!("data/frames-layout-5.bin");
 const STATE: &str = include_str!("data/state-e679ba0.sql");
 
 fn at(text: &str) -> SocketAddr {
@@ -290,6 +292,45 @@
 const FRAME_OF_LAYOUT_4: &[u8] =
     b"\x04\x00\x00\x21\x81\xa7Steward\x81\xacSyncReplicas\x82\xa1s\xcc\xa1\xa1t\xcc\xa2\x04";
 
+/// The frames that layout 5 added, for tenants and their operations.
+fn frames_of_layout_5() -> Vec<Frame> {
+    let configuration = serde_json::json!({
+        "revision": 171,
+        "route_rules": [{ "name": "r", "hostname": "h", "path_prefix": "/p/", "public": true,
+            "route_type": "primary", "timeout_ms": 1, "target_service": "s" }],
+        "services": [{ "name": "s", "max_connections": 1 }],
+        "tenants": [
+            { "name": "limited", "api_keys": ["k2", "k1"], "priority": 172, "rate_per_s": 173 },
+            { "name": "free", "api_keys": ["k3"], "priority": 174 },
+        ],
+    });
+    let configuration = Configuration::read(configuration.to_string().as_bytes()).expect("valid");
+    let tenants = || Box::new(TenantTable::of(&configuration));
+    let (old, new) = (route_table(175, &ROUTE_TYPES[..1]), route_table(176, &ROUTE_TYPES[..2]));
+    let delta = || Box::new(new.delta_from(&old));
+    let tenant = || "limited".into();
+    vec![
+        Frame::Controller(ToPooler::TenantRouteTable {
+            table: Box::new(new.clone()),
+            tenants: tenants(),
+        }),
+        Frame::Controller(ToPooler::TenantRouteTableDelta {
+            delta: delta(),
+            tenants: Some(tenants()),
+        }),
+        Frame::Controller(ToPooler::TenantRouteTableDelta { delta: delta(), tenants: None }),
+        Frame::Controller(ToPooler::GrantOperations(vec![OperationGrant {
+            tenant: tenant(),
+            count: 177,
+            retry_after_ms: 178,
+        }])),
+        Frame::Pooler(ToController::RequestOperations(vec![OperationRequest {
+            tenant: tenant(),
+            count: 179,
+        }])),
+    ]
+}
+
 /// Whether two frames are equal, field by field. Without `_` and `..` in the patterns, so that new
 /// variants and fields have to be added here.
 fn same_frame(a: &Frame, b: &Frame) -> bool {
@@ -385,6 +426,11 @@
             HandOverAck { service, handover, highest },
             HandOverAck { service: s, handover: n, highest: h },
         ) => (service, handover, highest) == (s, n, h),
+        (RequestOperations(a), RequestOperations(b)) => {
+            let fields =
+                |OperationRequest { tenant, count }: &OperationRequest| (tenant.clone(), *count);
+            a.iter().map(fields).eq(b.iter().map(fields))
+        }
         (RequestFullTable, RequestFullTable) | (Goodbye, Goodbye) => true,
         (
             Hello { .. }
@@ -392,12 +438,17 @@
             | Suspect { .. }
             | RevokeAck { .. }
             | HandOverAck { .. }
+            | RequestOperations(_)
             | RequestFullTable
             | Goodbye,
             _,
         ) => false,
     }
 }
+fn grant_fields(grant: &OperationGrant) -> (&TenantName, u32, u64) {
+    let OperationGrant { tenant, count, retry_after_ms } = grant;
+    (tenant, *count, *retry_after_ms)
+}
 fn same_to_pooler(a: &ToPooler, b: &ToPooler) -> bool {
     use ToPooler::*;
     match (a, b) {
@@ -428,6 +479,17 @@
             HandOver { service: s, handover: Handover { number: n, term: t, target: to } },
         ) => (service, number, term, target) == (s, n, t, to),
         (SyncReplicas(a), SyncReplicas(b)) => a == b,
+        (
+            TenantRouteTable { table, tenants },
+            TenantRouteTable { table: other, tenants: others },
+        ) => (table, tenants) == (other, others),
+        (
+            TenantRouteTableDelta { delta, tenants },
+            TenantRouteTableDelta { delta: other, tenants: others },
+        ) => (delta, tenants) == (other, others),
+        (GrantOperations(a), GrantOperations(b)) => {
+            a.iter().map(grant_fields).eq(b.iter().map(grant_fields))
+        }
         (RenewNow, RenewNow) => true,
         (
             NotLeader(_)
@@ -440,6 +502,9 @@
             | Revoke { .. }
             | HandOver { .. }
             | SyncReplicas(_)
+            | TenantRouteTable { .. }
+            | TenantRouteTableDelta { .. }
+            | GrantOperations(_)
             | RenewNow,
             _,
         ) => false,
@@ -558,12 +623,13 @@
 #[test]
 fn every_frame_is_decoded_and_encoded_as_in_earlier_releases() {
     // (file, newest layout of the program that wrote it, its frames, the layouts that frames
-    // require). Only chunks, the messages of handovers and the
-    // numbers of synchronous replicas require more than the first layout.
+    // require). Only chunks, the messages of handovers, the numbers of synchronous replicas and the
+    // messages about tenants require more than the first layout.
     let files = [
         (FRAMES, 2, frames(), vec![2, 2]),
         (FRAMES_OF_LAYOUT_3, 3, frames_of_layout_3(), vec![3, 3, 3, 3]),
         (FRAME_OF_LAYOUT_4, 4, vec![frame_of_layout_4()], vec![4]),
+        (FRAMES_OF_LAYOUT_5, 5, frames_of_layout_5(), vec![5, 5, 5, 5, 5]),
     ];
     for (mut rest, layout, expected, required_layouts) in files {
         let mut read = Vec::new();
@@ -641,6 +707,15 @@
 const FRAME_NAMES_OF_LAYOUT_4: &str = "Steward
     Steward SyncReplicas";
 
+const FRAME_NAMES_OF_LAYOUT_5: &str = "Stile
+    Stile RequestOperations
+    Steward
+    Steward TenantRouteTable
+    Steward TenantRouteTableDelta
+    Steward TenantRouteTableDelta Same
+    Steward TenantRouteTableDelta New
+    Steward GrantOperations";
+
 const FRAME_NAMES_OF_LAYOUT_3: &str = "Stile
     Stile HandOverAck
     Steward
@@ -654,14 +729,17 @@
         frames.iter().flat_map(|frame| encode(frame).to_vec()).collect()
     };
     let (first, added) = (encode_all(frames()), encode_all(frames_of_layout_3()));
-    let newest = encode_all(vec![frame_of_layout_4()]);
+    let fourth = encode_all(vec![frame_of_layout_4()]);
+    let newest = encode_all(frames_of_layout_5());
     for (file, names) in [
         (FRAMES, FRAME_NAMES),
         (&first, FRAME_NAMES),
         (FRAMES_OF_LAYOUT_3, FRAME_NAMES_OF_LAYOUT_3),
         (&added, FRAME_NAMES_OF_LAYOUT_3),
         (FRAME_OF_LAYOUT_4, FRAME_NAMES_OF_LAYOUT_4),
-        (&newest, FRAME_NAMES_OF_LAYOUT_4),
+        (&fourth, FRAME_NAMES_OF_LAYOUT_4),
+        (FRAMES_OF_LAYOUT_5, FRAME_NAMES_OF_LAYOUT_5),
+        (&newest, FRAME_NAMES_OF_LAYOUT_5),
     ] {
         let (mut rest, mut found) = (file, BTreeSet::new());
         while !rest.is_empty() {
--- a/tests/interfaces.rs
+++ b/tests/interfaces.rs
@@ -165,12 +165,13 @@
     stiles[].services[].term
     peers questions_waiting";
 const POOLER: &str = "node role ready draining revision sessions sessions_allowed resting
+    denied over_limit
     services services[].service services[].term services[].primary services[].lease_left_ms
     services[].connections_allowed services[].highest
     databases databases[].id databases[].service databases[].address databases[].zone
     databases[].open databases[].idle databases[].waiting databases[].draining databases[].down";
 const GATEWAY: &str = "node role ready draining linked revision connections connections_allowed
-    resting requests sent_again refused lost
+    resting requests sent_again refused lost denied over_limit
     databases databases[].id databases[].service databases[].address databases[].zone
     databases[].capacity databases[].draining databases[].under_way databases[].idle
     databases[].left_out databases[].answers_after_ms";
@@ -455,11 +456,13 @@
             { "name": "b", "hostname": "i", "path_prefix": "/q/", "route_type": "non_idempotent",
                 "timeout_ms": 16, "target_latency_ms": 17, "priority": 18,
                 "weighted_targets": [{ "target_service": "s", "weight": 19 }],
-                "max_attempts": 20, "stale_ms": 21 },
+                "max_attempts": 20, "stale_ms": 21, "public": true },
         ],
         "services": [{ "name": "s", "max_connections": 22, "sync_replicas": 23 }],
         "limits": { "txn_idle_ms": 24, "max_header_bytes": 25, "max_body_bytes": 26,
             "header_timeout_ms": 27, "idle_timeout_ms": 28 },
+        "tenants": [{ "name": "t", "api_keys": ["k"], "priority": 29, "rate_per_s": 30,
+            "burst_limit": 31 }],
     });
     // No value is a default, so a key that is not read changes the result.
     let read = Configuration::read(configuration.to_string().as_bytes()).expect("valid");
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -972,19 +972,19 @@
     undecodable[4] = 0xc1;
     // (case, bytes, the layout that the sender reads or a part of the error message)
     let cases: Vec<(&str, Vec<u8>, Result<u8, &str>)> = vec![
-        ("this layout", frame.clone(), Ok(4)),
+        ("this layout", frame.clone(), Ok(5)),
         (
             "a chunk, which programs of the first layout take for too large a frame",
             encode(&raft(chunk)).to_vec(),
-            Ok(4),
+            Ok(5),
         ),
         ("the first layout", first, Ok(1)),
         ("a readable frame of a newer program", with_byte(end, 9), Ok(9)),
-        ("a newer layout", with_byte(0, 5), Err("a frame of layout 5, this program reads 4")),
+        ("a newer layout", with_byte(0, 6), Err("a frame of layout 6, this program reads 5")),
         (
             "an undecodable frame of a newer program",
             undecodable,
-            Err("that reads layout 9, this program reads 4"),
+            Err("that reads layout 9, this program reads 5"),
         ),
         ("too large", with_byte(1, 0xff), Err("frame of")),
         ("truncated", frame[..end].to_vec(), Err("")),
@@ -1119,9 +1119,9 @@
     wait_until("a response", || controller.is_responding());
     let mut stream = TcpStream::connect(controller.peer).expect("connect");
     stream.set_read_timeout(Some(Duration::from_secs(5))).expect("set the timeout");
-    stream.write_all(&[5, 0, 0, 1, 0x80]).expect("send");
+    stream.write_all(&[6, 0, 0, 1, 0x80]).expect("send");
     assert_eq!(stream.read(&mut [0; 8]).expect("an orderly close"), 0);
-    let expected = "a frame of layout 5, this program reads 4";
+    let expected = "a frame of layout 6, this program reads 5";
     wait_until("the log line", || controller.log().contains(expected));
     assert!(controller.is_responding());
     let mut stream = TcpStream::connect(controller.peer).expect("connect");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -13,6 +13,8 @@
 /// A statement that a database has received.
 pub(crate) struct ReceivedStatement {
     pub(crate) database: usize,
+    /// The user in the CONNECT of its connection.
+    pub(crate) user: String,
     pub(crate) id: String,
     pub(crate) text: String,
 }
@@ -137,6 +139,11 @@
             .map(|r| (r.id.clone(), r.text.clone()))
             .collect()
     }
+    /// The users of the connections on which a statement with this id was received.
+    pub(crate) fn users(&self, id: &str) -> Vec<String> {
+        let received = lock(&self.received);
+        received.iter().filter(|r| r.id == id).map(|r| r.user.clone()).collect()
+    }
     /// The database that received a statement with this id last.
     pub(crate) fn last_database(&self, id: &str) -> Option<usize> {
         lock(&self.received).iter().rev().find(|r| r.id == id).map(|r| r.database)
@@ -224,7 +231,8 @@
         let mut line = String::new();
         reader.read_line(&mut line)?;
         let mut words = line.split_whitespace();
-        let (_, service, _, id) = (words.next(), words.next(), words.next(), words.next());
+        let (_, service, user, id) = (words.next(), words.next(), words.next(), words.next());
+        let user = user.unwrap_or_default().to_owned();
         if service != Some(&self.service) || id.is_some_and(|id| id != self.id(database)) {
             return out.write_all(b"ERROR WRONGNODE other\r\n");
         }
@@ -244,6 +252,7 @@
             };
             lock(&self.received).push(ReceivedStatement {
                 database,
+                user: user.clone(),
                 id: id.to_owned(),
                 text: text.to_owned(),
             });
