gateway: a retry beyond the budget takes no operation of its tenant

Found while reading the change again: the operation was taken before the budget was asked, and lost where the budget is spent. tests/retries.rs, tests/tenants.rs and tests/gateway.rs pass.

--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -193,6 +193,9 @@
 
     /// Spends retry budget for sending the request once more; false if there is none.
     fn try_spend_retry(&self) -> bool {
+        if !self.budget_allows_retry() {
+            return false;
+        }
         // Sent once more, the request also counts once more for the limit of its tenant.
         if self.acquire_operation(MIN_OPERATION_WAIT_MS).is_err() {
             return false;
