Tests: the departed replica leaves only after its service's primary is recorded

Traced: it waited for i0 anywhere in the status, which the directory already shows, and a replica that departs before its service has a primary is not kept as departed, since nothing was acknowledged. No assertion changed.

--- a/tests/departed_replicas.rs
+++ b/tests/departed_replicas.rs
@@ -90,8 +90,8 @@
     let replica = Database::start(Behavior::ClosesAfterConnect);
     primary.send_heartbeat(leader, "i0", "primary");
     eventually("a recorded primary", || {
-        controllers.status(controllers.leader()).to_string().contains("i0")
-            && primary.connections() > 0
+        let status = controllers.status(controllers.leader());
+        status["services"][0]["primary"] == "i0" && primary.connections() > 0
     });
     replica.send_heartbeat(leader, "i1", "replica");
     let (status, _) = http(leader, "DELETE", "/instances/i1", &[], "").expect("answered");
