Operation grants: a grant repeats the number of its request

Found while reading the change again: a node that repeats an unanswered request after 0.3 s took the late answer to the first for that to the second, and could use the grant for 0.3 s longer than the leader counts it.

--- a/src/controller/lease_renewals.rs
+++ b/src/controller/lease_renewals.rs
@@ -94,14 +94,14 @@
             return;
         }
         let Some(leader_state) = &mut self.leader_state else { return };
-        let grants = requests.into_iter().map(|OperationRequest { tenant, count }| {
+        let grants = requests.into_iter().map(|OperationRequest { tenant, count, number }| {
             let Some(limit) = self.operation_limits.get(&tenant).copied() else {
                 // The node's configuration is older or newer, and has a limit that this has not.
-                return OperationGrant { tenant, count, retry_after_ms: 0 };
+                return OperationGrant { tenant, count, retry_after_ms: 0, number };
             };
             let granted = leader_state.operation_grants.grant(&tenant, limit, count, now);
             let (count, retry_after_ms) = (granted.count, granted.retry_after_ms);
-            OperationGrant { tenant, count, retry_after_ms }
+            OperationGrant { tenant, count, retry_after_ms, number }
         });
         let grants = grants.collect();
         self.send_frame(conn, &Frame::Controller(ToPooler::GrantOperations(grants)));
--- a/src/net/rpc/pooler_messages.rs
+++ b/src/net/rpc/pooler_messages.rs
@@ -202,6 +202,9 @@
     pub tenant: TenantName,
     /// How many operations the node could make while the grant is valid.
     pub count: u32,
+    /// The number of the request, which the grant repeats: the time for which a grant is valid
+    /// counts from its request.
+    pub number: u64,
 }
 
 /// Operations of a tenant that a node may make within
@@ -214,6 +217,8 @@
     pub count: u32,
     /// After how many milliseconds the node may ask again, if it got none.
     pub retry_after_ms: u64,
+    /// The number of the request.
+    pub number: u64,
 }
 
 /// A log position that the primary of a term reported under a valid lease. It covers every commit
--- a/src/node/operation_allowance.rs
+++ b/src/node/operation_allowance.rs
@@ -33,14 +33,24 @@
     pub retry_after_ms: u64,
 }
 
+/// A request to the leader that was not answered yet.
+#[derive(Clone, Copy, Debug)]
+struct SentRequest {
+    number: u64,
+    at: Tick,
+}
+
 /// What this node may do for one tenant.
 #[derive(Debug, Default)]
 struct TenantAllowance {
     /// Granted operations that are left.
     left: u32,
     expires_at: Tick,
-    /// When the unanswered request was sent.
-    requested_at: Option<Tick>,
+    /// The last request, unless it was answered. Only its answer is used: the age of an answer to an
+    /// earlier one is not known.
+    unanswered: Option<SentRequest>,
+    /// The number of the last request.
+    last_number: u64,
     /// The number of clients that wait for the answer.
     waiting: u32,
     /// Nothing is requested before this tick, because the tenant is at its limit.
@@ -72,15 +82,28 @@
         self.made += 1;
     }
 
-    /// Whether a request is due, and records it as sent.
-    fn begin_request(&mut self, now: Tick) -> Option<u32> {
-        let unanswered = self.requested_at.is_some_and(|at| now.since(at) < REQUEST_TIMEOUT_MS);
-        if unanswered {
+    /// Returns the request that is due, if one is, and records it as sent.
+    fn begin_request(&mut self, tenant: &TenantName, now: Tick) -> Option<OperationRequest> {
+        if self.unanswered.is_some_and(|sent| now.since(sent.at) < REQUEST_TIMEOUT_MS) {
             return None;
         }
-        self.requested_at = Some(now);
+        self.last_number += 1;
+        let number = self.last_number;
+        self.unanswered = Some(SentRequest { number, at: now });
         // Those that wait, and what a tenant of this rate will need while the grant is valid.
-        Some(self.waiting.max(1) + self.made_before.saturating_sub(1))
+        let count = self.waiting.max(1) + self.made_before.saturating_sub(1);
+        Some(OperationRequest { tenant: tenant.clone(), count, number })
+    }
+
+    /// Applies the leader's answer, if it is that to the last request.
+    fn apply(&mut self, grant: &OperationGrant, now: Tick) {
+        let Some(sent) = self.unanswered.filter(|sent| sent.number == grant.number) else { return };
+        self.unanswered = None;
+        self.left = grant.count;
+        self.expires_at = sent.at.plus(GRANT_VALID_MS);
+        if grant.count == 0 {
+            self.refused_until = now.plus(grant.retry_after_ms);
+        }
     }
 }
 
@@ -124,9 +147,9 @@
                 waits = true;
                 allowance.waiting += 1;
             }
-            if let Some(count) = allowance.begin_request(now) {
+            if let Some(request) = allowance.begin_request(tenant, now) {
                 drop(tenants);
-                send(OperationRequest { tenant: tenant.clone(), count });
+                send(request);
                 tenants = lock(&self.tenants);
                 continue;
             }
@@ -144,14 +167,9 @@
     pub fn apply(&self, grants: Vec<OperationGrant>) {
         let now = Tick::now();
         let mut tenants = lock(&self.tenants);
-        for OperationGrant { tenant, count, retry_after_ms } in grants {
-            let Some(allowance) = tenants.get_mut(&tenant) else { continue };
-            // The answer to a request of an earlier connection has no known age.
-            let Some(requested_at) = allowance.requested_at.take() else { continue };
-            allowance.left = count;
-            allowance.expires_at = requested_at.plus(GRANT_VALID_MS);
-            if count == 0 {
-                allowance.refused_until = now.plus(retry_after_ms);
+        for grant in grants {
+            if let Some(allowance) = tenants.get_mut(&grant.tenant) {
+                allowance.apply(&grant, now);
             }
         }
         drop(tenants);
@@ -161,7 +179,7 @@
     /// Forgets unanswered requests, because a connection to another leader began.
     pub fn reset_requests(&self) {
         for allowance in lock(&self.tenants).values_mut() {
-            allowance.requested_at = None;
+            allowance.unanswered = None;
         }
         self.answered.notify_all();
     }
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -323,10 +323,12 @@
             tenant: tenant(),
             count: 177,
             retry_after_ms: 178,
+            number: 180,
         }])),
         Frame::Pooler(ToController::RequestOperations(vec![OperationRequest {
             tenant: tenant(),
             count: 179,
+            number: 181,
         }])),
     ]
 }
@@ -427,8 +429,9 @@
             HandOverAck { service: s, handover: n, highest: h },
         ) => (service, handover, highest) == (s, n, h),
         (RequestOperations(a), RequestOperations(b)) => {
-            let fields =
-                |OperationRequest { tenant, count }: &OperationRequest| (tenant.clone(), *count);
+            let fields = |OperationRequest { tenant, count, number }: &OperationRequest| {
+                (tenant.clone(), *count, *number)
+            };
             a.iter().map(fields).eq(b.iter().map(fields))
         }
         (RequestFullTable, RequestFullTable) | (Goodbye, Goodbye) => true,
@@ -445,9 +448,9 @@
         ) => false,
     }
 }
-fn grant_fields(grant: &OperationGrant) -> (&TenantName, u32, u64) {
-    let OperationGrant { tenant, count, retry_after_ms } = grant;
-    (tenant, *count, *retry_after_ms)
+fn grant_fields(grant: &OperationGrant) -> (&TenantName, u32, u64, u64) {
+    let OperationGrant { tenant, count, retry_after_ms, number } = grant;
+    (tenant, *count, *retry_after_ms, *number)
 }
 fn same_to_pooler(a: &ToPooler, b: &ToPooler) -> bool {
     use ToPooler::*;
--- a/tests/tenants.rs
+++ b/tests/tenants.rs
@@ -11,12 +11,14 @@
 use silvertack::config::route_table::RouteTable;
 use silvertack::config::tenants::{Identity, OperationLimit, TenantTable, UnknownKey};
 use silvertack::leases::operation_grants::{GRANT_VALID_MS, OperationGrants};
+use silvertack::net::rpc::pooler_messages::{OperationGrant, OperationRequest};
+use silvertack::node::operation_allowance::OperationAllowance;
 use site::{Site, eventually};
 use stand_in_endpoints::StandInEndpoints;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use support::StandIn;
 
@@ -204,6 +206,41 @@
     assert_eq!(later.count, 10);
 }
 
+/// Guards against using a grant for longer than the leader counts it: its answer came after the
+/// request was repeated.
+#[test]
+fn an_answer_that_comes_after_its_request_was_repeated_is_not_used() {
+    let tenant = TenantName("t".to_owned());
+    let allowance = OperationAllowance::default();
+    let sent = Mutex::new(Vec::<OperationRequest>::new());
+    let grant = |request: &OperationRequest| OperationGrant {
+        tenant: request.tenant.clone(),
+        count: 1,
+        retry_after_ms: 50,
+        number: request.number,
+    };
+    let acquire = |wait_ms: u64| {
+        let deadline = Tick::now().plus(wait_ms);
+        allowance.acquire(&tenant, deadline, |request| sent.lock().expect("sent").push(request))
+    };
+    let request = |index: usize| sent.lock().expect("sent").get(index).cloned();
+    std::thread::scope(|scope| {
+        let waiting = scope.spawn(|| acquire(10_000));
+        eventually("the request is repeated", || request(1).is_some());
+        allowance.apply(vec![grant(&request(0).expect("the first"))]);
+        std::thread::sleep(Duration::from_millis(100));
+        assert!(!waiting.is_finished(), "the late answer is not used");
+        eventually("the last request is answered", || {
+            let last = sent.lock().expect("sent").last().cloned().expect("a request");
+            allowance.apply(vec![grant(&last)]);
+            waiting.is_finished()
+        });
+        let permit = waiting.join().expect("joined").expect("granted");
+        assert!(permit.expires_at <= Tick::now().plus(GRANT_VALID_MS));
+    });
+    assert!(acquire(20).is_err(), "the one operation was used");
+}
+
 // ---------------------------------------------------------------------------------------------
 // The pooler
 
