--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -17,7 +17,7 @@
 
 /// How many retries this node may send to each service: a token bucket, which every request fills
 /// by the ratio. In any period, the retries of a service exceed the ratio of its requests by at
-/// most [`MAX_SAVED_RETRIES`].
+/// most two.
 #[derive(Clone, Debug)]
 pub struct RetryBudgets {
     ratio: f64,
