gateway: count and log requests whose client has left

Now /status counts client_closed, and debug lines say when a client had left. What is done about it is unchanged.

--- a/src/gateway/client_connection.rs
+++ b/src/gateway/client_connection.rs
@@ -9,6 +9,7 @@
 use crate::base::sync::lock;
 use crate::base::time::Tick;
 use crate::base::worker_pool::start_thread;
+use crate::gateway::client_watch::ClientWatch;
 use crate::gateway::http1::{BodyDecoder, ParseError};
 use crate::gateway::server::Gateway;
 use crate::net::idle_connections::Registration;
@@ -180,6 +181,11 @@
         Self { stream, buffer: ReadBuffer::default(), max_body_bytes: 0 }
     }
 
+    /// Watches whether the client leaves.
+    pub(super) fn watch(&self) -> ClientWatch<'a> {
+        ClientWatch::new(self.stream)
+    }
+
     /// Reads once, and waits until `deadline` at most.
     pub(super) fn read(&mut self, deadline: Tick) -> io::Result<ReadResult> {
         let remaining_ms = deadline.since(Tick::now());
--- a/src/gateway/endpoint_access.rs
+++ b/src/gateway/endpoint_access.rs
@@ -218,6 +218,9 @@
     connection: &mut EndpointConnection,
     now: Tick,
 ) -> Result<(), AttemptOutcome> {
+    if request.client.has_left() {
+        request.log_departure("before it was sent to an endpoint");
+    }
     let mut head = request.encode_head(endpoint, now);
     let stream = &mut connection.stream;
     stream.set_write_timeout(Some(WRITE_TIMEOUT)).map_err(|_| AttemptOutcome::NotSent)?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! `latency`, `load_balancing`, `outlier_detection`, `retry_budget` and `subsets`.
 pub mod attempts;
 mod client_connection;
+mod client_watch;
 pub mod demand;
 mod endpoint_access;
 pub mod endpoint_attempt;
--- a/src/gateway/request_handling.rs
+++ b/src/gateway/request_handling.rs
@@ -114,6 +114,7 @@
         let ReceivedBody { buffered, remaining } = receive_body(head, client, deadline)?;
         let mut request = RequestContext {
             head,
+            client: client.watch(),
             route,
             service,
             identity,
@@ -122,7 +123,9 @@
             body: &buffered,
             remaining_body: remaining,
         };
-        match self.forward(&mut request, client)? {
+        let result = self.forward(&mut request, client);
+        self.record_departure(&request);
+        match result? {
             ForwardResult::Refused { refusal, retry_after_ms } => {
                 let has_unread_body = request.remaining_body.is_some();
                 let after = after.or_close_if(refusal.response().closes || has_unread_body);
@@ -134,6 +137,14 @@
             }
         }
     }
+
+    /// Counts a request whose client has left before its response.
+    fn record_departure(&self, request: &RequestContext<'_>) {
+        if request.client.has_left() {
+            increment(&self.counters.client_closed);
+            request.log_departure("before its response");
+        }
+    }
 }
 
 /// Reads until the head of a request is complete, and parses it.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -70,6 +70,8 @@
     pub(super) over_limit: AtomicU64,
     /// Requests without a usable response in time, which an endpoint may have executed.
     pub(super) lost: AtomicU64,
+    /// Requests whose client had closed its connection before the response.
+    pub(super) client_closed: AtomicU64,
 }
 
 /// Increments a counter by one.
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -30,6 +30,7 @@
             "sent_again": value(&self.counters.retries),
             "refused": value(&self.counters.refused),
             "lost": value(&self.counters.lost),
+            "client_closed": value(&self.counters.client_closed),
             "denied": value(&self.counters.denied),
             "over_limit": value(&self.counters.over_limit),
             "databases": databases,
--- a/tests/interfaces.rs
+++ b/tests/interfaces.rs
@@ -171,7 +171,7 @@
     databases databases[].id databases[].service databases[].address databases[].zone
     databases[].open databases[].idle databases[].waiting databases[].draining databases[].down";
 const GATEWAY: &str = "node role ready draining linked revision connections connections_allowed
-    resting requests sent_again refused lost denied over_limit
+    resting requests sent_again refused lost client_closed denied over_limit
     databases databases[].id databases[].service databases[].address databases[].zone
     databases[].capacity databases[].draining databases[].under_way databases[].idle
     databases[].left_out databases[].answers_after_ms";
