--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How an endpoint responds to the next request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -41,6 +41,15 @@
     InterimResponse,
     /// 503 with `Not-Executed` and a body of this many bytes.
     OverloadedLargeBody(usize),
+    /// Works for this many milliseconds and responds, unless its connection is closed before.
+    Work(u64),
+    /// Works for this many milliseconds, then closes the connection without a response.
+    WorkThenClose(u64),
+    /// 503 with `Not-Executed` after this many milliseconds.
+    OverloadedAfter(u64),
+    /// Responds with a head and the beginning of a large body, and sends no more for this many
+    /// milliseconds.
+    StallInBody(u64),
 }
 
 /// A request that an endpoint received.
@@ -55,6 +64,15 @@
     /// The request head as received.
     pub(crate) head: String,
     pub(crate) body: Vec<u8>,
+    pub(crate) received_at: Instant,
+}
+
+/// How long an endpoint was at work on a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Work {
+    pub(crate) began_at: Instant,
+    /// `None` while it is at work.
+    pub(crate) ended_at: Option<Instant>,
 }
 
 /// The endpoints of one service, each on a port of its own.
@@ -63,6 +81,8 @@
     pub(crate) addresses: Vec<SocketAddr>,
     next_behaviours: Mutex<VecDeque<Behaviour>>,
     received: Mutex<Vec<ReceivedRequest>>,
+    /// Work with a duration, with the id of its request.
+    work: Mutex<Vec<(String, Work)>>,
     connections: AtomicUsize,
 }
 
@@ -70,6 +90,19 @@
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
+/// Whether the other end has closed the connection or reset it.
+fn is_closed(stream: &TcpStream) -> bool {
+    if stream.set_nonblocking(true).is_err() {
+        return true;
+    }
+    let peeked = stream.peek(&mut [0; 1]);
+    let blocking = stream.set_nonblocking(false);
+    match peeked {
+        Ok(count) => count == 0 || blocking.is_err(),
+        Err(e) => e.kind() != std::io::ErrorKind::WouldBlock,
+    }
+}
+
 impl StandInEndpoints {
     pub(crate) fn start(service: &str, count: usize) -> std::io::Result<Arc<Self>> {
         let listeners =
@@ -79,6 +112,7 @@
             addresses: listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?,
             next_behaviours: Mutex::default(),
             received: Mutex::default(),
+            work: Mutex::default(),
             connections: AtomicUsize::new(0),
         });
         for (endpoint, listener) in listeners.into_iter().enumerate() {
@@ -107,6 +141,28 @@
             .cloned()
             .collect()
     }
+    /// The work on the request with this id, in the order in which it began.
+    pub(crate) fn work(&self, request_id: &str) -> Vec<Work> {
+        let work = lock(&self.work);
+        work.iter().filter(|(id, _)| id == request_id).map(|(_, work)| *work).collect()
+    }
+    /// Works on a request until the time is over or its connection is closed. Returns whether the
+    /// connection is still open.
+    fn work_until_closed(&self, stream: &TcpStream, request_id: &str, work_ms: u64) -> bool {
+        let began_at = Instant::now();
+        let index = {
+            let mut work = lock(&self.work);
+            work.push((request_id.to_owned(), Work { began_at, ended_at: None }));
+            work.len() - 1
+        };
+        let mut open = true;
+        while open && began_at.elapsed() < Duration::from_millis(work_ms) {
+            open = !is_closed(stream);
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        lock(&self.work)[index].1.ended_at = Some(Instant::now());
+        open
+    }
     /// The body of a heartbeat.
     pub(crate) fn heartbeat(&self, endpoint: usize, sequence: u64, state: &str) -> String {
         serde_json::json!({
@@ -170,6 +226,7 @@
                 method_and_target,
                 head,
                 body,
+                received_at: Instant::now(),
             });
             let response = |status: &str, id: &str, headers: &str, body: &str| {
                 let length = body.len();
@@ -189,6 +246,10 @@
                 Behaviour::Serve => success,
                 Behaviour::ErrorResponse => response("500 Oh", &id, signature, "failed"),
                 Behaviour::Overloaded => response("503 Full", &id, "Not-Executed: 1\r\n", ""),
+                Behaviour::OverloadedAfter(ms) => {
+                    std::thread::sleep(Duration::from_millis(ms));
+                    response("503 Full", &id, "Not-Executed: 1\r\n", "")
+                }
                 Behaviour::Misdirected => response("421 Other", &id, "Not-Executed: 1\r\n", ""),
                 Behaviour::CloseWithoutResponse => return stream.shutdown(Shutdown::Both),
                 Behaviour::TruncateBody => success[..success.len() - 4].to_owned(),
@@ -219,6 +280,22 @@
                 Behaviour::OverloadedLargeBody(size) => {
                     response("503 Full", &id, "Not-Executed: 1\r\n", &"x".repeat(size))
                 }
+                Behaviour::Work(ms) => {
+                    if !self.work_until_closed(&stream, &id, ms) {
+                        return Ok(());
+                    }
+                    success
+                }
+                Behaviour::WorkThenClose(ms) => {
+                    self.work_until_closed(&stream, &id, ms);
+                    return stream.shutdown(Shutdown::Both);
+                }
+                Behaviour::StallInBody(ms) => {
+                    let whole = response("200 OK", &id, signature, &"x".repeat(200_000));
+                    stream.write_all(&whole.as_bytes()[..100_000])?;
+                    self.work_until_closed(&stream, &id, ms);
+                    return stream.shutdown(Shutdown::Both);
+                }
                 Behaviour::Hang => {
                     std::thread::sleep(Duration::from_secs(20));
                     return Ok(());
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -1,48 +1,22 @@
 //! A controller and one pooler or gateway as processes, on the loopback address.
 #![allow(dead_code, reason = "each test uses only a part of this module")]
+#[path = "processes.rs"]
+mod processes;
+
 use crate::support::{free_port, http};
+pub(crate) use processes::eventually;
+use processes::{Folder, Process};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
-
-pub(crate) struct Process(Child);
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
 
 /// A controller and one pooler or gateway.
 pub(crate) struct Site {
-    folder: PathBuf,
     pub(crate) admin: SocketAddr,
     pub(crate) frontend: SocketAddr,
     pub(crate) readiness: SocketAddr,
     pub(crate) controller: Option<Process>,
-    _node: Process,
-}
-impl Drop for Site {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-pub(crate) fn eventually(what: &str, mut check: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !check() {
-        assert!(start.elapsed() < Duration::from_secs(20), "never: {what}");
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
-fn run(role: &str, settings: &Path) -> Process {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_silvertack"));
-    command.args([role, "--settings"]).arg(settings).stderr(Stdio::null());
-    Process(command.spawn().expect(role))
+    node: Process,
+    _folder: Folder,
 }
-
 impl Site {
     /// Starts the processes with a retry ratio of 1 and waits until the node is ready. `heartbeat`
     /// is called once the configuration was accepted.
@@ -65,8 +39,7 @@
     ) -> Self {
         let addresses: Vec<SocketAddr> =
             (0..4).map(|_| SocketAddr::from(([127, 0, 0, 1], free_port()))).collect();
-        let folder = std::env::temp_dir().join(format!("silvertack-site-{}", addresses[0].port()));
-        std::fs::create_dir_all(&folder).expect("folder");
+        let folder = Folder::new("site", addresses[0].port());
         let settings = format!(
             "node_name = \"one\"\nip_address = \"127.0.0.1\"\nzone = \"here\"\nport_range = [{p}, {p}]\n\
              seed_nodes = [\"{admin}\"]\nbootstrap = true\ndata_path = \"{data}\"\n{more_settings}\n\
@@ -76,19 +49,18 @@
             admin = addresses[1],
             front = addresses[2],
             ready = addresses[3],
-            data = folder.join("data").display(),
+            data = folder.0.join("data").display(),
         );
-        let file = folder.join("node.toml");
-        std::fs::write(&file, settings).expect("settings");
-        let controller = Some(run("controller", &file));
-        let node = run(role, &file);
+        let file = folder.write("node.toml", &settings);
+        let controller = Some(Process::run("controller", &file));
+        let node = Process::run(role, &file);
         let site = Self {
-            folder,
             admin: addresses[1],
             frontend: addresses[2],
             readiness: addresses[3],
             controller,
-            _node: node,
+            node,
+            _folder: folder,
         };
         eventually("a configuration", || site.put_configuration("0", configuration));
         heartbeat(site.admin);
@@ -104,6 +76,11 @@
         http(self.admin, "PUT", "/configuration", &headers, body).is_ok_and(|(s, _)| s == 200)
     }
 
+    /// Sends a signal to the pooler or gateway, as [`Process::signal`] does.
+    pub(crate) fn signal_node(&self, name: &str) {
+        self.node.signal(name);
+    }
+
     /// The status of the node.
     pub(crate) fn status(&self) -> serde_json::Value {
         let (_, body) = http(self.readiness, "GET", "/status", &[], "").expect("status");
