--- a/src/gateway/client_connection.rs
+++ b/src/gateway/client_connection.rs
@@ -9,12 +9,12 @@
 use crate::base::sync::lock;
 use crate::base::time::Tick;
 use crate::base::worker_pool::start_thread;
-use crate::gateway::client_watch::ClientWatch;
 use crate::gateway::http1::{BodyDecoder, ParseError};
 use crate::gateway::server::Gateway;
-use crate::net::idle_connections::Registration;
+use crate::net::idle_connections::{Registration, is_readable};
 use crate::net::sockets::configure_stream;
 use crate::net::statement_protocol::ReadBuffer;
+use crate::node::client_watch::{ClientLeft, ClientWatch, WaitError};
 use log::debug;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -56,12 +56,6 @@
     pub(super) fn set_busy(&self) {
         self.idle_since.store(0, Ordering::Relaxed);
     }
-
-    /// Shuts down the read side, as if the client had closed the connection. A response in progress
-    /// is still sent.
-    pub(super) fn stop_reading(&self) {
-        drop(self.stream.shutdown(Shutdown::Read));
-    }
 }
 
 /// A client connection in the gateway's client list. It is removed from the list when dropped.
@@ -135,9 +129,21 @@
     pub(super) fn close_expired_clients(&self, now: Tick) {
         let Some(route_table) = self.route_table() else { return };
         let idle_timeout_ms = route_table.limits.idle_timeout_ms;
-        for client in lock(&self.clients).values() {
-            if client.idle_since().is_some_and(|since| now.since(since) >= idle_timeout_ms) {
-                client.stop_reading();
+        self.close_idle_clients(|since| now.since(since) >= idle_timeout_ms);
+    }
+
+    /// Closes the client connections that are idle since a tick for which `is_due` returns true.
+    /// One that a thread still serves is left to a later call, and one that has just received bytes
+    /// is served instead.
+    pub(super) fn close_idle_clients(&self, is_due: impl Fn(Tick) -> bool) {
+        let due: Vec<u64> = lock(&self.clients)
+            .iter()
+            .filter(|(_, client)| client.idle_since().is_some_and(&is_due))
+            .map(|(id, _)| *id)
+            .collect();
+        for client in due.into_iter().filter_map(|id| self.idle_clients.take(id)) {
+            if is_readable(&client.connection.stream) {
+                self.serve_on_thread(client);
             }
         }
     }
@@ -157,6 +163,21 @@
     Connection(#[from] io::Error),
 }
 
+impl From<ClientLeft> for ReceiveError {
+    fn from(ClientLeft: ClientLeft) -> Self {
+        Self::Closed
+    }
+}
+
+impl From<WaitError> for ReceiveError {
+    fn from(error: WaitError) -> Self {
+        match error {
+            WaitError::ClientLeft(ClientLeft) => Self::Closed,
+            WaitError::Poll(e) => Self::Connection(e),
+        }
+    }
+}
+
 /// The result of one read from a client.
 pub(super) enum ReadResult {
     /// The read returned; there may be more bytes in the buffer.
--- a/src/gateway/endpoint_access.rs
+++ b/src/gateway/endpoint_access.rs
@@ -4,17 +4,20 @@
 use crate::base::sync::lock;
 use crate::base::time::Tick;
 use crate::gateway::attempts::{AttemptOutcome, Idempotency};
-use crate::gateway::endpoint_attempt::{Attempt, write_request};
+use crate::gateway::endpoint_attempt::Attempt;
 use crate::gateway::outlier_detection::OutlierDetector;
 use crate::gateway::request_context::RequestContext;
+use crate::gateway::request_sender::{RequestSender, SendError};
 use crate::gateway::server::Gateway;
 use crate::gateway::upstreams::{AcquiredEndpoint, EndpointConnection, ReusePolicy};
 use crate::net::idle_connections::is_readable;
-use crate::net::sockets::connect_stream;
+use crate::net::sockets::{Readiness, connect_stream_waiting};
 use crate::net::statement_protocol::ReadBuffer;
+use crate::node::client_watch::{CLIENT_CHECK_INTERVAL_MS, ClientLeft, WaitError};
 use log::warn;
+use rustix::event::{PollFd, PollFlags};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -30,9 +33,6 @@
 /// A connection fails if sent data stays unacknowledged by the endpoint's host for this long.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A write fails if the endpoint accepts no more of a request for this long.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Up to this size, in bytes, the head and the body of a request are sent in one write.
 const MAX_SINGLE_WRITE_BYTES: usize = 64 << 10;
 
@@ -41,28 +41,31 @@
 
 impl Gateway {
     /// Acquires an endpoint that is not in `excluded`, and waits until `deadline` for one whose
-    /// queue has room.
+    /// queue has room; `None` if there was none. Fails if the client leaves meanwhile.
     pub(super) fn acquire_endpoint(
         &self,
         request: &RequestContext<'_>,
         excluded: &[InstanceId],
         deadline: Tick,
-    ) -> Option<AcquiredEndpoint> {
+    ) -> Result<Option<AcquiredEndpoint>, ClientLeft> {
         let reuse = self.reuse_policy(request);
         let mut upstreams = lock(&self.upstreams);
         loop {
             let now = Tick::now();
             let acquired = upstreams.acquire(request.service, &self.zone, excluded, reuse, now);
-            if acquired.is_some() {
-                return acquired;
-            }
             let left_ms = deadline.since(now);
-            if left_ms == 0 {
-                return None;
+            if acquired.is_some() || left_ms == 0 {
+                return Ok(acquired);
+            }
+            let wait = Duration::from_millis(left_ms.min(CLIENT_CHECK_INTERVAL_MS));
+            let waited = self.upstreams_changed.wait_timeout(upstreams, wait);
+            upstreams = waited.unwrap_or_else(PoisonError::into_inner).0;
+            if request.client.has_left() {
+                drop(upstreams);
+                // The notification of a release may have come to this waiter.
+                self.upstreams_changed.notify_one();
+                return Err(ClientLeft);
             }
-            let wait =
-                self.upstreams_changed.wait_timeout(upstreams, Duration::from_millis(left_ms));
-            upstreams = wait.unwrap_or_else(PoisonError::into_inner).0;
         }
     }
 
@@ -96,25 +99,29 @@
         &self,
         request: &RequestContext<'_>,
         endpoint: AcquiredEndpoint,
-    ) -> Result<Attempt, AttemptOutcome> {
+    ) -> Result<Attempt, SendError> {
         let AcquiredEndpoint { id, address, connection } = endpoint;
         // A readable idle connection was closed by the endpoint, or holds a surplus response. That
         // an idle connection was closed is no fault of the endpoint, so a new one is opened.
         let idle = connection.filter(|idle| !is_readable(&idle.stream));
-        if let Some(mut connection) = idle {
+        if let Some(connection) = idle {
             let sent_at = Tick::now();
-            match send_request(request, &id, &mut connection, sent_at) {
+            match send_request(request, &id, &connection.stream, sent_at) {
                 Ok(()) => return Ok(Attempt::new(id, address, connection, true, sent_at)),
                 // The connection was closed before any byte of the request was sent.
-                Err(AttemptOutcome::NotSent) => {}
-                Err(outcome) => return Err(self.fail_attempt(&id, outcome)),
+                Err(SendError::Endpoint(AttemptOutcome::NotSent)) => {}
+                Err(SendError::ClientLeftBefore) => {
+                    self.release_endpoint(&id, 0, |_| {}, Some(connection));
+                    return Err(SendError::ClientLeftBefore);
+                }
+                Err(error) => return Err(self.fail_attempt(&id, error)),
             }
         }
-        let mut connection = self.connect(&id, address, request.deadline)?;
+        let connection = self.connect(&id, address, request)?;
         let sent_at = Tick::now();
-        match send_request(request, &id, &mut connection, sent_at) {
+        match send_request(request, &id, &connection.stream, sent_at) {
             Ok(()) => Ok(Attempt::new(id, address, connection, false, sent_at)),
-            Err(outcome) => Err(self.fail_attempt(&id, outcome)),
+            Err(error) => Err(self.fail_attempt(&id, error)),
         }
     }
 
@@ -123,13 +130,23 @@
         &self,
         id: &InstanceId,
         address: SocketAddr,
-        deadline: Tick,
-    ) -> Result<EndpointConnection, AttemptOutcome> {
+        request: &RequestContext<'_>,
+    ) -> Result<EndpointConnection, SendError> {
         let started_at = Tick::now();
         let late_ms = lock(&self.upstreams).connect_latency.late_after_ms(MIN_CONNECT_TIMEOUT_MS);
-        let timeout_ms = deadline.since(started_at).clamp(1, late_ms.min(MAX_CONNECT_TIMEOUT_MS));
-        let connected =
-            connect_stream(address, Duration::from_millis(timeout_ms), UNACKNOWLEDGED_TIMEOUT);
+        let longest_ms = late_ms.min(MAX_CONNECT_TIMEOUT_MS);
+        let timeout_ms = request.deadline.since(started_at).clamp(1, longest_ms);
+        if let Err(ClientLeft) = request.client.ensure_present() {
+            return Err(self.fail_attempt(id, SendError::ClientLeftBefore));
+        }
+        let connected = connect_stream_waiting(address, UNACKNOWLEDGED_TIMEOUT, |stream| {
+            let socket = PollFd::new(stream, PollFlags::OUT);
+            let ready = request.client.wait(vec![socket], timeout_ms)?;
+            Ok(if ready[0] { Readiness::Ready } else { Readiness::NotReady })
+        });
+        if let Err(WaitError::ClientLeft(ClientLeft)) = connected {
+            return Err(self.fail_attempt(id, SendError::ClientLeftBefore));
+        }
         // Recorded for failures too: a refused connection fails at once, and a slow one may be due
         // to this node's own link.
         lock(&self.upstreams).connect_latency.record(Tick::now().since(started_at));
@@ -139,24 +156,30 @@
                 buffer: ReadBuffer::default(),
                 expires_at: Tick(0),
             }),
-            Err(e) if e.kind() == io::ErrorKind::TimedOut => {
+            Err(WaitError::Poll(e)) if e.kind() == io::ErrorKind::TimedOut => {
                 self.release_endpoint(
                     id,
                     0,
                     |detector| detector.record_connect_timeout(Tick::now()),
                     None,
                 );
-                Err(AttemptOutcome::NotSent)
+                Err(SendError::Endpoint(AttemptOutcome::NotSent))
             }
-            Err(_) => Err(self.fail_attempt(id, AttemptOutcome::NotSent)),
+            Err(_) => Err(self.fail_attempt(id, SendError::Endpoint(AttemptOutcome::NotSent))),
         }
     }
 
-    /// Releases an endpoint after a request could not be sent, or not completely.
-    fn fail_attempt(&self, id: &InstanceId, outcome: AttemptOutcome) -> AttemptOutcome {
+    /// Releases an endpoint after a request could not be sent, or not completely. That a client has
+    /// left is no fault of the endpoint.
+    fn fail_attempt(&self, id: &InstanceId, error: SendError) -> SendError {
         let now = Tick::now();
-        self.release_endpoint(id, 0, |detector| detector.record_fault(now), None);
-        outcome
+        let record = |detector: &mut OutlierDetector| {
+            if matches!(error, SendError::Endpoint(_)) {
+                detector.record_fault(now);
+            }
+        };
+        self.release_endpoint(id, 0, record, None);
+        error
     }
 
     /// Ends an attempt whose response is no longer needed, and closes its connection.
@@ -211,23 +234,19 @@
     ResponseNotNeeded,
 }
 
-/// Sends the head and the buffered body of a request on a connection.
+/// Sends the head and the buffered body of a request on a connection, unless the client has left.
 fn send_request(
     request: &RequestContext<'_>,
     endpoint: &InstanceId,
-    connection: &mut EndpointConnection,
+    stream: &TcpStream,
     now: Tick,
-) -> Result<(), AttemptOutcome> {
-    if request.client.has_left() {
-        request.log_departure("before it was sent to an endpoint");
-    }
+) -> Result<(), SendError> {
     let mut head = request.encode_head(endpoint, now);
-    let stream = &mut connection.stream;
-    stream.set_write_timeout(Some(WRITE_TIMEOUT)).map_err(|_| AttemptOutcome::NotSent)?;
+    let mut sender = RequestSender::new(stream, request.client);
     if head.len() + request.body.len() <= MAX_SINGLE_WRITE_BYTES {
         head.extend_from_slice(request.body);
-        write_request(stream, &[&head])
+        sender.send(&[&head])
     } else {
-        write_request(stream, &[&head, request.body])
+        sender.send(&[&head, request.body])
     }
 }
--- a/src/gateway/endpoint_attempt.rs
+++ b/src/gateway/endpoint_attempt.rs
@@ -9,9 +9,11 @@
     BodyDecoder, BodyFraming, ParseError, ParsedHead, RequestHead, ResponseHead, encode_chunk,
     parse_response_head,
 };
+use crate::gateway::request_sender::{RequestSender, SendError};
 use crate::gateway::upstreams::{AcquiredEndpoint, EndpointConnection, MAX_IDLE_MS};
-use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use std::io::{self, Write};
+use crate::node::client_watch::ClientWatch;
+use rustix::event::{PollFd, PollFlags};
+use std::io;
 use std::net::SocketAddr;
 
 /// How much of a response body is buffered before any of it is relayed to the client, in bytes.
@@ -105,18 +107,35 @@
         AcquiredEndpoint { id: self.endpoint_id, address: self.address, connection: None }
     }
 
+    /// The socket of the connection, to wait until it is readable.
+    pub(super) fn readable_socket(&self) -> PollFd<'_> {
+        PollFd::new(&self.connection.stream, PollFlags::IN)
+    }
+
     /// Sends a part of a streamed request body.
-    pub(super) fn write_body(&mut self, data: &[u8], framing: BodyFraming) -> io::Result<()> {
+    pub(super) fn write_body(
+        &self,
+        client: ClientWatch<'_>,
+        data: &[u8],
+        framing: BodyFraming,
+    ) -> Result<(), SendError> {
+        let mut sender = RequestSender::new(&self.connection.stream, client);
         match framing {
-            BodyFraming::Chunked => self.connection.stream.write_all(&encode_chunk(data)),
-            _ => self.connection.stream.write_all(data),
+            BodyFraming::Chunked => sender.send(&[&encode_chunk(data)]),
+            _ => sender.send(&[data]),
         }
     }
 
     /// Ends a streamed request body: a chunked one needs a last chunk.
-    pub(super) fn write_body_end(&mut self, framing: BodyFraming) -> io::Result<()> {
+    pub(super) fn write_body_end(
+        &self,
+        client: ClientWatch<'_>,
+        framing: BodyFraming,
+    ) -> Result<(), SendError> {
         match framing {
-            BodyFraming::Chunked => self.connection.stream.write_all(LAST_CHUNK),
+            BodyFraming::Chunked => {
+                RequestSender::new(&self.connection.stream, client).send(&[LAST_CHUNK])
+            }
             _ => Ok(()),
         }
     }
@@ -264,40 +283,7 @@
 /// The last chunk and the empty trailer section, which end a chunked body.
 pub(super) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
-/// Writes all parts of a request. Once a byte was written, the endpoint may execute the request.
-pub fn write_request(writer: &mut impl Write, parts: &[&[u8]]) -> Result<(), AttemptOutcome> {
-    let mut any_written = false;
-    for part in parts {
-        let mut remaining = *part;
-        while !remaining.is_empty() {
-            match writer.write(remaining) {
-                Ok(written) if written > 0 => {
-                    any_written = true;
-                    remaining = &remaining[written..];
-                }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                _ if any_written => return Err(AttemptOutcome::MayHaveExecuted),
-                _ => return Err(AttemptOutcome::NotSent),
-            }
-        }
-    }
-    Ok(())
-}
-
-/// Waits until the connection of one of the attempts is readable, for at most `timeout_ms`
-/// milliseconds. Returns for each attempt whether its connection is.
-pub(super) fn wait_readable(attempts: &[Attempt], timeout_ms: u64) -> io::Result<Vec<bool>> {
-    let mut fds: Vec<PollFd<'_>> = attempts
-        .iter()
-        .map(|attempt| PollFd::new(&attempt.connection.stream, PollFlags::IN))
-        .collect();
-    let timeout = Timespec {
-        tv_sec: (timeout_ms / 1_000) as i64,
-        tv_nsec: (timeout_ms % 1_000 * 1_000_000) as i64,
-    };
-    match poll(&mut fds, Some(&timeout)) {
-        Ok(_) => Ok(fds.iter().map(|fd| !fd.revents().is_empty()).collect()),
-        Err(rustix::io::Errno::INTR) => Ok(vec![false; attempts.len()]),
-        Err(e) => Err(e.into()),
-    }
+/// The sockets of the attempts, to wait until one of them is readable.
+pub(super) fn readable_sockets(attempts: &[Attempt]) -> Vec<PollFd<'_>> {
+    attempts.iter().map(Attempt::readable_socket).collect()
 }
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -5,6 +5,9 @@
 //! Request handling calls [`Gateway::forward`]. [`AttemptPolicy`] decides whether another attempt
 //! is allowed; this module starts the attempts, waits for their responses and ends them. Each
 //! attempt is either returned with the result or has its endpoint released.
+//!
+//! When the client leaves, nothing more is sent, and attempts at an idempotent request are abandoned
+//! at once. One that isn't idempotent runs to its end once it was sent.
 use crate::base::errors::Refusal;
 use crate::base::ids::InstanceId;
 use crate::base::sync::lock;
@@ -14,14 +17,14 @@
 };
 use crate::gateway::client_connection::{ClientStream, ReceiveError};
 use crate::gateway::endpoint_access::AbandonReason;
-use crate::gateway::endpoint_attempt::{Attempt, AttemptProgress, wait_readable};
+use crate::gateway::endpoint_attempt::{Attempt, AttemptProgress, readable_sockets};
 use crate::gateway::http1::BodyDecoder;
-use crate::gateway::request_context::{MIN_OPERATION_WAIT_MS, RequestContext};
+use crate::gateway::request_context::RequestContext;
+use crate::gateway::request_sender::SendError;
+use crate::gateway::reservation::{Reservation, ReservationError};
 use crate::gateway::server::{Gateway, increment};
 use crate::gateway::upstreams::AcquiredEndpoint;
-use crate::net::rpc::pooler_messages::ToController;
-use crate::node::operation_allowance::OperationRefused;
-use std::io;
+use crate::node::client_watch::{ClientLeft, WaitError, wait_ready};
 use std::ops::ControlFlow;
 
 /// How often the retry budget is checked while a hedged request is due but the budget is spent, in
@@ -58,13 +61,13 @@
 type Flow = ControlFlow<ForwardResult, Step>;
 
 impl Gateway {
-    /// Forwards a request and returns the result for the client. Fails only if the client's
-    /// connection fails or the connections to the endpoints can't be polled.
+    /// Forwards a request and returns the result for the client. Fails only if the client leaves or
+    /// its connection fails, or if the connections to the endpoints can't be polled.
     pub(super) fn forward(
         &self,
         request: &mut RequestContext<'_>,
         client: &mut ClientStream<'_>,
-    ) -> io::Result<ForwardResult> {
+    ) -> Result<ForwardResult, ReceiveError> {
         let policy = AttemptPolicy::new(request.idempotency(), request.route.max_attempts);
         let hedge_delay_ms = self.hedge_delay_ms(request);
         let forwarding = Forwarding {
@@ -106,7 +109,15 @@
 }
 
 impl Forwarding<'_, '_> {
-    fn run(mut self, client: &mut ClientStream<'_>) -> io::Result<ForwardResult> {
+    fn run(mut self, client: &mut ClientStream<'_>) -> Result<ForwardResult, ReceiveError> {
+        let result = self.run_steps(client);
+        if result.is_err() {
+            self.abandon_attempts(AbandonReason::ResponseNotNeeded);
+        }
+        result
+    }
+
+    fn run_steps(&mut self, client: &mut ClientStream<'_>) -> Result<ForwardResult, ReceiveError> {
         let mut step = Step::StartAttempt;
         loop {
             let flow = match step {
@@ -120,26 +131,38 @@
         }
     }
 
-    fn start_next_attempt(&mut self, client: &mut ClientStream<'_>) -> io::Result<Flow> {
-        let is_retry = self.policy.is_retry();
-        let operation = if is_retry {
-            Ok(())
+    fn abandon_attempts(&mut self, reason: AbandonReason) {
+        for attempt in self.attempts.drain(..) {
+            self.gateway.abandon_attempt(attempt, reason);
+        }
+    }
+
+    fn start_next_attempt(&mut self, client: &mut ClientStream<'_>) -> Result<Flow, ReceiveError> {
+        let reserved = if self.policy.is_retry() {
+            self.gateway.reserve_retry(self.request)
         } else {
-            self.acquire_operation(self.request.operation_wait_ms())
+            self.gateway.reserve_first_attempt(self.request)
         };
-        if let Err(OperationRefused { retry_after_ms }) = operation {
-            increment(&self.gateway.counters.over_limit);
-            let refusal = Refusal::TooManyRequests;
-            return Ok(Flow::Break(ForwardResult::Refused { refusal, retry_after_ms }));
-        }
-        let Some(endpoint) = self.acquire_next_endpoint(is_retry) else {
-            return Ok(self.handle_no_endpoint());
+        let reservation = match reserved {
+            Ok(reservation) => reservation,
+            Err(ReservationError::TenantAtLimit { retry_after_ms }) if !self.policy.is_retry() => {
+                return Ok(self.refuse_at_limit(retry_after_ms));
+            }
+            Err(ReservationError::TenantAtLimit { .. } | ReservationError::NoRetryBudget) => {
+                return Ok(self.handle_no_endpoint());
+            }
+            Err(ReservationError::ClientLeft(client_left)) => return Err(client_left.into()),
+        };
+        let endpoint = match self.acquire_next_endpoint() {
+            Ok(Some(endpoint)) => endpoint,
+            Ok(None) => return Ok(self.handle_no_endpoint()),
+            Err(client_left) => {
+                self.gateway.give_back(self.request, reservation);
+                return Err(client_left.into());
+            }
         };
         self.tried_endpoints.push(endpoint.id.clone());
-        if is_retry {
-            increment(&self.gateway.counters.retries);
-        }
-        match self.gateway.start_attempt(self.request, endpoint) {
+        match self.send_to(endpoint, reservation)? {
             Ok(attempt) => {
                 self.record_sent();
                 self.stream_body(attempt, client)
@@ -154,30 +177,44 @@
         }
     }
 
-    /// Takes one operation of the tenant's limit, if it has one. Waits for at most `wait_ms`
-    /// milliseconds.
-    fn acquire_operation(&self, wait_ms: u64) -> Result<(), OperationRefused> {
-        let Some(tenant) = self.request.limited_tenant() else { return Ok(()) };
-        let deadline = Tick::now().plus(wait_ms).min(self.request.deadline);
-        let gateway = self.gateway;
-        let acquired = gateway.allowance.acquire(&tenant.name, deadline, |request| {
-            gateway.leader.send(ToController::RequestOperations(vec![request]));
-        });
-        acquired.map(drop)
+    /// Sends the request to an endpoint. Returns the attempt, or its outcome if the endpoint did
+    /// not accept it. Fails if the client has left, and then gives back what was reserved and not
+    /// used.
+    fn send_to(
+        &self,
+        endpoint: AcquiredEndpoint,
+        reservation: Reservation,
+    ) -> Result<Result<Attempt, AttemptOutcome>, ClientLeft> {
+        let is_retry = reservation.is_retry();
+        let sent = match self.gateway.start_attempt(self.request, endpoint) {
+            Ok(attempt) => Ok(attempt),
+            Err(SendError::Endpoint(outcome)) => Err(outcome),
+            Err(SendError::ClientLeftBefore) => {
+                self.gateway.give_back(self.request, reservation);
+                return Err(ClientLeft);
+            }
+            Err(SendError::ClientLeftWithin) => return Err(ClientLeft),
+        };
+        if is_retry {
+            increment(&self.gateway.counters.retries);
+        }
+        Ok(sent)
     }
 
     /// Acquires an endpoint for the next attempt. The first attempt waits for an endpoint whose
-    /// queue has room. A retry doesn't wait, and spends retry budget even if no endpoint is left
-    /// for it.
-    fn acquire_next_endpoint(&self, is_retry: bool) -> Option<AcquiredEndpoint> {
-        let deadline = self.request.acquire_deadline();
-        if is_retry && !self.try_spend_retry() {
-            return None;
-        }
-        let deadline = if is_retry { Tick(0) } else { deadline };
+    /// queue has room; a retry doesn't wait.
+    fn acquire_next_endpoint(&self) -> Result<Option<AcquiredEndpoint>, ClientLeft> {
+        let is_retry = self.policy.is_retry();
+        let deadline = if is_retry { Tick(0) } else { self.request.acquire_deadline() };
         self.gateway.acquire_endpoint(self.request, &self.tried_endpoints, deadline)
     }
 
+    fn refuse_at_limit(&self, retry_after_ms: u64) -> Flow {
+        increment(&self.gateway.counters.over_limit);
+        let refusal = Refusal::TooManyRequests;
+        Flow::Break(ForwardResult::Refused { refusal, retry_after_ms })
+    }
+
     /// Records that bytes of the request may have reached an endpoint. A request earns retry budget
     /// once, for its first attempt.
     fn record_sent(&mut self) {
@@ -191,18 +228,6 @@
         lock(&self.gateway.retry_budgets).allows_retry(self.request.service)
     }
 
-    /// Spends retry budget for sending the request once more; false if there is none.
-    fn try_spend_retry(&self) -> bool {
-        if !self.budget_allows_retry() {
-            return false;
-        }
-        // Sent once more, the request also counts once more for the limit of its tenant.
-        if self.acquire_operation(MIN_OPERATION_WAIT_MS).is_err() {
-            return false;
-        }
-        lock(&self.gateway.retry_budgets).try_spend(self.request.service)
-    }
-
     fn handle_no_endpoint(&self) -> Flow {
         if !self.attempts.is_empty() {
             return Flow::Continue(Step::AwaitResponses);
@@ -215,13 +240,13 @@
     /// attempt as in flight.
     fn stream_body(
         &mut self,
-        mut attempt: Attempt,
+        attempt: Attempt,
         client: &mut ClientStream<'_>,
-    ) -> io::Result<Flow> {
+    ) -> Result<Flow, ReceiveError> {
         if let Some(mut remaining) = self.request.remaining_body.take() {
             self.body_streamed = true;
             self.policy.forbid_retries();
-            match stream_remaining_body(self.request, &mut remaining, &mut attempt, client) {
+            match stream_remaining_body(self.request, &mut remaining, &attempt, client) {
                 Ok(()) => {}
                 Err(ReceiveError::Refused(refusal)) => {
                     // The rest of the body is still unread on the client's connection, which
@@ -232,13 +257,9 @@
                     let retry_after_ms = 0;
                     return Ok(Flow::Break(ForwardResult::Refused { refusal, retry_after_ms }));
                 }
-                Err(ReceiveError::Closed) => {
+                Err(error @ (ReceiveError::Closed | ReceiveError::Connection(_))) => {
                     self.gateway.abandon_attempt(attempt, AbandonReason::ResponseNotNeeded);
-                    return Err(io::ErrorKind::UnexpectedEof.into());
-                }
-                Err(ReceiveError::Connection(e)) => {
-                    self.gateway.abandon_attempt(attempt, AbandonReason::ResponseNotNeeded);
-                    return Err(e);
+                    return Err(error);
                 }
             }
         }
@@ -246,12 +267,10 @@
         Ok(Flow::Continue(Step::AwaitResponses))
     }
 
-    fn await_responses(&mut self) -> io::Result<Flow> {
+    fn await_responses(&mut self) -> Result<Flow, ReceiveError> {
         let now = Tick::now();
         if self.request.is_past_deadline(now) {
-            for attempt in self.attempts.drain(..) {
-                self.gateway.abandon_attempt(attempt, AbandonReason::EndpointTooSlow);
-            }
+            self.abandon_attempts(AbandonReason::EndpointTooSlow);
             return Ok(self.refuse(Refusal::GatewayTimeout));
         }
         let hedge_due = self.hedge_due();
@@ -262,17 +281,28 @@
         if let Some(due) = hedge_due {
             wait_ms = wait_ms.min(due.since(now).max(HEDGE_POLL_INTERVAL_MS));
         }
-        let readable = wait_readable(&self.attempts, wait_ms)?;
+        let readable = self.wait_readable(wait_ms)?;
         for index in (0..self.attempts.len()).rev().filter(|index| readable[*index]) {
             match self.attempts[index].read(self.request.head) {
                 AttemptProgress::Pending => {}
                 AttemptProgress::Ready => return Ok(self.finish_with(index)),
-                AttemptProgress::Ended(outcome) => return Ok(self.end_attempt(index, outcome)),
+                AttemptProgress::Ended(outcome) => return Ok(self.end_attempt(index, outcome)?),
             }
         }
         Ok(Flow::Continue(Step::AwaitResponses))
     }
 
+    /// Waits until the connection of one of the attempts is readable. Returns for each attempt
+    /// whether its connection is. Fails if the client leaves, unless the request is not idempotent:
+    /// endpoints then finish the work that they have begun.
+    fn wait_readable(&self, wait_ms: u64) -> Result<Vec<bool>, WaitError> {
+        let sockets = readable_sockets(&self.attempts);
+        match self.request.idempotency() {
+            Idempotency::Idempotent => self.request.client.wait(sockets, wait_ms),
+            Idempotency::NonIdempotent => Ok(wait_ready(sockets, wait_ms)?),
+        }
+    }
+
     /// When a hedged request is due; `None` if none is allowed.
     fn hedge_due(&self) -> Option<Tick> {
         match self.attempts.as_slice() {
@@ -297,35 +327,45 @@
         Flow::Break(ForwardResult::Response(Box::new(winner)))
     }
 
-    fn end_attempt(&mut self, index: usize, outcome: AttemptOutcome) -> Flow {
+    fn end_attempt(&mut self, index: usize, outcome: AttemptOutcome) -> Result<Flow, ClientLeft> {
         let attempt = self.attempts.swap_remove(index);
         let idempotent = self.request.idempotency() == Idempotency::Idempotent;
         let may_resend = idempotent && !self.body_streamed && attempt.used_stale_connection();
-        if may_resend && self.try_spend_retry() {
-            return self.resend_on_new_connection(attempt);
+        if may_resend {
+            match self.gateway.reserve_retry(self.request) {
+                Ok(reservation) => return self.resend_on_new_connection(attempt, reservation),
+                Err(ReservationError::ClientLeft(client_left)) => {
+                    self.gateway.abandon_attempt(attempt, AbandonReason::ResponseNotNeeded);
+                    return Err(client_left);
+                }
+                Err(ReservationError::TenantAtLimit { .. } | ReservationError::NoRetryBudget) => {}
+            }
         }
         let next = self.next_step(outcome);
         let forward = next == NextStep::ForwardResponse && self.attempts.is_empty();
         if forward && attempt.body.is_complete() {
-            return Flow::Break(ForwardResult::Response(Box::new(attempt)));
+            return Ok(Flow::Break(ForwardResult::Response(Box::new(attempt))));
         }
         self.gateway.end_failed_attempt(attempt, outcome);
-        self.apply_next_step(next, outcome)
+        Ok(self.apply_next_step(next, outcome))
     }
 
     /// Sends the request to the same endpoint on a new connection, because the endpoint has most
     /// likely closed the reused one while it was idle.
-    fn resend_on_new_connection(&mut self, attempt: Attempt) -> Flow {
+    fn resend_on_new_connection(
+        &mut self,
+        attempt: Attempt,
+        reservation: Reservation,
+    ) -> Result<Flow, ClientLeft> {
         self.policy.record_resent();
-        increment(&self.gateway.counters.retries);
-        match self.gateway.start_attempt(self.request, attempt.into_endpoint()) {
+        match self.send_to(attempt.into_endpoint(), reservation)? {
             Ok(attempt) => {
                 self.attempts.push(attempt);
-                Flow::Continue(Step::AwaitResponses)
+                Ok(Flow::Continue(Step::AwaitResponses))
             }
             Err(outcome) => {
                 let next = self.next_step(outcome);
-                self.apply_next_step(next, outcome)
+                Ok(self.apply_next_step(next, outcome))
             }
         }
     }
@@ -373,10 +413,13 @@
 fn stream_remaining_body(
     request: &RequestContext<'_>,
     body: &mut BodyDecoder,
-    attempt: &mut Attempt,
+    attempt: &Attempt,
     client: &mut ClientStream<'_>,
 ) -> Result<(), ReceiveError> {
-    let endpoint_lost = |_: io::Error| ReceiveError::Refused(Refusal::BadGateway);
+    let send_failed = |error: SendError| match error {
+        SendError::Endpoint(_) => ReceiveError::Refused(Refusal::BadGateway),
+        SendError::ClientLeftBefore | SendError::ClientLeftWithin => ReceiveError::Closed,
+    };
     let framing = request.head.framing;
     let mut length = request.body.len() as u64;
     let mut data = Vec::new();
@@ -388,11 +431,11 @@
             return Err(ReceiveError::Refused(Refusal::TooLarge));
         }
         if !data.is_empty() {
-            attempt.write_body(&data, framing).map_err(endpoint_lost)?;
+            attempt.write_body(request.client, &data, framing).map_err(send_failed)?;
         }
         if !body.is_complete() {
             client.read_more(request.deadline)?;
         }
     }
-    attempt.write_body_end(framing).map_err(endpoint_lost)
+    attempt.write_body_end(request.client, framing).map_err(send_failed)
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,6 @@
 //! `latency`, `load_balancing`, `outlier_detection`, `retry_budget` and `subsets`.
 pub mod attempts;
 mod client_connection;
-mod client_watch;
 pub mod demand;
 mod endpoint_access;
 pub mod endpoint_attempt;
@@ -23,6 +22,8 @@
 pub mod process;
 mod request_context;
 mod request_handling;
+pub mod request_sender;
+mod reservation;
 mod responses;
 pub mod retry_budget;
 mod server;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -6,7 +6,6 @@
 use crate::base::time::Tick;
 use crate::base::worker_pool::start_loop_thread;
 use crate::config::settings::{Settings, SettingsWatcher};
-use crate::gateway::client_connection::ClientConnection;
 use crate::gateway::server::Gateway;
 use crate::net::http;
 use crate::net::rpc::pooler_messages::ToController;
@@ -160,17 +159,15 @@
     }
     // Idle connections are closed; requests that were received are still served.
     gateway.closing_idle_clients.store(true, Ordering::Relaxed);
-    let clients: Vec<Arc<ClientConnection>> = lock(&gateway.clients).values().cloned().collect();
-    for client in clients.iter().filter(|client| client.idle_since().is_some()) {
-        client.stop_reading();
-    }
-    if !clients.is_empty() && !grace.is_over() {
+    gateway.close_idle_clients(|_| true);
+    let open_clients = lock(&gateway.clients).len();
+    if open_clients > 0 && !grace.is_over() {
         return Drain::InProgress;
     }
     gateway.leader.send(ToController::Goodbye);
     info!(
         target: "gateway",
-        "shutdown complete, with {} client connections still open", clients.len()
+        "shutdown complete, with {open_clients} client connections still open"
     );
     Drain::Complete
 }
--- a/src/gateway/request_context.rs
+++ b/src/gateway/request_context.rs
@@ -5,9 +5,8 @@
 use crate::config::route_table::RouteEntry;
 use crate::config::tenants::{Identity, TenantEntry};
 use crate::gateway::attempts::Idempotency;
-use crate::gateway::client_watch::ClientWatch;
 use crate::gateway::http1::{BodyDecoder, BodyFraming, RequestHead, append_header};
-use log::debug;
+use crate::node::client_watch::ClientWatch;
 
 /// The gateway stops waiting for a response this many milliseconds before the client's deadline.
 /// The endpoint gets a deadline that is earlier by the same time.
@@ -85,17 +84,6 @@
         self.arrived.plus(self.route.target_latency_ms / 4).min(self.deadline)
     }
 
-    /// Logs that the client has left; `when` says what the gateway was about to do. Debug level,
-    /// because clients leave often.
-    pub(super) fn log_departure(&self, when: &str) {
-        debug!(
-            target: "gateway",
-            "the client of request {} left {when}, {} ms after the request had arrived",
-            self.head.request_id.as_deref().unwrap_or("without an id"),
-            Tick::now().since(self.arrived)
-        );
-    }
-
     /// Whether it is too late for a response to reach the client before its deadline.
     pub(super) fn is_past_deadline(&self, now: Tick) -> bool {
         now.plus(DEADLINE_MARGIN_MS) >= self.deadline
--- a/src/gateway/request_handling.rs
+++ b/src/gateway/request_handling.rs
@@ -19,6 +19,7 @@
 use crate::gateway::responses::AfterResponse;
 use crate::gateway::server::{Gateway, increment};
 use crate::gateway::subsets::stable_hash;
+use log::debug;
 use std::io;
 use std::sync::atomic::Ordering;
 
@@ -76,16 +77,35 @@
         }
     }
 
-    /// Serves one request whose head was received. The route table that is in force at the start is
-    /// used for the whole request.
+    /// Serves one request whose head was received, and records it if its client leaves.
     fn serve_request(
         &self,
         head: &RequestHead,
         client: &mut ClientStream<'_>,
+    ) -> Result<AfterResponse, ReceiveError> {
+        let arrived = Tick::now();
+        let served = self.forward_request(head, arrived, client);
+        let client_left = match &served {
+            Err(ReceiveError::Closed) => true,
+            Err(ReceiveError::Connection(_)) => client.watch().has_left(),
+            Ok(_) | Err(ReceiveError::Refused(_)) => false,
+        };
+        if client_left {
+            self.record_departure(head, arrived);
+        }
+        served
+    }
+
+    /// Forwards a request and sends the response. The route table that is in force at the start is
+    /// used for the whole request.
+    fn forward_request(
+        &self,
+        head: &RequestHead,
+        arrived: Tick,
+        client: &mut ClientStream<'_>,
     ) -> Result<AfterResponse, ReceiveError> {
         let Some(route_table) = self.route_table() else { return Ok(AfterResponse::Close) };
         increment(&self.counters.requests);
-        let arrived = Tick::now();
         let after = AfterResponse::close_if(head.close || self.draining.load(Ordering::Relaxed));
         if let BodyFraming::Length(length) = head.framing
             && length > client.max_body_bytes
@@ -123,9 +143,7 @@
             body: &buffered,
             remaining_body: remaining,
         };
-        let result = self.forward(&mut request, client);
-        self.record_departure(&request);
-        match result? {
+        match self.forward(&mut request, client)? {
             ForwardResult::Refused { refusal, retry_after_ms } => {
                 let has_unread_body = request.remaining_body.is_some();
                 let after = after.or_close_if(refusal.response().closes || has_unread_body);
@@ -133,17 +151,21 @@
                 Ok(after)
             }
             ForwardResult::Response(attempt) => {
-                Ok(self.relay_response(&request, *attempt, client, after)?)
+                self.relay_response(&request, *attempt, client, after)
             }
         }
     }
 
-    /// Counts a request whose client has left before its response.
-    fn record_departure(&self, request: &RequestContext<'_>) {
-        if request.client.has_left() {
-            increment(&self.counters.client_closed);
-            request.log_departure("before its response");
-        }
+    /// Counts and logs a request whose client has left. Debug level, because clients leave often.
+    fn record_departure(&self, head: &RequestHead, arrived: Tick) {
+        increment(&self.counters.client_closed);
+        debug!(
+            target: "gateway",
+            "request {}: its client closed the connection {} ms after the request had arrived, so \
+             it is given up",
+            head.request_id.as_deref().unwrap_or("without an id"),
+            Tick::now().since(arrived)
+        );
     }
 }
 
--- a/src/gateway/responses.rs
+++ b/src/gateway/responses.rs
@@ -3,13 +3,15 @@
 use crate::base::errors::Refusal;
 use crate::base::sync::lock;
 use crate::base::time::Tick;
-use crate::gateway::client_connection::ClientStream;
-use crate::gateway::endpoint_attempt::{Attempt, LAST_CHUNK, wait_readable};
+use crate::gateway::client_connection::{ClientStream, ReceiveError};
+use crate::gateway::endpoint_access::AbandonReason;
+use crate::gateway::endpoint_attempt::{Attempt, LAST_CHUNK};
 use crate::gateway::http1::{BodyFraming, RequestHead, ResponseHead, append_header, encode_chunk};
 use crate::gateway::outlier_detection::OutlierDetector;
 use crate::gateway::request_context::RequestContext;
 use crate::gateway::request_handling::DEFAULT_DEADLINE_MS;
 use crate::gateway::server::Gateway;
+use crate::node::client_watch::WaitError;
 use std::io;
 
 /// How often the deadline of a relayed response is checked while no data arrives, in milliseconds.
@@ -74,9 +76,9 @@
     /// The endpoint's response ended early, is invalid, or took too long.
     #[error("the endpoint's response ended early, is invalid or took too long")]
     Endpoint,
-    /// The endpoint's connection can't be polled.
-    #[error("polling the endpoint's connection failed: {0}")]
-    Poll(io::Error),
+    /// The client left, or the endpoint's connection can't be polled.
+    #[error(transparent)]
+    Wait(#[from] WaitError),
 }
 
 impl Gateway {
@@ -87,10 +89,11 @@
         mut attempt: Attempt,
         client: &ClientStream<'_>,
         after: AfterResponse,
-    ) -> io::Result<AfterResponse> {
+    ) -> Result<AfterResponse, ReceiveError> {
         let took_ms = Tick::now().since(attempt.sent_at);
         let Some(head) = attempt.head.clone() else {
-            return Err(io::ErrorKind::InvalidData.into());
+            self.abandon_attempt(attempt, AbandonReason::EndpointTooSlow);
+            return Err(io::Error::from(io::ErrorKind::InvalidData).into());
         };
         let framing = RelayFraming::of(request.head, &head, &attempt);
         let after = after.or_close_if(framing == RelayFraming::UntilClose);
@@ -102,13 +105,7 @@
             RelayFraming::Chunked => first_bytes.extend_from_slice(&encode_chunk(&buffered_body)),
             _ => first_bytes.extend_from_slice(&buffered_body),
         }
-        let relayed = match client.write(&first_bytes) {
-            Ok(()) => relay_body(&mut attempt, client, framing),
-            Err(e) => Err(RelayError::Client(e)),
-        };
-        if let Err(RelayError::Poll(e)) = relayed {
-            return Err(e);
-        }
+        let relayed = relay(&mut attempt, client, &first_bytes, framing);
         let is_incomplete = matches!(relayed, Err(RelayError::Endpoint));
         self.record_response(request, attempt, &head, took_ms, is_incomplete);
         match relayed {
@@ -116,7 +113,8 @@
             // Part of the response was sent already, so closing the connection is the only way to
             // show the client that it is incomplete.
             Err(RelayError::Endpoint) => Ok(AfterResponse::Close),
-            Err(RelayError::Client(e) | RelayError::Poll(e)) => Err(e),
+            Err(RelayError::Client(e)) => Err(e.into()),
+            Err(RelayError::Wait(e)) => Err(e.into()),
         }
     }
 
@@ -207,6 +205,18 @@
     }
 }
 
+/// Relays a response, of which `first_bytes` are ready to be sent, unless the client has left.
+fn relay(
+    attempt: &mut Attempt,
+    client: &ClientStream<'_>,
+    first_bytes: &[u8],
+    framing: RelayFraming,
+) -> Result<(), RelayError> {
+    client.watch().ensure_present().map_err(WaitError::from)?;
+    client.write(first_bytes).map_err(RelayError::Client)?;
+    relay_body(attempt, client, framing)
+}
+
 /// Relays the rest of a response body. More is read from the endpoint only after the client has
 /// accepted what was read before.
 fn relay_body(
@@ -216,8 +226,8 @@
 ) -> Result<(), RelayError> {
     let deadline = Tick::now().plus(DEFAULT_DEADLINE_MS);
     while !attempt.body.is_complete() {
-        let readable = wait_readable(std::slice::from_ref(attempt), RELAY_POLL_INTERVAL_MS);
-        if !readable.map_err(RelayError::Poll)?[0] {
+        let socket = attempt.readable_socket();
+        if !client.watch().wait(vec![socket], RELAY_POLL_INTERVAL_MS)?[0] {
             if Tick::now() >= deadline {
                 return Err(RelayError::Endpoint);
             }
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -57,4 +57,11 @@
         }
         allowed
     }
+
+    /// Gives back a retry that was spent and not sent.
+    pub fn give_back(&mut self, service: &ServiceName) {
+        if let Some(saved) = self.saved.get_mut(service) {
+            *saved = (*saved + 1.0).min(MAX_SAVED_RETRIES);
+        }
+    }
 }
--- a/src/net/idle_connections.rs
+++ b/src/net/idle_connections.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Takes out a parked connection that its caller closes or serves; `None` if it is not parked.
+    pub fn take(&self, id: u64) -> Option<T> {
+        lock(&self.parked).remove(&id)
+    }
+
     /// Waits for parked connections to become readable and passes their values to `wake`. Does not
     /// return.
     pub fn run(&self, wake: impl Fn(T)) {
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -32,6 +32,48 @@
     Ok(stream)
 }
 
+/// Opens a connection and configures it as [`configure_stream`] does. `wait` waits until the socket
+/// is writable or a deadline of its own has passed; if it fails, the attempt is given up.
+///
+/// # Errors
+/// The errors of the connection attempt and of `wait`; `TimedOut` if `wait` returned before the
+/// attempt had ended.
+pub fn connect_stream_waiting<E: From<io::Error>>(
+    to: SocketAddr,
+    unacknowledged_timeout: Duration,
+    wait: impl FnOnce(&TcpStream) -> Result<Readiness, E>,
+) -> Result<TcpStream, E> {
+    let domain = socket2::Domain::for_address(to);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    let connected = socket.connect(&to.into());
+    let stream = TcpStream::from(socket);
+    match connected {
+        Ok(()) => {}
+        Err(e) if e.raw_os_error() == Some(libc::EINPROGRESS) => {
+            if wait(&stream)? == Readiness::NotReady {
+                return Err(io::Error::from(io::ErrorKind::TimedOut).into());
+            }
+            if let Some(e) = stream.take_error()? {
+                return Err(e.into());
+            }
+        }
+        Err(e) => return Err(e.into()),
+    }
+    stream.set_nonblocking(false)?;
+    configure_stream(&stream, unacknowledged_timeout)?;
+    Ok(stream)
+}
+
+/// Whether a socket became ready within a wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    /// It is ready, or its connection has failed.
+    Ready,
+    /// The time is over.
+    NotReady,
+}
+
 /// Makes the stream send without delay (`TCP_NODELAY`), and fail once sent data has been
 /// unacknowledged for `unacknowledged_timeout` (`TCP_USER_TIMEOUT`).
 ///
--- a/src/node/operation_allowance.rs
+++ b/src/node/operation_allowance.rs
@@ -8,6 +8,7 @@
 use crate::base::time::Tick;
 use crate::leases::operation_grants::GRANT_VALID_MS;
 use crate::net::rpc::pooler_messages::{OperationGrant, OperationRequest};
+use crate::node::client_watch::CLIENT_CHECK_INTERVAL_MS;
 use std::collections::HashMap;
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
@@ -25,12 +26,26 @@
     pub expires_at: Tick,
 }
 
-/// No operation of the tenant is allowed now.
+/// Why an operation is not allowed now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the tenant is at its limit; retry after {retry_after_ms} ms")]
-pub struct OperationRefused {
-    /// After how many milliseconds the client may retry.
-    pub retry_after_ms: u64,
+pub enum OperationRefused {
+    /// The tenant is at its limit, or the leader did not answer.
+    #[error("the tenant is at its limit; retry after {retry_after_ms} ms")]
+    AtLimit {
+        /// After how many milliseconds the client may retry.
+        retry_after_ms: u64,
+    },
+    /// The client left while the leader's answer was waited for.
+    #[error("the client left while it waited for an operation")]
+    ClientLeft,
+}
+
+/// How long a client waits for the leader to grant an operation.
+pub struct OperationWait<F> {
+    /// When to stop waiting.
+    pub deadline: Tick,
+    /// Whether the client has left, which ends the wait too.
+    pub client_left: F,
 }
 
 /// A request to the leader that was not answered yet.
@@ -116,14 +131,15 @@
 
 impl OperationAllowance {
     /// Takes one operation of a tenant. If none is left, asks the leader with `send` and waits for
-    /// its answer until `deadline`.
+    /// its answer.
     ///
     /// # Errors
-    /// [`OperationRefused`] if the tenant is at its limit, or the leader did not answer in time.
+    /// [`OperationRefused`] if the tenant is at its limit, the leader did not answer in time, or the
+    /// client has left.
     pub fn acquire(
         &self,
         tenant: &TenantName,
-        deadline: Tick,
+        wait: &OperationWait<impl Fn() -> bool>,
         send: impl Fn(OperationRequest),
     ) -> Result<OperationPermit, OperationRefused> {
         let mut tenants = lock(&self.tenants);
@@ -138,10 +154,15 @@
                 break Ok(permit);
             }
             if now < allowance.refused_until {
-                break Err(OperationRefused { retry_after_ms: allowance.refused_until.since(now) });
+                let retry_after_ms = allowance.refused_until.since(now);
+                break Err(OperationRefused::AtLimit { retry_after_ms });
+            }
+            if now >= wait.deadline {
+                let retry_after_ms = RETRY_WITHOUT_LEADER_MS;
+                break Err(OperationRefused::AtLimit { retry_after_ms });
             }
-            if now >= deadline {
-                break Err(OperationRefused { retry_after_ms: RETRY_WITHOUT_LEADER_MS });
+            if (wait.client_left)() {
+                break Err(OperationRefused::ClientLeft);
             }
             if !waits {
                 waits = true;
@@ -153,8 +174,8 @@
                 tenants = lock(&self.tenants);
                 continue;
             }
-            let wait = Duration::from_millis(deadline.since(now).clamp(1, REQUEST_TIMEOUT_MS));
-            let waited = self.answered.wait_timeout(tenants, wait);
+            let wait_ms = wait.deadline.since(now).clamp(1, CLIENT_CHECK_INTERVAL_MS);
+            let waited = self.answered.wait_timeout(tenants, Duration::from_millis(wait_ms));
             tenants = waited.unwrap_or_else(PoisonError::into_inner).0;
         };
         if waits && let Some(allowance) = tenants.get_mut(tenant) {
@@ -163,6 +184,16 @@
         outcome
     }
 
+    /// Gives back an operation that was not made, because its client left. One of an earlier grant
+    /// is lost.
+    pub fn give_back(&self, tenant: &TenantName, permit: OperationPermit) {
+        if let Some(allowance) = lock(&self.tenants).get_mut(tenant)
+            && allowance.expires_at == permit.expires_at
+        {
+            allowance.left += 1;
+        }
+    }
+
     /// Applies the leader's answer to a request.
     pub fn apply(&self, grants: Vec<OperationGrant>) {
         let now = Tick::now();
--- a/src/pooler/statement_execution.rs
+++ b/src/pooler/statement_execution.rs
@@ -7,7 +7,7 @@
 use crate::config::route_table::RouteEntry;
 use crate::net::rpc::pooler_messages::{SuspicionReason, ToController};
 use crate::net::statement_protocol::{Outcome, Reply, TransactionState};
-use crate::node::operation_allowance::{OperationPermit, OperationRefused};
+use crate::node::operation_allowance::{OperationPermit, OperationRefused, OperationWait};
 use crate::pooler::admission::{CheckOutError, Priority};
 use crate::pooler::client_session::{ClientReply, ClientSession, ClientStatement};
 use crate::pooler::commit_forwarding::Commit;
@@ -182,13 +182,19 @@
     fn acquire_operation(&self) -> Result<Option<OperationPermit>, Throttled> {
         let Some(tenant) = self.target.limited_tenant() else { return Ok(None) };
         let wait_ms = self.target.route.target_latency_ms / OPERATION_WAIT_DIVISOR;
-        let deadline = Tick::now().plus(wait_ms.max(MIN_OPERATION_WAIT_MS));
-        let acquired = self.pooler.allowance.acquire(tenant, deadline, |request| {
+        let wait = OperationWait {
+            deadline: Tick::now().plus(wait_ms.max(MIN_OPERATION_WAIT_MS)),
+            client_left: || false,
+        };
+        let acquired = self.pooler.allowance.acquire(tenant, &wait, |request| {
             self.pooler.send_to_leader(ToController::RequestOperations(vec![request]));
         });
-        acquired.map(Some).map_err(|OperationRefused { retry_after_ms }| {
-            self.pooler.over_limit.fetch_add(1, Ordering::Relaxed);
-            Throttled { retry_after_ms }
+        acquired.map(Some).map_err(|refused| match refused {
+            OperationRefused::AtLimit { retry_after_ms } => {
+                self.pooler.over_limit.fetch_add(1, Ordering::Relaxed);
+                Throttled { retry_after_ms }
+            }
+            OperationRefused::ClientLeft => self.overload(),
         })
     }
 
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -228,6 +228,25 @@
     assert_eq!(retries, 1_000);
 }
 
+#[test]
+fn a_retry_that_is_given_back_can_be_spent_once_more_and_adds_nothing_beyond() {
+    let service = ServiceName("locator".to_owned());
+    let mut budgets = RetryBudgets::new(0.2);
+    budgets.give_back(&service);
+    assert!(!budgets.allows_retry(&service), "nothing was spent before");
+    (0..5).for_each(|_| budgets.record_request(&service));
+    for _ in 0..3 {
+        assert!(budgets.try_spend(&service));
+        assert!(!budgets.allows_retry(&service));
+        budgets.give_back(&service);
+    }
+    assert!(budgets.try_spend(&service) && !budgets.try_spend(&service));
+    (0..100).for_each(|_| budgets.record_request(&service));
+    (0..3).for_each(|_| budgets.give_back(&service));
+    let saved = (0..10).filter(|_| budgets.try_spend(&service)).count();
+    assert_eq!(saved, 2, "no more is saved than a node may save");
+}
+
 #[test]
 fn the_cheaper_of_two_from_the_preferred_group_is_chosen() {
     let same_zone = Candidate {
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -643,7 +643,7 @@
 #[test]
 fn a_request_may_have_been_executed_once_one_byte_was_sent() {
     use silvertack::gateway::attempts::AttemptOutcome;
-    use silvertack::gateway::endpoint_attempt::write_request;
+    use silvertack::gateway::request_sender::write_request;
     let cases = [
         (0, Err(AttemptOutcome::NotSent)),
         (1, Err(AttemptOutcome::MayHaveExecuted)),
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -71,6 +71,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Work {
     pub(crate) began_at: Instant,
+    /// How long the work takes if its connection stays open.
+    pub(crate) planned: Duration,
     /// `None` while it is at work.
     pub(crate) ended_at: Option<Instant>,
 }
@@ -133,6 +135,10 @@
     pub(crate) fn set_behaviours(&self, behaviours: &[Behaviour]) {
         *lock(&self.next_behaviours) = behaviours.iter().copied().collect();
     }
+    /// Adds a behaviour for the next request that has none yet.
+    pub(crate) fn add_behaviour(&self, behaviour: Behaviour) {
+        lock(&self.next_behaviours).push_back(behaviour);
+    }
     /// The requests with this id that the endpoints received, in order.
     pub(crate) fn received(&self, request_id: &str) -> Vec<ReceivedRequest> {
         lock(&self.received)
@@ -149,14 +155,14 @@
     /// Works on a request until the time is over or its connection is closed. Returns whether the
     /// connection is still open.
     fn work_until_closed(&self, stream: &TcpStream, request_id: &str, work_ms: u64) -> bool {
-        let began_at = Instant::now();
+        let (began_at, planned) = (Instant::now(), Duration::from_millis(work_ms));
         let index = {
             let mut work = lock(&self.work);
-            work.push((request_id.to_owned(), Work { began_at, ended_at: None }));
+            work.push((request_id.to_owned(), Work { began_at, planned, ended_at: None }));
             work.len() - 1
         };
         let mut open = true;
-        while open && began_at.elapsed() < Duration::from_millis(work_ms) {
+        while open && began_at.elapsed() < planned {
             open = !is_closed(stream);
             std::thread::sleep(Duration::from_millis(2));
         }
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -14,6 +14,15 @@
         let _ = self.0.wait();
     }
 }
+
+/// What a process uses.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ProcessResources {
+    pub(crate) file_descriptors: u64,
+    pub(crate) threads: u64,
+    pub(crate) resident_kb: u64,
+}
+
 impl Process {
     pub(crate) fn run(role: &str, settings: &Path) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_silvertack"));
@@ -29,6 +38,21 @@
             eventually("a stopped process", || self.is_stopped());
         }
     }
+    /// What the process uses now.
+    pub(crate) fn resources(&self) -> ProcessResources {
+        let folder = PathBuf::from(format!("/proc/{}", self.0.id()));
+        let entries = |name: &str| {
+            std::fs::read_dir(folder.join(name)).map_or(0, |entries| entries.count() as u64)
+        };
+        let status = std::fs::read_to_string(folder.join("status")).unwrap_or_default();
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let resident_kb = resident.and_then(|value| value.trim().split(' ').next()?.parse().ok());
+        ProcessResources {
+            file_descriptors: entries("fd"),
+            threads: entries("task"),
+            resident_kb: resident_kb.unwrap_or(0),
+        }
+    }
     /// Whether every thread of the process is stopped, by the state field in `/proc/PID/task/*/stat`.
     fn is_stopped(&self) -> bool {
         let tasks = std::fs::read_dir(format!("/proc/{}/task", self.0.id())).expect("threads");
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -5,7 +5,7 @@
 
 use crate::support::{free_port, http};
 pub(crate) use processes::eventually;
-use processes::{Folder, Process};
+use processes::{Folder, Process, ProcessResources};
 use std::net::SocketAddr;
 
 /// A controller and one pooler or gateway.
@@ -81,6 +81,11 @@
         self.node.signal(name);
     }
 
+    /// What the process of the pooler or gateway uses now.
+    pub(crate) fn node_resources(&self) -> ProcessResources {
+        self.node.resources()
+    }
+
     /// The status of the node.
     pub(crate) fn status(&self) -> serde_json::Value {
         let (_, body) = http(self.readiness, "GET", "/status", &[], "").expect("status");
--- a/tests/tenants.rs
+++ b/tests/tenants.rs
@@ -12,12 +12,14 @@
 use silvertack::config::tenants::{Identity, OperationLimit, TenantTable, UnknownKey};
 use silvertack::leases::operation_grants::{GRANT_VALID_MS, OperationGrants};
 use silvertack::net::rpc::pooler_messages::{OperationGrant, OperationRequest};
-use silvertack::node::operation_allowance::OperationAllowance;
+use silvertack::node::operation_allowance::{
+    OperationAllowance, OperationPermit, OperationRefused, OperationWait,
+};
 use site::{Site, eventually};
 use stand_in_endpoints::StandInEndpoints;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use support::StandIn;
@@ -220,8 +222,8 @@
         number: request.number,
     };
     let acquire = |wait_ms: u64| {
-        let deadline = Tick::now().plus(wait_ms);
-        allowance.acquire(&tenant, deadline, |request| sent.lock().expect("sent").push(request))
+        let wait = OperationWait { deadline: Tick::now().plus(wait_ms), client_left: || false };
+        allowance.acquire(&tenant, &wait, |request| sent.lock().expect("sent").push(request))
     };
     let request = |index: usize| sent.lock().expect("sent").get(index).cloned();
     std::thread::scope(|scope| {
@@ -241,6 +243,50 @@
     assert!(acquire(20).is_err(), "the one operation was used");
 }
 
+/// Guards against clients that have left and still wait for an operation, or use one up.
+#[test]
+fn a_client_that_leaves_waits_for_no_operation_and_uses_none() {
+    let tenant = TenantName("t".to_owned());
+    let allowance = OperationAllowance::default();
+    let sent = Mutex::new(Vec::<OperationRequest>::new());
+    let left = AtomicBool::new(false);
+    let acquire = || {
+        let client_left = || left.load(Ordering::SeqCst);
+        let wait = OperationWait { deadline: Tick::now().plus(20_000), client_left };
+        allowance.acquire(&tenant, &wait, |request| sent.lock().expect("sent").push(request))
+    };
+    std::thread::scope(|scope| {
+        let waiting = scope.spawn(acquire);
+        eventually("the leader is asked", || !sent.lock().expect("sent").is_empty());
+        left.store(true, Ordering::SeqCst);
+        let left_at = Instant::now();
+        assert_eq!(waiting.join().expect("joined"), Err(OperationRefused::ClientLeft));
+        assert!(left_at.elapsed() < Duration::from_millis(500), "waited on for nobody");
+    });
+    left.store(false, Ordering::SeqCst);
+    std::thread::scope(|scope| {
+        let waiting = scope.spawn(acquire);
+        eventually("an operation is granted", || {
+            let last = sent.lock().expect("sent").last().cloned().expect("a request");
+            let number = last.number;
+            let grant =
+                OperationGrant { tenant: last.tenant, count: 1, retry_after_ms: 50, number };
+            allowance.apply(vec![grant]);
+            waiting.is_finished()
+        });
+        let permit = waiting.join().expect("joined").expect("granted");
+        allowance.give_back(&tenant, permit);
+    });
+    let asked = sent.lock().expect("sent").len();
+    let permit = acquire().expect("the operation that was given back");
+    assert_eq!(sent.lock().expect("sent").len(), asked, "without asking the leader");
+    // One of another grant is lost.
+    let other = OperationPermit { expires_at: permit.expires_at.plus(1) };
+    allowance.give_back(&tenant, other);
+    left.store(true, Ordering::SeqCst);
+    assert_eq!(acquire(), Err(OperationRefused::ClientLeft));
+}
+
 // ---------------------------------------------------------------------------------------------
 // The pooler
 
