--- a/tests/support/departing_clients.rs
+++ b/tests/support/departing_clients.rs
@@ -1,18 +1,16 @@
-//! Clients of a gateway that leave before their response, and what endpoints saw of their requests.
+//! A gateway, and clients of it that leave before their response.
 #![allow(dead_code, reason = "each test file uses a part of it")]
+#[path = "departures.rs"]
+mod departures;
+
 use crate::site::{Site, eventually};
 use crate::stand_in_endpoints::StandInEndpoints;
+pub(crate) use departures::{ALLOWED_DELAY, ALLOWED_LATE_SENDS, Departed, Departure};
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
-
-/// How long after the close a request may still reach an endpoint, or an endpoint be at work on it.
-pub(crate) const ALLOWED_DELAY: Duration = Duration::from_millis(500);
-
-/// How many requests may reach an endpoint later than that.
-pub(crate) const ALLOWED_LATE_SENDS: usize = 3;
+use std::time::Duration;
 
 pub(crate) fn fresh_id() -> String {
     static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -51,15 +49,6 @@
     site
 }
 
-/// How a client leaves.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Departure {
-    Close,
-    Reset,
-    /// The client shuts down its sending side and keeps the connection.
-    HalfClose,
-}
-
 /// A client connection with one request, or several pipelined ones.
 pub(crate) struct Client {
     pub(crate) stream: TcpStream,
@@ -104,53 +93,7 @@
     }
 
     pub(crate) fn leave(self, departure: Departure) -> Departed {
-        let left_at = Instant::now();
-        let half_open = match departure {
-            Departure::Close => None,
-            Departure::Reset => {
-                let linger = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
-                linger.expect("option");
-                None
-            }
-            Departure::HalfClose => {
-                self.stream.shutdown(Shutdown::Write).expect("shut down");
-                Some(self.stream)
-            }
-        };
-        Departed { ids: self.ids, left_at, _half_open: half_open }
-    }
-}
-
-/// A client that has left.
-pub(crate) struct Departed {
-    pub(crate) ids: Vec<String>,
-    pub(crate) left_at: Instant,
-    _half_open: Option<TcpStream>,
-}
-
-impl Departed {
-    /// Whether an endpoint was at work on one of the requests later than allowed.
-    pub(crate) fn was_worked_on(&self, endpoints: &StandInEndpoints) -> bool {
-        let late = self.left_at + ALLOWED_DELAY;
-        let mut work = self.ids.iter().flat_map(|id| endpoints.work(id));
-        work.any(|work| work.began_at < late && work.ended_at.is_none_or(|ended| ended > late))
-    }
-
-    /// Whether an endpoint that was at work would have been so later than allowed.
-    pub(crate) fn would_have_lasted(&self, endpoints: &StandInEndpoints) -> bool {
-        let late = self.left_at + ALLOWED_DELAY;
-        let mut work = self.ids.iter().flat_map(|id| endpoints.work(id));
-        work.any(|work| work.began_at < late && work.began_at + work.planned > late)
-    }
-
-    /// How often the requests reached an endpoint after `delay` had passed since the close.
-    pub(crate) fn arrivals_after(&self, endpoints: &StandInEndpoints, delay: Duration) -> usize {
-        let received = self.ids.iter().flat_map(|id| endpoints.received(id));
-        received.filter(|request| request.received_at > self.left_at + delay).count()
-    }
-
-    pub(crate) fn arrivals(&self, endpoints: &StandInEndpoints) -> usize {
-        self.ids.iter().map(|id| endpoints.received(id).len()).sum()
+        Departed::leave(self.stream, self.ids, departure)
     }
 }
 
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -1,7 +1,7 @@
 //! Stand-in endpoints of a gateway's service, which respond over HTTP and inject faults on request.
 #![allow(dead_code, reason = "each test and example uses only a part of this module")]
 use silvertack::gateway::http1::{BodyDecoder, ParsedHead, parse_request_head};
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -82,6 +82,8 @@
     pub(crate) service: String,
     pub(crate) addresses: Vec<SocketAddr>,
     next_behaviours: Mutex<VecDeque<Behaviour>>,
+    /// The behaviours for requests with these ids, which go first.
+    behaviours_by_id: Mutex<HashMap<String, Behaviour>>,
     received: Mutex<Vec<ReceivedRequest>>,
     /// Work with a duration, with the id of its request.
     work: Mutex<Vec<(String, Work)>>,
@@ -113,6 +115,7 @@
             service: service.to_owned(),
             addresses: listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?,
             next_behaviours: Mutex::default(),
+            behaviours_by_id: Mutex::default(),
             received: Mutex::default(),
             work: Mutex::default(),
             connections: AtomicUsize::new(0),
@@ -139,6 +142,14 @@
     pub(crate) fn add_behaviour(&self, behaviour: Behaviour) {
         lock(&self.next_behaviours).push_back(behaviour);
     }
+    /// Sets the behaviour for the request with this id, whichever endpoint gets it.
+    pub(crate) fn add_behaviour_of(&self, request_id: &str, behaviour: Behaviour) {
+        lock(&self.behaviours_by_id).insert(request_id.to_owned(), behaviour);
+    }
+    fn next_behaviour(&self, request_id: &str) -> Behaviour {
+        let of_request = lock(&self.behaviours_by_id).get(request_id).copied();
+        of_request.or_else(|| lock(&self.next_behaviours).pop_front()).unwrap_or(Behaviour::Serve)
+    }
     /// The requests with this id that the endpoints received, in order.
     pub(crate) fn received(&self, request_id: &str) -> Vec<ReceivedRequest> {
         lock(&self.received)
@@ -223,7 +234,7 @@
                 bytes.extend_from_slice(&chunk[..read_count]);
             }
             let id = request.request_id.clone().unwrap_or_default();
-            let behaviour = lock(&self.next_behaviours).pop_front().unwrap_or(Behaviour::Serve);
+            let behaviour = self.next_behaviour(&id);
             let method_and_target = format!("{} {}", request.method, request.target);
             lock(&self.received).push(ReceivedRequest {
                 endpoint,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -63,6 +63,8 @@
     term: u64,
     number: u64,
     primary: usize,
+    /// How often each write outside a transaction and each commit took effect, by statement id.
+    applied: HashMap<String, usize>,
 }
 
 /// The databases of one service, and a platform that promotes them.
@@ -152,6 +154,14 @@
     pub(crate) fn times_received(&self, id: &str) -> usize {
         lock(&self.received).iter().filter(|r| r.id == id).count()
     }
+    /// How often the write or commit with this id took effect.
+    pub(crate) fn times_applied(&self, id: &str) -> usize {
+        lock(&self.store).applied.get(id).copied().unwrap_or(0)
+    }
+    /// The stored value of a key.
+    pub(crate) fn value(&self, key: &str) -> Option<String> {
+        lock(&self.store).values.get(key).cloned()
+    }
     /// How often the databases have received a statement of the pooler's own that contains this.
     pub(crate) fn own_statements(&self, text: &str) -> usize {
         lock(&self.received).iter().filter(|r| r.id == "-" && r.text.contains(text)).count()
@@ -362,6 +372,7 @@
                 let writes = open.take().unwrap_or_default();
                 let mut store = lock(&self.store);
                 store.number += u64::from(!writes.is_empty());
+                *store.applied.entry(id.to_owned()).or_default() += 1;
                 store.values.extend(writes);
                 format!("COMPLETE {stamp}\r\n")
             }
@@ -386,6 +397,7 @@
                     None => {
                         let mut store = lock(&self.store);
                         store.number += 1;
+                        *store.applied.entry(id.to_owned()).or_default() += 1;
                         store.values.extend([write]);
                     }
                 }
