gateway: a streamed body that is refused is no fault of the endpoint

Seen: an endpoint is ejected because a client's streamed body is too large, malformed or too slow. Cause: every refusal while a body is streamed counted as a fault of the endpoint, whoever caused it. Change: only a refusal because the endpoint accepts no more counts. Evidence: the new test failed before (left_out true after a body that was too large), and holds.

--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -252,8 +252,11 @@
                     // The rest of the body is still unread on the client's connection, which
                     // therefore can't be reused.
                     self.request.remaining_body = Some(remaining);
-                    // Counts as a fault of the endpoint even if the client caused the refusal.
-                    self.gateway.abandon_attempt(attempt, AbandonReason::EndpointTooSlow);
+                    let reason = match refusal {
+                        Refusal::BadGateway => AbandonReason::EndpointTooSlow,
+                        _ => AbandonReason::ResponseNotNeeded,
+                    };
+                    self.gateway.abandon_attempt(attempt, reason);
                     let retry_after_ms = 0;
                     return Ok(Flow::Break(ForwardResult::Refused { refusal, retry_after_ms }));
                 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -314,6 +314,22 @@
     assert_eq!(client.receive("GET").expect("on the same connection").status, 200);
 }
 
+/// Guards against the ejection of an endpoint because of what a client sent.
+#[test]
+fn a_streamed_body_that_is_refused_is_no_fault_of_the_endpoint() {
+    let system = start_system(1);
+    let large = format!("{:x}\r\n{}", 500_000, "a".repeat(500_000));
+    let malformed = format!("{:x}\r\n{}\r\nzz\r\n", 300_000, "a".repeat(300_000));
+    for (what, body, status) in [("too large", large, 413), ("malformed", malformed, 400)] {
+        let mut client = Client::open(&system);
+        client.send(&request("POST", "/once/", "b", "Transfer-Encoding: chunked\r\n", &body));
+        assert_eq!(client.receive("POST").expect(what).status, status, "{what}");
+        let (_, status) = http(system.readiness, "GET", "/status", &[], "").expect("status");
+        let status: serde_json::Value = serde_json::from_str(&status).expect("json");
+        assert_eq!(status["databases"][0]["left_out"], false, "{what}: {status}");
+    }
+}
+
 #[test]
 #[expect(clippy::too_many_lines, reason = "one scenario, told in order")]
 fn endpoint_faults_are_retried_only_where_allowed() {
