--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -88,6 +88,8 @@
     /// Work with a duration, with the id of its request.
     work: Mutex<Vec<(String, Work)>>,
     connections: AtomicUsize,
+    /// How often each endpoint was started again, which gives it another id.
+    lives: Vec<AtomicUsize>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -119,6 +121,7 @@
             received: Mutex::default(),
             work: Mutex::default(),
             connections: AtomicUsize::new(0),
+            lives: (0..count).map(|_| AtomicUsize::new(0)).collect(),
         });
         for (endpoint, listener) in listeners.into_iter().enumerate() {
             let this = Arc::clone(&this);
@@ -132,7 +135,20 @@
         Ok(this)
     }
     pub(crate) fn id(&self, endpoint: usize) -> String {
-        format!("i-{}-{endpoint}", self.service)
+        match self.lives[endpoint].load(Ordering::SeqCst) {
+            0 => format!("i-{}-{endpoint}", self.service),
+            life => format!("i-{}-{endpoint}-{life}", self.service),
+        }
+    }
+    /// Gives the endpoint the id of a new start.
+    pub(crate) fn begin_life(&self, endpoint: usize) {
+        self.lives[endpoint].fetch_add(1, Ordering::SeqCst);
+    }
+    /// How many requests the endpoint received within a time.
+    pub(crate) fn arrivals(&self, endpoint: usize, from: Instant, to: Instant) -> usize {
+        let received = lock(&self.received);
+        let late = received.iter().filter(|r| r.received_at > from && r.received_at < to);
+        late.filter(|r| r.endpoint == endpoint).count()
     }
     /// Sets the behaviours for the next requests; those after them are served.
     pub(crate) fn set_behaviours(&self, behaviours: &[Behaviour]) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A statement that a database has received.
 pub(crate) struct ReceivedStatement {
@@ -17,6 +17,9 @@
     pub(crate) user: String,
     pub(crate) id: String,
     pub(crate) text: String,
+    pub(crate) received_at: Instant,
+    /// Whether it is not within a transaction.
+    pub(crate) begins: bool,
 }
 
 /// A fault that a database applies to a statement.
@@ -78,6 +81,8 @@
     received: Mutex<Vec<ReceivedStatement>>,
     store: Mutex<Store>,
     stamps: AtomicU64,
+    /// How often each database was started again, which gives it another id.
+    lives: Vec<AtomicU64>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -105,6 +110,7 @@
             received: Mutex::default(),
             store: Mutex::new(Store { term: 1, ..Store::default() }),
             stamps: AtomicU64::new(1),
+            lives: (0..count).map(|_| AtomicU64::new(0)).collect(),
         });
         for (database, listener) in listeners.into_iter().enumerate() {
             let this = Arc::clone(&this);
@@ -131,7 +137,21 @@
     }
 
     pub(crate) fn id(&self, database: usize) -> String {
-        format!("i-{}-{database}", self.service)
+        match self.lives[database].load(Ordering::SeqCst) {
+            0 => format!("i-{}-{database}", self.service),
+            life => format!("i-{}-{database}-{life}", self.service),
+        }
+    }
+    /// Gives the database the id of a new start.
+    pub(crate) fn begin_life(&self, database: usize) {
+        self.lives[database].fetch_add(1, Ordering::SeqCst);
+    }
+    /// How many statements of clients that begin a transaction, or are outside of one, the database
+    /// received within a time.
+    pub(crate) fn arrivals(&self, database: usize, from: Instant, to: Instant) -> usize {
+        let received = lock(&self.received);
+        let late = received.iter().filter(|r| r.received_at > from && r.received_at < to);
+        late.filter(|r| r.database == database && r.id != "-" && r.begins).count()
     }
     /// The id and text of every received statement that has a client's id, in order.
     pub(crate) fn client_statements(&self) -> Vec<(String, String)> {
@@ -178,10 +198,14 @@
     }
     /// The body of a heartbeat of this database.
     pub(crate) fn heartbeat(&self, database: usize, sequence: u64) -> String {
+        self.heartbeat_in_state(database, sequence, "available")
+    }
+    /// The body of a heartbeat of this database, with its lifecycle state.
+    pub(crate) fn heartbeat_in_state(&self, database: usize, sequence: u64, state: &str) -> String {
         let role = if lock(&self.store).primary == database { "primary" } else { "replica" };
         serde_json::json!({
             "target_service": self.service, "address": self.addresses[database], "zone": "here",
-            "revision": "v1", "capacity": 7, "lifecycle_state": "available", "warmup_left_ms": 0,
+            "revision": "v1", "capacity": 7, "lifecycle_state": state, "warmup_left_ms": 0,
             "database_role": role, "sequence": sequence,
         })
         .to_string()
@@ -265,6 +289,8 @@
                 user: user.clone(),
                 id: id.to_owned(),
                 text: text.to_owned(),
+                received_at: Instant::now(),
+                begins: open.is_none(),
             });
             let fault = self.next_fault(id, text);
             if fault == InjectedFault::ResetBeforeRun {
--- a/tests/support/soak/clients.rs
+++ b/tests/support/soak/clients.rs
@@ -151,7 +151,7 @@
         stopped: Arc::clone(&stopped),
     };
     timeline.note(&format!("{} clients begin", plan.clients));
-    match &deployment.databases {
+    match &*deployment.databases {
         Databases::Sessions(databases) => {
             let all = SessionLog::new(databases);
             let threads = (0..plan.clients).map(|n| {
--- a/tests/support/soak/deployment.rs
+++ b/tests/support/soak/deployment.rs
@@ -1,4 +1,5 @@
 //! The processes of a soak, and the stand-in databases that serve them.
+use super::releases::{DRAIN_MS, ReleaseStates};
 use super::{Plan, Role, Timeline};
 use crate::stand_in_endpoints::StandInEndpoints;
 use crate::support::{StandIn, free_port};
@@ -8,7 +9,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -117,12 +118,58 @@
     Requests(Arc<StandInEndpoints>),
 }
 
+impl Databases {
+    pub(crate) fn count(&self) -> usize {
+        match self {
+            Self::Sessions(databases) => databases.addresses.len(),
+            Self::Requests(endpoints) => endpoints.addresses.len(),
+        }
+    }
+
+    pub(crate) fn id(&self, database: usize) -> String {
+        match self {
+            Self::Sessions(databases) => databases.id(database),
+            Self::Requests(endpoints) => endpoints.id(database),
+        }
+    }
+
+    /// Gives a database a new id, as each of its starts does.
+    pub(crate) fn begin_life(&self, database: usize) {
+        match self {
+            Self::Sessions(databases) => databases.begin_life(database),
+            Self::Requests(endpoints) => endpoints.begin_life(database),
+        }
+    }
+
+    /// The body of the next heartbeat of a database.
+    pub(crate) fn heartbeat(&self, database: usize, lifecycle_state: &str) -> String {
+        static SEQUENCE: AtomicU64 = AtomicU64::new(1);
+        let sequence = SEQUENCE.fetch_add(1, Ordering::SeqCst);
+        match self {
+            Self::Sessions(databases) => {
+                databases.heartbeat_in_state(database, sequence, lifecycle_state)
+            }
+            Self::Requests(endpoints) => endpoints.heartbeat(database, sequence, lifecycle_state),
+        }
+    }
+
+    /// How many requests of clients, or statements outside a transaction, reached a database within
+    /// a time.
+    pub(crate) fn arrivals(&self, database: usize, from: Instant, to: Instant) -> usize {
+        match self {
+            Self::Sessions(databases) => databases.arrivals(database, from, to),
+            Self::Requests(endpoints) => endpoints.arrivals(database, from, to),
+        }
+    }
+}
+
 /// All processes of a soak.
 pub(crate) struct Deployment {
     pub(crate) controllers: Vec<Machine>,
     /// The poolers or gateways.
     pub(crate) nodes: Vec<Machine>,
-    pub(crate) databases: Databases,
+    pub(crate) databases: Arc<Databases>,
+    pub(crate) release_states: Arc<ReleaseStates>,
     folder: PathBuf,
     heartbeats_stopped: Arc<AtomicBool>,
 }
@@ -170,7 +217,14 @@
         controllers.iter().chain(&nodes).for_each(Machine::start);
         timeline.note(&format!("started {plan:?}"));
         let heartbeats_stopped = Arc::new(AtomicBool::new(false));
-        let deployment = Self { controllers, nodes, databases, folder, heartbeats_stopped };
+        let deployment = Self {
+            controllers,
+            nodes,
+            databases: Arc::new(databases),
+            release_states: Arc::default(),
+            folder,
+            heartbeats_stopped,
+        };
         deployment.send_heartbeats(admins);
         deployment
     }
@@ -178,30 +232,14 @@
     /// Sends heartbeats of all databases, to one controller after the other.
     fn send_heartbeats(&self, admins: Vec<SocketAddr>) {
         let stopped = Arc::clone(&self.heartbeats_stopped);
-        let heartbeats: Box<dyn Fn(u64) -> Vec<(String, String)> + Send> = match &self.databases {
-            Databases::Sessions(databases) => {
-                let databases = Arc::clone(databases);
-                Box::new(move |sequence| {
-                    (0..databases.addresses.len())
-                        .map(|d| (databases.id(d), databases.heartbeat(d, sequence)))
-                        .collect()
-                })
-            }
-            Databases::Requests(endpoints) => {
-                let endpoints = Arc::clone(endpoints);
-                Box::new(move |sequence| {
-                    (0..endpoints.addresses.len())
-                        .map(|e| (endpoints.id(e), endpoints.heartbeat(e, sequence, "available")))
-                        .collect()
-                })
-            }
-        };
+        let databases = Arc::clone(&self.databases);
+        let states = Arc::clone(&self.release_states);
         std::thread::spawn(move || {
-            let mut sequence = 0;
             while !stopped.load(Ordering::SeqCst) {
-                sequence += 1;
-                for (id, body) in heartbeats(sequence) {
-                    call_any(&admins, "PUT", &format!("/instances/{id}"), &[], &body);
+                for database in 0..databases.count() {
+                    let Some(state) = states.lifecycle_state(database) else { continue };
+                    let path = format!("/instances/{}", databases.id(database));
+                    call_any(&admins, "PUT", &path, &[], &databases.heartbeat(database, state));
                 }
                 std::thread::sleep(HEARTBEAT_INTERVAL);
             }
@@ -298,7 +336,7 @@
              bootstrap = {is_controller}\nquorum_member = {is_controller}\n\
              rollout = \"{rollout}\"\nport_range = [{peer}, {peer}]\nseed_nodes = {:?}\n\
              data_path = \"{}\"\n{}[listeners]\n{listeners}[fault_tolerance]\nmachines = 1\n\
-             [timing_bounds]\ngrace_s = {GRACE_S}\n",
+             [timing_bounds]\ngrace_s = {GRACE_S}\ndrain_ms = {DRAIN_MS}\n",
             admin.ip(),
             seeds.iter().map(ToString::to_string).collect::<Vec<_>>(),
             self.folder.join(name).display(),
--- a/tests/support/soak/events.rs
+++ b/tests/support/soak/events.rs
@@ -2,6 +2,7 @@
 use super::Plan;
 use super::deployment::{Deployment, GRACE_S, Machine};
 use super::operator::Operator;
+use super::releases::play_releases;
 use super::timeline::{Standstill, Timeline};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -54,6 +55,8 @@
         let random = SmallRng::seed_from_u64(seed * 100 + 98);
         // One controller at a time, so that a majority runs.
         scope.spawn(move || disturb(plan, random, &deployment.controllers, timeline, until));
+        let random = SmallRng::seed_from_u64(seed * 100 + 97);
+        scope.spawn(move || play_releases(plan, random, deployment, timeline, until));
         let random = SmallRng::seed_from_u64(seed * 100 + 99);
         scope.spawn(move || change_configuration(random, operator, until));
     });
--- a/tests/support/soak/mod.rs
+++ b/tests/support/soak/mod.rs
@@ -11,6 +11,7 @@
 mod gateway_clients;
 mod operator;
 mod pooler_clients;
+mod releases;
 mod resources;
 mod timeline;
 
--- a/tests/support/soak/operator.rs
+++ b/tests/support/soak/operator.rs
@@ -30,7 +30,7 @@
     pub(crate) fn new(deployment: &Deployment, timeline: &'a Timeline) -> Self {
         let operator = Self {
             admins: deployment.admins(),
-            serves_sessions: matches!(deployment.databases, Databases::Sessions(_)),
+            serves_sessions: matches!(*deployment.databases, Databases::Sessions(_)),
             timeline,
             known: Mutex::default(),
         };
