simulation: a node that shuts down is the only one to know a commit

A new kind of fault lets only one replica receive a commit, shuts the node down that forwarded it, and crashes the primary and that replica.

--- a/src/simulation/commit_holder_faults.rs
+++ b/src/simulation/commit_holder_faults.rs
@@ -1,8 +1,12 @@
-//! Faults after which a commit that a client was told of may be on one replica only, and the
-//! controllers don't count that replica: it is not registered yet, or it left. The other replicas
-//! receive nothing for a while, then the primary crashes and all nodes are lost with their reports.
+//! Faults after which a commit that a client was told of may be on one replica only.
+//!
+//! The controllers don't count that replica, because it is not registered yet, or it left. The other
+//! replicas receive nothing for a while, then the primary crashes and all nodes are lost with their
+//! reports. Or the node that forwarded the commit shuts down gracefully, and the primary and the
+//! replica crash: only what the node reported says that the commit exists.
 use crate::base::ids::ServiceName;
 use crate::simulation::change_faults::service_of;
+use crate::simulation::databases::Write;
 use crate::simulation::events::Event;
 use crate::simulation::world::World;
 
@@ -26,7 +30,65 @@
 /// The time in ms after which the lost nodes are back.
 const NODE_RESTART_MS: u64 = 1_000;
 
+/// A node whose next commit to a service only one replica receives. Once the node has forwarded it,
+/// the node shuts down, and all that have the commit crash.
+pub(super) struct PendingHolderCrash {
+    node: usize,
+    service: ServiceName,
+    /// The commit and the replica that receives it, once the node has sent its write.
+    sole: Option<(Write, usize)>,
+}
+
 impl World {
+    /// Waits for the next commit of a node to a service, see [`PendingHolderCrash`].
+    pub(super) fn add_pending_holder_crash(&mut self, number: u8) {
+        let node = usize::from(number) % self.nodes.len();
+        let service = service_of(number);
+        self.pending_holder_crashes.push(PendingHolderCrash { node, service, sole: None });
+    }
+
+    /// Stalls all replicas but one, if a fault waits for this write of the node to the primary.
+    pub(super) fn isolate_write(&mut self, node: usize, primary: usize, write: Write) {
+        if self.repaired {
+            return;
+        }
+        let service = self.databases[primary].service.clone();
+        let replicas: Vec<usize> = self
+            .databases_of(&service)
+            .into_iter()
+            .filter(|replica| *replica != primary && self.databases[*replica].up)
+            .collect();
+        let Some((holder, others)) = replicas.split_first() else { return };
+        let waiting = self
+            .pending_holder_crashes
+            .iter_mut()
+            .find(|fault| fault.node == node && fault.service == service && fault.sole.is_none());
+        let Some(fault) = waiting else { return };
+        fault.sole = Some((write, *holder));
+        for other in others {
+            self.databases[*other].stalled_until = self.now + STALL_MS;
+        }
+    }
+
+    /// Shuts the node down that has forwarded this commit, and crashes the primary and the replica
+    /// that have it, if a fault waits for that.
+    pub(super) fn crash_holders_of(&mut self, node: usize, service: &ServiceName, write: &Write) {
+        let is_due = |fault: &PendingHolderCrash| {
+            fault.node == node && fault.sole.as_ref().is_some_and(|(sole, _)| sole == write)
+        };
+        let Some(index) = self.pending_holder_crashes.iter().position(is_due) else { return };
+        let fault = self.pending_holder_crashes.swap_remove(index);
+        if self.repaired {
+            return;
+        }
+        self.shut_down_node(node);
+        let holder = fault.sole.map(|(_, holder)| holder);
+        for database in self.newest_primary(service).into_iter().chain(holder) {
+            self.databases[database].up = false;
+            self.schedule_after(PRIMARY_CRASH_MS, Event::DatabaseRestart(database));
+        }
+    }
+
     /// A new replica receives and acknowledges the log before the controllers know it, and soon no
     /// other replica does; then the primary and all nodes are lost.
     pub(super) fn inject_unregistered_sole_holder(&mut self, number: u8) {
--- a/src/simulation/commits.rs
+++ b/src/simulation/commits.rs
@@ -146,11 +146,9 @@
             );
             return self.report_violation(description);
         }
-        self.acknowledged_commits.entry(service).or_default().push(ForwardedCommit {
-            write,
-            node: number,
-            forwarded_at: now,
-        });
+        let forwarded = ForwardedCommit { write, node: number, forwarded_at: now };
+        self.acknowledged_commits.entry(service.clone()).or_default().push(forwarded);
+        self.crash_holders_of(number, &service, &write);
         if std::mem::take(&mut self.nodes[number].shuts_down_after_commit) {
             self.shut_down_node(number);
         }
--- a/src/simulation/databases.rs
+++ b/src/simulation/databases.rs
@@ -403,6 +403,7 @@
             database.log.push(Write { term, id });
             let length = database.log.len();
             database.pending_commits.push(PendingCommit { node, incarnation, sent_at, length, id });
+            self.isolate_write(node, to, Write { term, id });
         }
     }
 
--- a/src/simulation/faults.rs
+++ b/src/simulation/faults.rs
@@ -103,6 +103,7 @@
                 self.inject_unregistered_sole_holder(number);
             }
             FaultKind::DepartedSoleHolder(number) => self.inject_departed_sole_holder(number),
+            FaultKind::HolderCrashAfterShutdown(number) => self.add_pending_holder_crash(number),
         }
     }
 
--- a/src/simulation/schedule.rs
+++ b/src/simulation/schedule.rs
@@ -129,6 +129,9 @@
     /// to it breaks. Later it is the only one that receives; then the primary and all nodes are
     /// lost.
     DepartedSoleHolder(u8),
+    /// A node, chosen by number, shuts down gracefully right after a commit that only one replica
+    /// received, and the primary and that replica crash.
+    HolderCrashAfterShutdown(u8),
 }
 
 /// The number of kinds that any schedule may contain. The last one is a suspension, which keeps
@@ -136,7 +139,7 @@
 /// it out, unless it is limited to a few kinds.
 const GENERAL_KIND_COUNT: u64 = 20;
 /// The number of all kinds; those from `GENERAL_KIND_COUNT` on concern changes of primaries.
-const KIND_COUNT: u64 = 33;
+const KIND_COUNT: u64 = 34;
 
 /// The kinds of fault that a generated schedule selects from.
 #[derive(Clone, Copy, PartialEq)]
@@ -251,7 +254,8 @@
         9 => FaultKind::NodeShutdown(number),
         10 => FaultKind::EarlyDeregistration(number),
         11 => FaultKind::UnregisteredSoleHolder(number),
-        _ => FaultKind::DepartedSoleHolder(number),
+        12 => FaultKind::DepartedSoleHolder(number),
+        _ => FaultKind::HolderCrashAfterShutdown(number),
     }
 }
 
--- a/src/simulation/world.rs
+++ b/src/simulation/world.rs
@@ -4,6 +4,7 @@
 use crate::simulation::callers::Caller;
 use crate::simulation::change_faults::{ObservedChange, PendingChangeFault};
 use crate::simulation::checker::{CommittedConfiguration, ForwardedCommit};
+use crate::simulation::commit_holder_faults::PendingHolderCrash;
 use crate::simulation::databases::{Database, Write};
 use crate::simulation::events::Event;
 use crate::simulation::machines::Machine;
@@ -42,6 +43,8 @@
     /// Whether fault injection has ended.
     pub(super) repaired: bool,
     pub(super) pending_change_faults: Vec<PendingChangeFault>,
+    /// The faults that wait for a commit of a node.
+    pub(super) pending_holder_crashes: Vec<PendingHolderCrash>,
     pub(super) observed_changes: BTreeMap<ServiceName, ObservedChange>,
     /// The highest fencing token that the platform has received for each service.
     pub(super) highest_fences: BTreeMap<ServiceName, u64>,
@@ -114,6 +117,7 @@
             extra_routes_hundreds: 0,
             repaired: false,
             pending_change_faults: Vec::new(),
+            pending_holder_crashes: Vec::new(),
             observed_changes: BTreeMap::new(),
             highest_fences: BTreeMap::new(),
             committed_configurations: Vec::new(),
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -58,6 +58,7 @@
         1 => (0..3u8).prop_map(FaultKind::EarlyDeregistration),
         1 => (0..3u8).prop_map(FaultKind::UnregisteredSoleHolder),
         1 => (0..3u8).prop_map(FaultKind::DepartedSoleHolder),
+        1 => (0..3u8).prop_map(FaultKind::HolderCrashAfterShutdown),
     ]
 }
 fn schedule() -> impl Strategy<Value = Schedule> {
@@ -186,3 +187,22 @@
         }
     }
 }
+
+/// Guards against a promotion that misses a commit which only a node that has shut down reported
+/// (review/3): the databases that have it are down.
+#[test]
+fn what_a_node_reports_before_it_shuts_down_outlasts_it() {
+    for seed in 1..=8 {
+        let kind = FaultKind::HolderCrashAfterShutdown(seed as u8 % 3);
+        let schedule = Schedule {
+            seed,
+            controllers: 3,
+            tolerated_losses: 1,
+            operators: 2,
+            length_ms: 25_000,
+            faults: vec![Fault { start_ms: 8_000, duration_ms: 0, kind }],
+        };
+        let report = run_schedule(&schedule).unwrap_or_else(|v| panic!("seed {seed}: {v}"));
+        assert!(report.acknowledged_commits > 50, "{report:?}");
+    }
+}
