--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,4 +1,4 @@
-//! A short soak of each kind of deployment; `examples/soak.rs` plays longer ones by hand.
+//! A short soak of each kind of deployment, some 100 seconds in all, beside each other; `examples/soak.rs` plays longer ones by hand.
 #[path = "support/departures.rs"]
 mod departures;
 #[path = "support/soak/mod.rs"]
@@ -16,7 +16,7 @@
     let options = SoakOptions {
         seed,
         rounds: 1,
-        round_time: Duration::from_secs(10),
+        round_time: Duration::from_secs(20),
         many_nodes: 12,
         program: PathBuf::from(env!("CARGO_BIN_EXE_silvertack")),
     };
