Tests: the soak checks DRAIN only while the control plane is settled

Trace: controllers were stopped and started at 23.5, 24.6, 25.1, 26.7, 28.1, 28.2 and 29.1 s, and the goodbyes were acknowledged at 26.5 and 29.7 s. So a release counts if no event happened to a controller from 5 s before its acknowledgement to its end; the bound of drain_ms stays.

--- a/tests/support/soak/deployment.rs
+++ b/tests/support/soak/deployment.rs
@@ -39,6 +39,10 @@
 }
 
 impl Machine {
+    pub(crate) fn is_controller(&self) -> bool {
+        self.role == "controller"
+    }
+
     /// Starts the process; its log is appended to that of the one before.
     pub(crate) fn start(&self) {
         let log = OpenOptions::new().create(true).append(true).open(&self.log).expect("log file");
--- a/tests/support/soak/events.rs
+++ b/tests/support/soak/events.rs
@@ -54,7 +54,9 @@
         }
         let random = SmallRng::seed_from_u64(seed * 100 + 98);
         // One controller at a time, so that a majority runs.
-        scope.spawn(move || disturb(plan, random, &deployment.controllers, timeline, until));
+        if !plan.controllers_rest {
+            scope.spawn(move || disturb(plan, random, &deployment.controllers, timeline, until));
+        }
         let random = SmallRng::seed_from_u64(seed * 100 + 97);
         scope.spawn(move || play_releases(plan, random, deployment, timeline, until));
         let random = SmallRng::seed_from_u64(seed * 100 + 99);
@@ -89,6 +91,9 @@
 fn happen(event: Event, machine: &Machine, timeline: &Timeline) {
     let name = &machine.name;
     timeline.note(&format!("{name}: {event:?}"));
+    if machine.is_controller() {
+        timeline.add_control_event();
+    }
     match event {
         Event::Restart => {
             timeline.add_termination(name);
@@ -114,6 +119,9 @@
         }
         Event::Hangup => machine.signal(Signal::HUP),
     }
+    if machine.is_controller() {
+        timeline.add_control_event();
+    }
     timeline.note(&format!("{name}: {event:?} is over"));
 }
 
--- a/tests/support/soak/mod.rs
+++ b/tests/support/soak/mod.rs
@@ -58,6 +58,8 @@
     pub(crate) role: Role,
     /// Whether all events are planned work: SIGTERM, SIGHUP, restarts and configurations.
     pub(crate) only_planned_work: bool,
+    /// Whether nothing happens to the controllers.
+    pub(crate) controllers_rest: bool,
     pub(crate) nodes: usize,
     pub(crate) clients: usize,
 }
@@ -72,6 +74,7 @@
             seed,
             role: if seed.is_multiple_of(2) { Role::Pooler } else { Role::Gateway },
             only_planned_work: seed % 4 < 2,
+            controllers_rest: seed % 8 > 3,
             nodes,
             clients: if is_large { 2 * nodes } else { random.random_range(8..=24) },
         }
@@ -85,6 +88,8 @@
     pub(crate) departures: usize,
     pub(crate) events: usize,
     pub(crate) configurations: usize,
+    /// Releases of a database of which it was checked what reached it too late.
+    pub(crate) checked_releases: usize,
     /// Broken guarantees, each with the history around it.
     pub(crate) violations: Vec<String>,
     /// Where the logs of the processes are if a guarantee was broken.
@@ -117,6 +122,7 @@
     report.departures = observed.departures();
     report.events = timeline.len();
     report.configurations = operator.acknowledged();
+    report.checked_releases = timeline.checked_releases();
     if !report.violations.is_empty() {
         report.logs = Some(deployment.keep_logs(&timeline));
     }
--- a/tests/support/soak/pooler_clients.rs
+++ b/tests/support/soak/pooler_clients.rs
@@ -1,7 +1,7 @@
 //! Clients with sessions: writes, reads and transactions, and what must hold of their replies.
 use super::clients::{ClientContext, Node, Unanswered};
 use super::{Plan, Timeline};
-use crate::support::StandIn;
+use crate::support::{InjectedFault, StandIn};
 use rand::RngExt;
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
@@ -15,6 +15,11 @@
 /// One of this many statements is sent by a client that then leaves.
 const DEPARTURE_RATIO: u32 = 25;
 
+/// One of this many statements is answered late, by at most this many milliseconds, so that events
+/// find statements under way.
+const LATE_RATIO: u32 = 8;
+const MAX_LATE_MS: u64 = 200;
+
 /// A key and its value, written by the statement with this id.
 #[derive(Clone, Debug)]
 struct Written {
@@ -194,6 +199,10 @@
     /// client itself may be the reason.
     fn ask(&mut self, session: &mut Session, id: &str, text: &str) -> Option<SessionReply> {
         self.log.statements += 1;
+        if self.context.random.random_ratio(1, LATE_RATIO) {
+            let late_ms = self.context.random.random_range(0..MAX_LATE_MS);
+            self.log.databases.inject(id, &[InjectedFault::Late(late_ms)]);
+        }
         if !session.send(id, text) {
             return None;
         }
--- a/tests/support/soak/timeline.rs
+++ b/tests/support/soak/timeline.rs
@@ -1,10 +1,14 @@
 //! What happened when, as the history of a broken guarantee shows it.
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// How much of the time before and after a request its history shows.
 const HISTORY_MARGIN: Duration = Duration::from_secs(4);
 
+/// For how long an event at a controller excuses what needs a settled control plane.
+pub(crate) const CONTACT_TIME: Duration = Duration::from_secs(5);
+
 /// A time in which a process stood still.
 #[derive(Clone, Debug)]
 pub(crate) struct Standstill {
@@ -20,6 +24,10 @@
     standstills: Mutex<Vec<Standstill>>,
     /// When a node got SIGTERM.
     terminations: Mutex<Vec<(String, Instant)>>,
+    /// When something happened to a controller.
+    control_events: Mutex<Vec<Instant>>,
+    /// How many releases were checked.
+    checked_releases: AtomicUsize,
     violations: Mutex<Vec<String>>,
 }
 
@@ -30,6 +38,8 @@
             entries: Mutex::default(),
             standstills: Mutex::default(),
             terminations: Mutex::default(),
+            control_events: Mutex::default(),
+            checked_releases: AtomicUsize::new(0),
             violations: Mutex::default(),
         }
     }
@@ -64,6 +74,26 @@
         terminations.iter().filter(|(name, _)| name == node).map(|(_, at)| *at).collect()
     }
 
+    /// Notes that something happens to a controller now.
+    pub(crate) fn add_control_event(&self) {
+        self.control_events.lock().expect("list").push(Instant::now());
+    }
+
+    /// Whether nothing happened to a controller from `CONTACT_TIME` before `from` until `to`.
+    pub(crate) fn control_was_settled(&self, from: Instant, to: Instant) -> bool {
+        let events = self.control_events.lock().expect("list");
+        !events.iter().any(|at| *at + CONTACT_TIME > from && *at < to)
+    }
+
+    /// Counts a release that was checked.
+    pub(crate) fn add_checked_release(&self) {
+        self.checked_releases.fetch_add(1, Ordering::SeqCst);
+    }
+
+    pub(crate) fn checked_releases(&self) -> usize {
+        self.checked_releases.load(Ordering::SeqCst)
+    }
+
     /// Whether the node stood still at some time from `from` to `to`.
     pub(crate) fn stood_still(&self, node: &str, from: Instant, to: Instant) -> bool {
         let standstills = self.standstills.lock().expect("standstills");
