--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -206,3 +206,16 @@
         assert!(report.acknowledged_commits > 50, "{report:?}");
     }
 }
+
+/// Schedules that `silvertack simulate` drew, each of which broke a guarantee: a commit that the
+/// promoted database lacks, and in 106103 valid leases for two terms.
+#[test]
+fn guarantees_hold_under_drawn_schedules_that_broke_them() {
+    let seeds = [103_664, 104_203, 104_668, 104_832, 105_700, 106_103, 107_404];
+    let broken: Vec<String> = seeds
+        .iter()
+        .filter_map(|seed| Some((seed, run_schedule(&Schedule::from_seed(*seed)).err()?)))
+        .map(|(seed, violation)| format!("seed {seed}: {violation}"))
+        .collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
