--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -3,6 +3,8 @@
 //! Prints a line for each seed. If a guarantee was broken, it prints the history of the request and
 //! where the logs of the processes are; the same seed plays the same events again. It is an example
 //! and no command of the program, because it needs the stand-in databases of the tests.
+//!
+//! Run one at a time: a second one may take the port of a process that is down for a moment.
 #[path = "../tests/support/departures.rs"]
 mod departures;
 #[path = "../tests/support/soak/mod.rs"]
