--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -207,8 +207,8 @@
     }
 }
 
-/// Schedules that `silvertack simulate` drew, each of which broke a guarantee: a commit that the
-/// promoted database lacks, and in 106103 valid leases for two terms.
+/// Guards against messages of one connection that overtake each other in the model, with which each
+/// of these drawn schedules broke a guarantee.
 #[test]
 fn guarantees_hold_under_drawn_schedules_that_broke_them() {
     let seeds = [103_664, 104_203, 104_668, 104_832, 105_700, 106_103, 107_404];
